--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+GOLANGCI_VERSION := v2.15.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+BIN := $(CURDIR)/.bin
+MODULES := . ./e2e
+GO := go
+
+.PHONY: build test unit e2e lint format vet race demo bench generate tools spin clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
+
+# Runs every check that CI runs.
+test: tools format lint vet race e2e
+
+tools: $(BIN)/golangci-lint
+
+$(BIN)/golangci-lint:
+	GOWORK=off GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+$(BIN)/protoc-gen-go:
+	GOWORK=off GOBIN=$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+generate: $(BIN)/protoc-gen-go
+	PATH="$(BIN):$$PATH" protoc --go_out=. --go_opt=module=fulmarspindle.example/fulmarspindle peer/peerpb/peer.proto
+
+format: tools
+	@out="$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))"; test -z "$$out" || { echo "gofmt needed:"; echo "$$out"; exit 1; }
+
+lint: tools
+	$(BIN)/golangci-lint run ./...
+	cd e2e && $(BIN)/golangci-lint run ./...
+
+vet:
+	$(GO) vet ./... ./e2e/...
+
+# Unit and property tests under the race detector.
+race:
+	$(GO) test -race ./...
+
+# Tests with real processes, and the model checker.
+e2e: build
+	$(GO) test -count=1 ./e2e/... ./spec/...
+
+clean:
+	rm -rf $(BIN) .tmp
--- /dev/null
+++ b/cmd/fulmarside/main.go
@@ -0,0 +1,4 @@
+// Command fulmarside runs the sidecar beside one upstream.
+package main
+
+func main() {}
--- /dev/null
+++ b/e2e/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin runs one stand-in for an outside system.
+package main
+
+func main() {}
