Add stand-ins for the platform, the engine and a plain service, and a fault proxy

The end-to-end tests need the outside systems with their faults as switches, and a network between processes that can be cut, frozen, delayed, half closed and reset link by link. Off-the-shelf proxies were ruled out: none refuses new connections and holds present ones within the test process.

Engine streams depend on the request only, so that a resumed stream can be compared byte for byte.

--- a/e2e/cmd/standin/main.go
+++ b/e2e/cmd/standin/main.go
@@ -1,4 +1,84 @@
-// Command standin runs one stand-in for an outside system.
+// Command standin runs one stand-in for an outside system: the platform, a
+// model engine or a plain service.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+type platformCommand struct{}
+
+type engineCommand struct {
+	Slots           int     `arg:"--slots" default:"8" help:"requests that run at once"`
+	TokenIntervalMs float64 `arg:"--token-interval-ms" default:"5" help:"milliseconds for each output token"`
+	PrefillMsPer1k  float64 `arg:"--prefill-ms-per-1k" default:"10" help:"milliseconds for 1,000 prompt tokens"`
+	CacheBlocks     int     `arg:"--cache-blocks" default:"1024" help:"capacity of the prefix cache in blocks"`
+	ChecksFencing   bool    `arg:"--checks-fencing" help:"refuse orders with an old fencing number"`
+}
+
+type serviceCommand struct {
+	Slots  int     `arg:"--slots" default:"8" help:"requests that run at once"`
+	CostMs float64 `arg:"--cost-ms" default:"5" help:"service time of a request that names none"`
+}
+
+type arguments struct {
+	Platform *platformCommand `arg:"subcommand:platform" help:"object API and VM list"`
+	Engine   *engineCommand   `arg:"subcommand:engine" help:"model engine"`
+	Service  *serviceCommand  `arg:"subcommand:service" help:"plain service"`
+	Listen   string           `arg:"--listen,required" help:"address to serve on, host:port"`
+	Control  string           `arg:"--control,required" help:"address of the control port, host:port"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "Runs a stand-in for tests until SIGTERM."
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	standIn := build(args)
+	if standIn == nil {
+		parser.Fail("want a subcommand: platform, engine or service")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := standin.Serve(ctx, standIn, args.Listen, args.Control)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func build(args arguments) standin.StandIn {
+	switch {
+	case args.Platform != nil:
+		return standin.NewPlatform()
+	case args.Engine != nil:
+		return buildEngine(args.Engine)
+	case args.Service != nil:
+		return standin.NewService(args.Service.Slots, standin.ServiceSwitches{CostMs: args.Service.CostMs})
+	default:
+		return nil
+	}
+}
+
+func buildEngine(command *engineCommand) standin.StandIn {
+	switches := standin.DefaultEngineSwitches()
+	switches.TokenIntervalMs = command.TokenIntervalMs
+	switches.PrefillMsPer1k = command.PrefillMsPer1k
+	return standin.NewEngine(standin.EngineOptions{
+		Slots:         command.Slots,
+		ChecksFencing: command.ChecksFencing,
+		CacheBlocks:   command.CacheBlocks,
+		Switches:      switches,
+	})
+}
--- /dev/null
+++ b/e2e/faultproxy/link.go
@@ -0,0 +1,243 @@
+// Package faultproxy forwards TCP connections between processes under test and
+// injects network faults, each link on its own.
+package faultproxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// dialTimeout bounds one connect to the target.
+const dialTimeout = 5 * time.Second
+
+// ErrListen reports that a link can't listen on its address.
+var ErrListen = eris.New("faultproxy: listen")
+
+// faults are the faults in force on a link.
+type faults struct {
+	cut       bool
+	frozen    bool
+	halfClose bool
+	delay     time.Duration
+}
+
+// Link forwards connections from one address to one target. Its methods may be
+// called from any goroutine.
+type Link struct {
+	listen string
+	target string
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	faults   faults
+	changed  chan struct{}
+	listener net.Listener
+	pairs    map[*pair]struct{}
+}
+
+// NewLink starts to forward from listen (host:port, port 0 for any) to target.
+func NewLink(listen, target string) (*Link, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{
+		listen:  listen,
+		target:  target,
+		ctx:     ctx,
+		cancel:  cancel,
+		changed: make(chan struct{}),
+		pairs:   map[*pair]struct{}{},
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.openLocked(); err != nil {
+		cancel()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Address returns the address that the link listens on.
+func (l *Link) Address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listen
+}
+
+// Cut resets all connections and refuses new ones until Heal.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLocked(func(f *faults) { f.cut = true })
+	l.closeListenerLocked()
+	l.resetLocked()
+}
+
+// Freeze holds all bytes in both directions until Heal, without closing
+// anything. New connections are accepted and held too.
+func (l *Link) Freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLocked(func(f *faults) { f.frozen = true })
+}
+
+// Delay delays bytes by d in each direction, without limiting throughput; 0
+// ends the delay.
+func (l *Link) Delay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLocked(func(f *faults) { f.delay = d })
+}
+
+// HalfClose ends the direction to the target on all connections, present and
+// new, until Heal. The direction from the target stays open.
+func (l *Link) HalfClose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLocked(func(f *faults) { f.halfClose = true })
+}
+
+// Reset resets all present connections once.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resetLocked()
+}
+
+// Heal ends all faults.
+func (l *Link) Heal() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLocked(func(f *faults) { *f = faults{} })
+	if l.listener != nil || l.ctx.Err() != nil {
+		return nil
+	}
+	return l.openLocked()
+}
+
+// Connections returns the count of present connections.
+func (l *Link) Connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pairs)
+}
+
+// Close ends the link and waits for its goroutines.
+func (l *Link) Close() {
+	l.cancel()
+	l.mu.Lock()
+	l.closeListenerLocked()
+	l.resetLocked()
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+// state returns the faults in force and a channel that is closed at their next
+// change.
+func (l *Link) state() (faults, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults, l.changed
+}
+
+func (l *Link) setLocked(f func(*faults)) {
+	f(&l.faults)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Link) openLocked() error {
+	var config net.ListenConfig
+	listener, err := config.Listen(l.ctx, "tcp", l.listen)
+	if err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	// The port is kept over a cut and a heal.
+	l.listen = listener.Addr().String()
+	l.listener = listener
+	l.wg.Add(1)
+	go l.accept(listener)
+	return nil
+}
+
+func (l *Link) closeListenerLocked() {
+	if l.listener != nil {
+		l.listener.Close()
+		l.listener = nil
+	}
+}
+
+func (l *Link) resetLocked() {
+	for p := range l.pairs {
+		p.reset()
+	}
+}
+
+func (l *Link) accept(listener net.Listener) {
+	defer l.wg.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		l.wg.Add(1)
+		go l.serve(conn.(*net.TCPConn))
+	}
+}
+
+func (l *Link) serve(client *net.TCPConn) {
+	defer l.wg.Done()
+	defer client.Close()
+	if !l.awaitThaw() {
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(l.ctx, "tcp", l.target)
+	if err != nil {
+		abort(client)
+		return
+	}
+	defer conn.Close()
+	p := newPair(l, client, conn.(*net.TCPConn))
+	if !l.add(p) {
+		p.reset()
+		return
+	}
+	defer l.remove(p)
+	p.run()
+}
+
+// awaitThaw waits while the link is frozen and reports whether it still runs.
+func (l *Link) awaitThaw() bool {
+	for {
+		f, changed := l.state()
+		if !f.frozen || f.cut {
+			return !f.cut && l.ctx.Err() == nil
+		}
+		select {
+		case <-changed:
+		case <-l.ctx.Done():
+			return false
+		}
+	}
+}
+
+func (l *Link) add(p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.cut || l.ctx.Err() != nil {
+		return false
+	}
+	l.pairs[p] = struct{}{}
+	return true
+}
+
+func (l *Link) remove(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pairs, p)
+}
--- /dev/null
+++ b/e2e/faultproxy/link_test.go
@@ -0,0 +1,154 @@
+package faultproxy_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"fulmarspindle.example/fulmarspindle/e2e/faultproxy"
+)
+
+const ioTimeout = 5 * time.Second
+
+func TestFaultproxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "faultproxy")
+}
+
+// echoServer sends back what it gets until the spec ends.
+func echoServer() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+var _ = Describe("a link", func() {
+	var link *faultproxy.Link
+
+	BeforeEach(func() {
+		before := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Expect(goleak.Find(before)).To(Succeed()) })
+		var err error
+		link, err = faultproxy.NewLink("127.0.0.1:0", echoServer())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(link.Close)
+	})
+
+	dial := func() *net.TCPConn {
+		conn, err := net.DialTimeout("tcp", link.Address(), ioTimeout)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(conn.SetDeadline(time.Now().Add(ioTimeout))).To(Succeed())
+		return conn.(*net.TCPConn)
+	}
+	send := func(conn net.Conn, text string) {
+		_, err := conn.Write([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	receive := func(conn net.Conn, text string) {
+		buf := make([]byte, len(text))
+		_, err := io.ReadFull(conn, buf)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(buf)).To(Equal(text))
+	}
+	echoes := func(conn net.Conn, text string) {
+		send(conn, text)
+		receive(conn, text)
+	}
+
+	It("forwards and passes on the end of a stream", func() {
+		conn := dial()
+		echoes(conn, "hello")
+		Expect(conn.CloseWrite()).To(Succeed())
+		rest, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(BeEmpty())
+	})
+
+	It("resets and refuses while it is cut, and heals on the same port", func() {
+		conn := dial()
+		echoes(conn, "hello")
+		link.Cut()
+		_, err := conn.Read(make([]byte, 1))
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue())
+		_, err = net.DialTimeout("tcp", link.Address(), ioTimeout)
+		Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue())
+		Expect(link.Heal()).To(Succeed())
+		echoes(dial(), "again")
+	})
+
+	It("holds bytes and new connections while it is frozen", func() {
+		conn := dial()
+		echoes(conn, "hello")
+		link.Freeze()
+		send(conn, "held")
+		fresh := dial()
+		send(fresh, "fresh")
+		Expect(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		_, err := conn.Read(make([]byte, 1))
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeTrue())
+		Expect(conn.SetReadDeadline(time.Now().Add(ioTimeout))).To(Succeed())
+		Expect(link.Heal()).To(Succeed())
+		receive(conn, "held")
+		receive(fresh, "fresh")
+	})
+
+	It("delays each direction", func() {
+		const delay = 40 * time.Millisecond
+		conn := dial()
+		echoes(conn, "hello")
+		link.Delay(delay)
+		begin := time.Now()
+		echoes(conn, "slow")
+		Expect(time.Since(begin)).To(BeNumerically(">=", 2*delay))
+	})
+
+	It("ends only the direction to the target by a half close", func() {
+		conn := dial()
+		echoes(conn, "hello")
+		link.HalfClose()
+		// The echo server ends its direction after the one that was closed.
+		_, err := conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	It("resets present connections only", func() {
+		conn := dial()
+		echoes(conn, "hello")
+		link.Reset()
+		_, err := conn.Read(make([]byte, 1))
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue())
+		echoes(dial(), "again")
+	})
+
+	It("closes while it is frozen with connections of each kind", func() {
+		conn := dial()
+		echoes(conn, "hello")
+		link.Freeze()
+		send(conn, "held")
+		dial()
+		link.Close()
+		Expect(link.Connections()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/e2e/standin/batch.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// maxLoadSamples bounds the history of the load report.
+const maxLoadSamples = 4096
+
+// EngineCounters counts the work of an engine.
+type EngineCounters struct {
+	Running   int    `json:"running"`
+	Queued    int    `json:"queued"`
+	Peak      int    `json:"peak"`
+	Started   uint64 `json:"started"`
+	Completed uint64 `json:"completed"`
+	Cancelled uint64 `json:"cancelled"`
+	Tokens    uint64 `json:"tokens"`
+	// BusySlotMs is the sum over all slots of the time they were in use.
+	BusySlotMs float64 `json:"busy_slot_ms"`
+}
+
+// EngineLoad is the answer of GET /load.
+type EngineLoad struct {
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+}
+
+type loadSample struct {
+	at   time.Time
+	load EngineLoad
+}
+
+// batch runs up to a number of requests at once; the others wait.
+type batch struct {
+	slots chan struct{}
+
+	mu       sync.Mutex
+	counters EngineCounters
+	busyAt   time.Time
+	samples  []loadSample
+}
+
+func newBatch(slots int) *batch {
+	return &batch{slots: make(chan struct{}, max(slots, 1)), busyAt: time.Now()}
+}
+
+// enter waits for a slot.
+func (b *batch) enter(ctx context.Context) error {
+	b.change(func(c *EngineCounters) { c.Queued++ })
+	select {
+	case b.slots <- struct{}{}:
+	case <-ctx.Done():
+		b.change(func(c *EngineCounters) {
+			c.Queued--
+			c.Cancelled++
+		})
+		return ctx.Err()
+	}
+	b.change(func(c *EngineCounters) {
+		c.Queued--
+		c.Running++
+		c.Started++
+		c.Peak = max(c.Peak, c.Running)
+	})
+	return nil
+}
+
+// leave gives the slot back.
+func (b *batch) leave(finished bool) {
+	b.change(func(c *EngineCounters) {
+		c.Running--
+		if finished {
+			c.Completed++
+		} else {
+			c.Cancelled++
+		}
+	})
+	<-b.slots
+}
+
+func (b *batch) countToken() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counters.Tokens++
+}
+
+func (b *batch) change(f func(*EngineCounters)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.accrue(now)
+	f(&b.counters)
+	load := EngineLoad{Running: b.counters.Running, Queued: b.counters.Queued}
+	b.samples = append(b.samples, loadSample{at: now, load: load})
+	if len(b.samples) > maxLoadSamples {
+		b.samples = append([]loadSample(nil), b.samples[maxLoadSamples/2:]...)
+	}
+}
+
+func (b *batch) accrue(now time.Time) {
+	elapsed := now.Sub(b.busyAt)
+	b.counters.BusySlotMs += float64(b.counters.Running) * float64(elapsed) / float64(time.Millisecond)
+	b.busyAt = now
+}
+
+func (b *batch) snapshot() EngineCounters {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accrue(time.Now())
+	return b.counters
+}
+
+// loadAt returns the load as it was at a time.
+func (b *batch) loadAt(at time.Time) EngineLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var load EngineLoad
+	for _, sample := range b.samples {
+		if sample.at.After(at) {
+			break
+		}
+		load = sample.load
+	}
+	return load
+}
--- /dev/null
+++ b/e2e/standin/cache.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"container/list"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// CacheBlockBytes is the size of a block of a prompt in the prefix cache.
+	CacheBlockBytes = 256
+	// maxCacheEvents bounds the events that are kept.
+	maxCacheEvents = 4096
+	// cacheEventGap is the period of lost events: every so manieth is lost.
+	cacheEventGap = 16
+)
+
+// CacheEvent reports that a prefix block was stored or evicted.
+type CacheEvent struct {
+	Seq uint64 `json:"seq"`
+	// Kind is "stored" or "evicted".
+	Kind string `json:"kind"`
+	// Block is the hex hash of the prompt up to the end of the block.
+	Block string `json:"block"`
+
+	at time.Time
+}
+
+// CacheEvents is the answer of GET /cache/events.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// PrefixBlocks returns the block hashes of a prompt's full blocks.
+func PrefixBlocks(prompt string) []string {
+	var blocks []string
+	for end := CacheBlockBytes; end <= len(prompt); end += CacheBlockBytes {
+		blocks = append(blocks, strconv.FormatUint(xxhash.Sum64String(prompt[:end]), 16))
+	}
+	return blocks
+}
+
+// prefixCache is a least-recently-used cache of prefix blocks.
+type prefixCache struct {
+	mu       sync.Mutex
+	capacity int
+	blocks   map[string]*list.Element
+	recent   *list.List
+	seq      uint64
+	events   []CacheEvent
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, blocks: map[string]*list.Element{}, recent: list.New()}
+}
+
+// use stores the prompt's blocks and returns the bytes that were cached.
+func (c *prefixCache) use(prompt string, now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hit, unbroken := 0, true
+	for _, block := range PrefixBlocks(prompt) {
+		element, ok := c.blocks[block]
+		unbroken = unbroken && ok
+		if unbroken {
+			hit += CacheBlockBytes
+		}
+		if ok {
+			c.recent.MoveToFront(element)
+			continue
+		}
+		c.store(block, now)
+	}
+	return hit
+}
+
+func (c *prefixCache) store(block string, now time.Time) {
+	if c.capacity <= 0 {
+		return
+	}
+	for c.recent.Len() >= c.capacity {
+		oldest := c.recent.Remove(c.recent.Back()).(string)
+		delete(c.blocks, oldest)
+		c.record("evicted", oldest, now)
+	}
+	c.blocks[block] = c.recent.PushFront(block)
+	c.record("stored", block, now)
+}
+
+func (c *prefixCache) record(kind, block string, now time.Time) {
+	c.seq++
+	if c.seq%cacheEventGap == 0 {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Seq: c.seq, Kind: kind, Block: block, at: now})
+	if len(c.events) > maxCacheEvents {
+		c.events = append([]CacheEvent(nil), c.events[maxCacheEvents/2:]...)
+	}
+}
+
+// since returns the events after seq that are older than lag.
+func (c *prefixCache) since(seq uint64, now time.Time, lag time.Duration) CacheEvents {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer := CacheEvents{Events: []CacheEvent{}}
+	for _, event := range c.events {
+		if event.Seq > seq && !event.at.After(now.Add(-lag)) {
+			answer.Events = append(answer.Events, event)
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/e2e/standin/completion.go
@@ -0,0 +1,207 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// CrashMarker in a prompt makes the engine exit when the request starts.
+	CrashMarker = "CRASH-ENGINE"
+	// defaultMaxTokens holds where a request names no max_tokens.
+	defaultMaxTokens = 16
+	// maxTokens bounds the output of one request.
+	maxTokens = 1 << 16
+	// bytesPerToken is the size of a prompt token.
+	bytesPerToken = 4
+	// streamEnd is the last event of a stream.
+	streamEnd = "data: [DONE]\n\n"
+)
+
+// ErrBadRequest reports a completion request that can't be read.
+var ErrBadRequest = eris.New("standin: bad completion request")
+
+// Message is one message of a chat request.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// CompletionRequest is a request of either completion call.
+type CompletionRequest struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt,omitempty"`
+	Messages  []Message `json:"messages,omitempty"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+// Usage counts the tokens of one request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Choice is one choice of an answer; this engine gives one.
+type Choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Delta   `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Delta is the new content of a chat stream event.
+type Delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+// Completion is a whole answer or one event of a stream.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// ParseCompletion reads a request body. Unknown fields are ignored.
+func ParseCompletion(body []byte) (CompletionRequest, error) {
+	var req CompletionRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return req, eris.Wrap(ErrBadRequest, err.Error())
+	}
+	if req.MaxTokens < 0 || req.MaxTokens > maxTokens {
+		return req, eris.Wrap(ErrBadRequest, "max_tokens")
+	}
+	if req.MaxTokens == 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	return req, nil
+}
+
+// FullPrompt returns the text that the engine runs: the prompt, or the chat
+// messages one a line.
+func (r CompletionRequest) FullPrompt() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, message := range r.Messages {
+		b.WriteString(message.Role + ": " + message.Content + "\n")
+	}
+	return b.String()
+}
+
+// PromptTokens returns the count of tokens of a prompt.
+func PromptTokens(prompt string) int {
+	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
+}
+
+// Tokens returns the first n output tokens for a prompt. They depend on the
+// prompt only.
+func Tokens(prompt string, n int) []string {
+	state := xxhash.Sum64String(prompt)
+	tokens := make([]string, n)
+	for i := range tokens {
+		// Steps of a splitmix64 generator.
+		state += 0x9e3779b97f4a7c15
+		z := state
+		z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+		z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+		tokens[i] = hex.EncodeToString([]byte{byte(z >> 56), byte(z >> 48), byte(z >> 40)}) + " "
+	}
+	return tokens
+}
+
+// Content returns the whole output for a prompt.
+func Content(prompt string, n int) string {
+	return strings.Join(Tokens(prompt, n), "")
+}
+
+// Digest returns the hex SHA-256 of a content or body.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// StreamEvents returns the events of a streamed answer: one for each token,
+// one with the usage, and the end. The bytes depend on the request only, so
+// that a stream can be resumed at an offset on any engine.
+func StreamEvents(req CompletionRequest, chat bool) [][]byte {
+	prompt := req.FullPrompt()
+	events := make([][]byte, 0, req.MaxTokens+2)
+	for _, token := range Tokens(prompt, req.MaxTokens) {
+		events = append(events, event(streamChunk(req, prompt, chat, token)))
+	}
+	last := streamChunk(req, prompt, chat, "")
+	last.Choices[0].FinishReason = finishReason()
+	last.Usage = usage(prompt, req.MaxTokens)
+	return append(events, event(last), []byte(streamEnd))
+}
+
+// WholeBody returns the body of an answer that is not streamed.
+func WholeBody(req CompletionRequest, chat bool) []byte {
+	prompt := req.FullPrompt()
+	content := Content(prompt, req.MaxTokens)
+	choice := Choice{FinishReason: finishReason()}
+	object := "text_completion"
+	if chat {
+		object = "chat.completion"
+		choice.Message = &Message{Role: "assistant", Content: content}
+	} else {
+		choice.Text = &content
+	}
+	return marshal(Completion{
+		ID:      completionID(prompt),
+		Object:  object,
+		Model:   req.Model,
+		Choices: []Choice{choice},
+		Usage:   usage(prompt, req.MaxTokens),
+	})
+}
+
+func streamChunk(req CompletionRequest, prompt string, chat bool, token string) Completion {
+	chunk := Completion{ID: completionID(prompt), Model: req.Model}
+	if chat {
+		chunk.Object = "chat.completion.chunk"
+		chunk.Choices = []Choice{{Delta: &Delta{Content: token}}}
+		return chunk
+	}
+	chunk.Object = "text_completion"
+	chunk.Choices = []Choice{{Text: &token}}
+	return chunk
+}
+
+func event(chunk Completion) []byte {
+	return []byte("data: " + string(marshal(chunk)) + "\n\n")
+}
+
+func completionID(prompt string) string {
+	return "cmpl-" + Digest([]byte(prompt))[:16]
+}
+
+func finishReason() *string {
+	reason := "length"
+	return &reason
+}
+
+func usage(prompt string, tokens int) *Usage {
+	promptTokens := PromptTokens(prompt)
+	return &Usage{PromptTokens: promptTokens, CompletionTokens: tokens, TotalTokens: promptTokens + tokens}
+}
+
+// marshal encodes a value whose type can always be encoded.
+func marshal(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/e2e/standin/control.go
@@ -0,0 +1,127 @@
+// Package standin holds small stand-ins for the systems that a fleet talks to:
+// the platform's object API and VM list, a model engine and a plain service.
+// Each has a second handler, for a control port, that sets fault switches and
+// reads counters.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrBadSwitches reports a control body that is not valid for the stand-in.
+var ErrBadSwitches = eris.New("standin: bad switches")
+
+// maxControlBytes bounds the body of one control call.
+const maxControlBytes = 1 << 20
+
+// switchSet holds the fault switches of one stand-in.
+type switchSet[S any] struct {
+	mu      sync.Mutex
+	value   S
+	changed chan struct{}
+}
+
+func newSwitchSet[S any](value S) *switchSet[S] {
+	return &switchSet[S]{value: value, changed: make(chan struct{})}
+}
+
+// get returns the switches and a channel that is closed at their next change.
+func (s *switchSet[S]) get() (S, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value, s.changed
+}
+
+// update changes the switches by f, which reports whether it changed any.
+func (s *switchSet[S]) update(f func(*S) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !f(&s.value) {
+		return false
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// merge sets the switches that the JSON object in r names and keeps the rest.
+func (s *switchSet[S]) merge(r io.Reader) error {
+	var err error
+	s.update(func(value *S) bool {
+		next := *value
+		dec := json.NewDecoder(r)
+		dec.DisallowUnknownFields()
+		if err = dec.Decode(&next); err != nil {
+			return false
+		}
+		*value = next
+		return true
+	})
+	if err != nil {
+		return eris.Wrap(ErrBadSwitches, err.Error())
+	}
+	return nil
+}
+
+// Control is the body of GET /control.
+type Control[S, C any] struct {
+	Switches S `json:"switches"`
+	Counters C `json:"counters"`
+}
+
+// controlMux serves GET and POST /control.
+func controlMux[S, C any](switches *switchSet[S], counters func() C) *http.ServeMux {
+	mux := http.NewServeMux()
+	answer := func(w http.ResponseWriter) {
+		value, _ := switches.get()
+		writeJSON(w, http.StatusOK, Control[S, C]{Switches: value, Counters: counters()})
+	}
+	mux.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w)
+	})
+	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		// The body is read before the switches are locked.
+		body, err := readBody(w, r, maxControlBytes)
+		if err != nil {
+			writeError(w, http.StatusRequestEntityTooLarge, err.Error())
+			return
+		}
+		if err := switches.merge(body); err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		answer(w)
+	})
+	return mux
+}
+
+// wait sleeps for d unless the request is cancelled first.
+func wait(r *http.Request, d time.Duration) error {
+	ctx := r.Context()
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// abort closes the connection without an answer.
+func abort() {
+	panic(http.ErrAbortHandler)
+}
+
+func milliseconds[N int | int64 | float64](n N) time.Duration {
+	return time.Duration(float64(n) * float64(time.Millisecond))
+}
--- /dev/null
+++ b/e2e/standin/engine_test.go
@@ -0,0 +1,135 @@
+package standin_test
+
+import (
+	"encoding/json"
+	"io"
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+func requestBody(req standin.CompletionRequest) string {
+	data, err := json.Marshal(req)
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+var _ = Describe("the engine", func() {
+	var (
+		url, control string
+		engine       *standin.Engine
+		exits        chan int
+		options      standin.EngineOptions
+	)
+	request := standin.CompletionRequest{
+		Model:     "m",
+		Messages:  []standin.Message{{Role: "user", Content: "the heater stalls"}},
+		MaxTokens: 20,
+		Stream:    true,
+	}
+
+	BeforeEach(func() {
+		exits = make(chan int, 1)
+		switches := standin.DefaultEngineSwitches()
+		switches.TokenIntervalMs = 1
+		options = standin.EngineOptions{Slots: 2, Switches: switches, Exit: func(code int) { exits <- code }}
+	})
+
+	JustBeforeEach(func() {
+		engine = standin.NewEngine(options)
+		url, control = start(engine)
+	})
+
+	It("streams what its function gives, and resumes at an offset", func() {
+		var want []byte
+		for _, event := range standin.StreamEvents(request, true) {
+			want = append(want, event...)
+		}
+		Expect(mustCall("POST", url+"/v1/chat/completions", requestBody(request))).To(HaveHTTPBody(want))
+		offset := len(want)/2 + 1
+		resumed := mustCall("POST", url+"/v1/chat/completions", requestBody(request), "X-Resume-Offset", strconv.Itoa(offset))
+		Expect(resumed.Header.Get("X-Resumed-At")).To(Equal(strconv.Itoa(offset)))
+		Expect(resumed).To(HaveHTTPBody(want[offset:]))
+		mustCall("POST", control+"/control", `{"resume":false}`)
+		whole := mustCall("POST", url+"/v1/chat/completions", requestBody(request), "X-Resume-Offset", strconv.Itoa(offset))
+		Expect(whole.Header.Get("X-Resumed-At")).To(BeEmpty())
+		Expect(whole).To(HaveHTTPBody(want))
+	})
+
+	It("answers whole bodies with the usage", func() {
+		req := standin.CompletionRequest{Model: "m", Prompt: "draft", MaxTokens: 3}
+		completion := decode[standin.Completion](mustCall("POST", url+"/v1/completions", requestBody(req)))
+		Expect(*completion.Choices[0].Text).To(Equal(standin.Content("draft", 3)))
+		Expect(completion.Usage.CompletionTokens).To(Equal(3))
+	})
+
+	It("dies once in the middle of a stream", func() {
+		mustCall("POST", control+"/control", `{"die_after_tokens":3}`)
+		body, err := io.ReadAll(mustCall("POST", url+"/v1/chat/completions", requestBody(request)).Body)
+		Expect(err).To(HaveOccurred())
+		Expect(body).NotTo(BeEmpty())
+		_, err = io.ReadAll(mustCall("POST", url+"/v1/chat/completions", requestBody(request)).Body)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("runs no more than its slots and stops what its client leaves", func() {
+		mustCall("POST", control+"/control", `{"hang":true}`)
+		for range 3 {
+			go func() {
+				// The server's end cuts these off.
+				resp, err := call("POST", url+"/v1/chat/completions", requestBody(request))
+				if err == nil {
+					resp.Body.Close()
+				}
+			}()
+		}
+		Eventually(func() standin.EngineCounters { return engine.Counters() }).Should(And(
+			HaveField("Running", 2), HaveField("Queued", 1)))
+		mustCall("POST", control+"/control", `{"hang":false}`)
+		Eventually(func() standin.EngineCounters { return engine.Counters() }).Should(And(
+			HaveField("Running", 0), HaveField("Queued", 0), HaveField("Peak", 2)))
+	})
+
+	It("exits when a marked prompt starts to run", func() {
+		req := standin.CompletionRequest{Model: "m", Prompt: "x " + standin.CrashMarker}
+		mustCall("POST", url+"/v1/completions", requestBody(req))
+		Expect(exits).To(Receive(Equal(1)))
+	})
+
+	order := func(fencing int) int {
+		return mustCall("POST", url+"/orders", `{"fencing":`+strconv.Itoa(fencing)+`,"kind":"load","model":"m"}`).StatusCode
+	}
+
+	It("applies stale orders where it doesn't check fencing numbers", func() {
+		Expect(order(5)).To(Equal(200))
+		Expect(order(4)).To(Equal(200))
+		Expect(decode[standin.OrderState](mustCall("GET", url+"/orders", "")).Stale).To(BeEquivalentTo(1))
+	})
+
+	Context("with fencing numbers checked", func() {
+		BeforeEach(func() { options.ChecksFencing = true })
+
+		It("refuses stale orders", func() {
+			Expect(order(5)).To(Equal(200))
+			Expect(order(4)).To(Equal(409))
+			Expect(order(5)).To(Equal(200))
+			Expect(decode[standin.OrderState](mustCall("GET", url+"/orders", "")).Stale).To(BeZero())
+		})
+	})
+})
+
+var _ = Describe("the plain service", func() {
+	It("counts runs of an order, also those whose answer it loses", func() {
+		service := standin.NewService(2, standin.ServiceSwitches{LoseAnswers: 1})
+		url, control := start(service)
+		_, err := call("POST", url+"/bookings", "{}", "Idempotency-Key", "k1")
+		Expect(err).To(HaveOccurred())
+		answer := decode[standin.ServiceAnswer](mustCall("POST", url+"/bookings", "{}", "Idempotency-Key", "k1"))
+		Expect(answer.Run).To(Equal(2))
+		Expect(decode[map[string]int](mustCall("GET", control+"/counts", ""))).To(Equal(map[string]int{"k1": 2}))
+		Expect(service.Counters().Doubled).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/e2e/standin/http.go
@@ -0,0 +1,37 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// errorBody is the JSON body of a refused call.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func writeError(w http.ResponseWriter, status int, reason string) {
+	writeJSON(w, status, errorBody{Error: reason})
+}
+
+// readBody reads the whole body, at most limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (*bytes.Reader, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, err
+	}
+	return bytes.NewReader(data), nil
+}
