--- /dev/null
+++ b/config/defaults.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"time"
+)
+
+// Defaults of an inventory's services, limits and rules.
+const (
+	defaultIdleTimeout    = Duration(30 * time.Second)
+	defaultMaxDuration    = Duration(10 * time.Minute)
+	defaultMaxBodyBytes   = 1 << 20
+	defaultTokenPrice     = 1.0
+	defaultSecondPrice    = 1.0
+	defaultRequestTokens  = 500
+	defaultTeamWaiting    = 1000
+	defaultRouterWaiting  = 10000
+	defaultRouterBytes    = 64 << 20
+	defaultSpillAfter     = Duration(250 * time.Millisecond)
+	defaultClaimRetention = Duration(24 * time.Hour)
+)
+
+// Defaults of the settings.
+const (
+	defaultPlatformTimeout = Duration(2 * time.Second)
+	defaultHeaderTimeout   = Duration(5 * time.Second)
+	defaultMaxHeaderBytes  = 64 << 10
+	defaultMaxConnections  = 10000
+	defaultRetryBudget     = 0.1
+	defaultDrainTimeout    = Duration(11 * time.Minute)
+	defaultLogLevel        = "info"
+	defaultHealthPath      = "/health"
+)
+
+// withDefaults fills the fields that are absent. Accepted configurations hold
+// them, so that another release's defaults do not change what is in force.
+func withDefaults(inv Inventory) Inventory {
+	services := make([]Service, len(inv.Services))
+	for i, service := range inv.Services {
+		services[i] = serviceWithDefaults(service)
+	}
+	inv.Services = services
+	setDefault(&inv.Rules.Limits.TeamWaiting, defaultTeamWaiting)
+	setDefault(&inv.Rules.Limits.RouterWaiting, defaultRouterWaiting)
+	setDefault(&inv.Rules.Limits.RouterBytes, defaultRouterBytes)
+	setDefault(&inv.Rules.SpillAfter, defaultSpillAfter)
+	setDefault(&inv.Rules.ClaimRetention, defaultClaimRetention)
+	return inv
+}
+
+func serviceWithDefaults(s Service) Service {
+	setDefault(&s.IdleTimeout, defaultIdleTimeout)
+	setDefault(&s.MaxDuration, defaultMaxDuration)
+	setDefault(&s.MaxBodyBytes, defaultMaxBodyBytes)
+	if s.Kind == KindPlain {
+		setDefault(&s.SecondPrice, defaultSecondPrice)
+		setDefault(&s.DefaultCost, s.SecondPrice)
+		return s
+	}
+	if s.PromptTokenPrice == 0 && s.GeneratedTokenPrice == 0 {
+		s.PromptTokenPrice = defaultTokenPrice
+		s.GeneratedTokenPrice = defaultTokenPrice
+	}
+	setDefault(&s.DefaultCost, defaultRequestTokens*(s.PromptTokenPrice+s.GeneratedTokenPrice))
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// DefaultRouterSettings returns the settings of an empty file.
+func DefaultRouterSettings() RouterSettings {
+	return RouterSettings{
+		Platform: PlatformSettings{Timeout: defaultPlatformTimeout},
+		Log:      LogSettings{Level: defaultLogLevel},
+		Limits: HTTPLimits{
+			HeaderTimeout:  defaultHeaderTimeout,
+			MaxHeaderBytes: defaultMaxHeaderBytes,
+			MaxConnections: defaultMaxConnections,
+			MaxBodyBytes:   defaultMaxBodyBytes,
+		},
+		RetryBudget:  defaultRetryBudget,
+		DrainTimeout: defaultDrainTimeout,
+	}
+}
+
+// DefaultSidecarSettings returns the settings of an empty file.
+func DefaultSidecarSettings() SidecarSettings {
+	return SidecarSettings{
+		Upstream:     UpstreamSettings{HealthPath: defaultHealthPath},
+		Log:          LogSettings{Level: defaultLogLevel},
+		DrainTimeout: defaultDrainTimeout,
+		Staging:      true,
+	}
+}
--- /dev/null
+++ b/config/duration.go
@@ -0,0 +1,35 @@
+package config
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Duration is a time span that is written like "250ms" or "1m30s".
+type Duration time.Duration
+
+// Std returns the span as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// String returns the span as it is written.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
+// MarshalText writes the span.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText reads a span. Negative spans are refused.
+func (d *Duration) UnmarshalText(text []byte) error {
+	span, err := time.ParseDuration(string(text))
+	if err != nil || span < 0 {
+		return eris.Errorf("expected a duration such as 250ms or 1m30s, got %q", text)
+	}
+	*d = Duration(span)
+	return nil
+}
