Add the end-to-end harness: processes, fleet on loopback, fault links, client

The tests need whole fleets of real processes that never outlive the test.

Faults can be set for one source address of a link, because the inventory names one address for each process and a partition is between two of them.

--- a/e2e/faultproxy/link.go
+++ b/e2e/faultproxy/link.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +19,10 @@
 // ErrListen reports that a link can't listen on its address.
 var ErrListen = eris.New("faultproxy: listen")
 
-// faults are the faults in force on a link.
+// everySource is the key of the faults that hold for all sources.
+const everySource = ""
+
+// faults are the faults in force on a link, for all sources or for one.
 type faults struct {
 	cut       bool
 	frozen    bool
@@ -25,8 +30,19 @@
 	delay     time.Duration
 }
 
+// with returns the faults of both.
+func (f faults) with(other faults) faults {
+	return faults{
+		cut:       f.cut || other.cut,
+		frozen:    f.frozen || other.frozen,
+		halfClose: f.halfClose || other.halfClose,
+		delay:     max(f.delay, other.delay),
+	}
+}
+
 // Link forwards connections from one address to one target. Its methods may be
-// called from any goroutine.
+// called from any goroutine. Those that take sources act on the connections
+// from these IP addresses only; without any they act on all connections.
 type Link struct {
 	listen string
 	target string
@@ -35,7 +51,7 @@
 	wg     sync.WaitGroup
 
 	mu       sync.Mutex
-	faults   faults
+	faults   map[string]faults
 	changed  chan struct{}
 	listener net.Listener
 	pairs    map[*pair]struct{}
@@ -49,6 +65,7 @@
 		target:  target,
 		ctx:     ctx,
 		cancel:  cancel,
+		faults:  map[string]faults{},
 		changed: make(chan struct{}),
 		pairs:   map[*pair]struct{}{},
 	}
@@ -68,52 +85,58 @@
 	return l.listen
 }
 
-// Cut resets all connections and refuses new ones until Heal.
-func (l *Link) Cut() {
+// Cut resets the connections and refuses new ones until Heal.
+func (l *Link) Cut(sources ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setLocked(func(f *faults) { f.cut = true })
-	l.closeListenerLocked()
-	l.resetLocked()
+	l.setLocked(sources, func(f *faults) { f.cut = true })
+	if len(sources) == 0 {
+		l.closeListenerLocked()
+	}
+	l.resetLocked(sources)
 }
 
 // Freeze holds all bytes in both directions until Heal, without closing
 // anything. New connections are accepted and held too.
-func (l *Link) Freeze() {
+func (l *Link) Freeze(sources ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setLocked(func(f *faults) { f.frozen = true })
+	l.setLocked(sources, func(f *faults) { f.frozen = true })
 }
 
 // Delay delays bytes by d in each direction, without limiting throughput; 0
 // ends the delay.
-func (l *Link) Delay(d time.Duration) {
+func (l *Link) Delay(d time.Duration, sources ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setLocked(func(f *faults) { f.delay = d })
+	l.setLocked(sources, func(f *faults) { f.delay = d })
 }
 
-// HalfClose ends the direction to the target on all connections, present and
-// new, until Heal. The direction from the target stays open.
-func (l *Link) HalfClose() {
+// HalfClose ends the direction to the target, on present and new connections,
+// until Heal. The direction from the target stays open.
+func (l *Link) HalfClose(sources ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setLocked(func(f *faults) { f.halfClose = true })
+	l.setLocked(sources, func(f *faults) { f.halfClose = true })
 }
 
-// Reset resets all present connections once.
-func (l *Link) Reset() {
+// Reset resets the present connections once.
+func (l *Link) Reset(sources ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.resetLocked()
+	l.resetLocked(sources)
 }
 
-// Heal ends all faults.
-func (l *Link) Heal() error {
+// Heal ends the faults of the sources; without any it ends all faults. Delays
+// stay.
+func (l *Link) Heal(sources ...string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setLocked(func(f *faults) { *f = faults{} })
-	if l.listener != nil || l.ctx.Err() != nil {
+	if len(sources) == 0 {
+		sources = slices.Collect(maps.Keys(l.faults))
+	}
+	l.setLocked(sources, func(f *faults) { *f = faults{delay: f.delay} })
+	if l.listener != nil || l.faults[everySource].cut || l.ctx.Err() != nil {
 		return nil
 	}
 	return l.openLocked()
@@ -131,21 +154,32 @@
 	l.cancel()
 	l.mu.Lock()
 	l.closeListenerLocked()
-	l.resetLocked()
+	l.resetLocked(nil)
 	l.mu.Unlock()
 	l.wg.Wait()
 }
 
-// state returns the faults in force and a channel that is closed at their next
-// change.
-func (l *Link) state() (faults, <-chan struct{}) {
+// state returns the faults in force for a source and a channel that is closed
+// at their next change.
+func (l *Link) state(source string) (faults, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.faults, l.changed
+	return l.faultsLocked(source), l.changed
 }
 
-func (l *Link) setLocked(f func(*faults)) {
-	f(&l.faults)
+func (l *Link) faultsLocked(source string) faults {
+	return l.faults[everySource].with(l.faults[source])
+}
+
+func (l *Link) setLocked(sources []string, f func(*faults)) {
+	if len(sources) == 0 {
+		sources = []string{everySource}
+	}
+	for _, source := range sources {
+		value := l.faults[source]
+		f(&value)
+		l.faults[source] = value
+	}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -171,9 +205,11 @@
 	}
 }
 
-func (l *Link) resetLocked() {
+func (l *Link) resetLocked(sources []string) {
 	for p := range l.pairs {
-		p.reset()
+		if len(sources) == 0 || slices.Contains(sources, p.source) {
+			p.reset()
+		}
 	}
 }
 
@@ -192,7 +228,9 @@
 func (l *Link) serve(client *net.TCPConn) {
 	defer l.wg.Done()
 	defer client.Close()
-	if !l.awaitThaw() {
+	source := client.RemoteAddr().(*net.TCPAddr).IP.String()
+	if !l.awaitThaw(source) {
+		abort(client)
 		return
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -202,7 +240,7 @@
 		return
 	}
 	defer conn.Close()
-	p := newPair(l, client, conn.(*net.TCPConn))
+	p := newPair(l, source, client, conn.(*net.TCPConn))
 	if !l.add(p) {
 		p.reset()
 		return
@@ -211,10 +249,11 @@
 	p.run()
 }
 
-// awaitThaw waits while the link is frozen and reports whether it still runs.
-func (l *Link) awaitThaw() bool {
+// awaitThaw waits while a source is frozen and reports whether its connection
+// may go on.
+func (l *Link) awaitThaw(source string) bool {
 	for {
-		f, changed := l.state()
+		f, changed := l.state(source)
 		if !f.frozen || f.cut {
 			return !f.cut && l.ctx.Err() == nil
 		}
@@ -229,7 +268,7 @@
 func (l *Link) add(p *pair) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.faults.cut || l.ctx.Err() != nil {
+	if l.faultsLocked(p.source).cut || l.ctx.Err() != nil {
 		return false
 	}
 	l.pairs[p] = struct{}{}
--- a/e2e/faultproxy/link_test.go
+++ b/e2e/faultproxy/link_test.go
@@ -142,6 +142,28 @@
 		echoes(dial(), "again")
 	})
 
+	It("cuts off one source only", func() {
+		dialFrom := func(ip string) *net.TCPConn {
+			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}, Timeout: ioTimeout}
+			conn, err := dialer.Dial("tcp", link.Address())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(conn.SetDeadline(time.Now().Add(ioTimeout))).To(Succeed())
+			return conn.(*net.TCPConn)
+		}
+		first, second := dialFrom("127.0.0.2"), dialFrom("127.0.0.3")
+		echoes(first, "hello")
+		echoes(second, "hello")
+		link.Cut("127.0.0.2")
+		_, err := first.Read(make([]byte, 1))
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue())
+		_, err = dialFrom("127.0.0.2").Read(make([]byte, 1))
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue())
+		echoes(second, "still")
+		Expect(link.Heal("127.0.0.2")).To(Succeed())
+		echoes(dialFrom("127.0.0.2"), "again")
+	})
+
 	It("closes while it is frozen with connections of each kind", func() {
 		conn := dial()
 		echoes(conn, "hello")
--- a/e2e/faultproxy/pair.go
+++ b/e2e/faultproxy/pair.go
@@ -24,14 +24,15 @@
 // pair is one forwarded connection.
 type pair struct {
 	link   *Link
+	source string
 	client *net.TCPConn
 	target *net.TCPConn
 	done   chan struct{}
 	once   sync.Once
 }
 
-func newPair(link *Link, client, target *net.TCPConn) *pair {
-	return &pair{link: link, client: client, target: target, done: make(chan struct{})}
+func newPair(link *Link, source string, client, target *net.TCPConn) *pair {
+	return &pair{link: link, source: source, client: client, target: target, done: make(chan struct{})}
 }
 
 // reset closes both connections by RST.
@@ -90,7 +91,7 @@
 // write passes chunks on until they end, and then ends dst.
 func (p *pair) write(dst *net.TCPConn, chunks <-chan chunk, toTarget bool) {
 	for {
-		f, changed := p.link.state()
+		f, changed := p.link.state(p.source)
 		if toTarget && f.halfClose {
 			_ = dst.CloseWrite()
 			return
@@ -134,7 +135,7 @@
 // whether the pair still runs.
 func (p *pair) await(at time.Time) bool {
 	for {
-		f, changed := p.link.state()
+		f, changed := p.link.state(p.source)
 		due := time.Until(at.Add(f.delay))
 		if !f.frozen && due <= 0 {
 			return true
--- /dev/null
+++ b/e2e/harness/harness_test.go
@@ -0,0 +1,118 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+const specTimeout = 20 * time.Second
+
+func TestHarness(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "harness")
+}
+
+func specContext() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), specTimeout)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+var _ = Describe("the harness", func() {
+	var (
+		ctx context.Context
+		f   *Fleet
+	)
+
+	BeforeEach(func() {
+		before := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Expect(goleak.Find(before)).To(Succeed()) })
+		ctx = specContext()
+		shape := Shape{Regions: 2, Routers: 1, Engines: 1, Services: 1, Slots: 2, Teams: 3}
+		var err error
+		f, err = NewFleet(ctx, shape.Inventory(), Options{Proxied: true, EngineArgs: []string{"--token-interval-ms", "1"}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		Expect(f.StartPlatform(ctx)).To(Succeed())
+		for _, upstream := range f.Upstreams {
+			Expect(f.StartUpstream(ctx, upstream)).To(Succeed())
+		}
+	})
+
+	It("runs the stand-ins and verifies an engine's answers", func() {
+		client := NewClient(f.Upstreams[0].URL(), "")
+		DeferCleanup(client.Close)
+		for _, stream := range []bool{true, false} {
+			req := standin.CompletionRequest{Model: "m", Prompt: "survey", MaxTokens: 10, Stream: stream}
+			answer := client.Complete(ctx, req, nil)
+			Expect(VerifyCompletion(req, answer)).To(Succeed())
+			req.Prompt = "another"
+			Expect(errors.Is(VerifyCompletion(req, answer), ErrWrongContent)).To(BeTrue())
+		}
+		Expect(f.Upstreams[0].Control.Engine(ctx)).To(HaveField("Completed", BeEquivalentTo(2)))
+	})
+
+	It("shows a broken answer as broken", func() {
+		engine := f.Upstreams[0]
+		Expect(engine.Control.Set(ctx, map[string]int{"die_after_tokens": 2})).To(Succeed())
+		client := NewClient(engine.URL(), "")
+		DeferCleanup(client.Close)
+		req := standin.CompletionRequest{Model: "m", Prompt: "survey", MaxTokens: 10, Stream: true}
+		Expect(errors.Is(VerifyCompletion(req, client.Complete(ctx, req, nil)), ErrBroken)).To(BeTrue())
+	})
+
+	It("pauses, resumes, and sees a crash", func() {
+		engine := f.Upstreams[0]
+		client := NewClient(engine.URL(), "")
+		DeferCleanup(client.Close)
+		engine.Engine().Stop()
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		Expect(client.Do(short, "GET", "/health", nil, nil).Err).To(HaveOccurred())
+		engine.Engine().Cont()
+		Expect(AwaitHTTP(ctx, engine.URL()+"/health", engine.Engine())).To(Succeed())
+		client.Complete(ctx, standin.CompletionRequest{Model: "m", Prompt: standin.CrashMarker}, nil)
+		Expect(engine.Engine().Wait(ctx)).To(MatchError("exit status 1"))
+		Expect(f.StartUpstream(ctx, engine)).To(Succeed())
+		engine.Engine().Term()
+		Expect(engine.Engine().Wait(ctx)).To(Succeed())
+	})
+
+	It("gives each VM an address and each process a proxy", func() {
+		seen := map[string]bool{}
+		for _, vm := range f.Inventory.VMs {
+			Expect(net.ParseIP(vm.Address).IsLoopback()).To(BeTrue())
+			Expect(seen[vm.Address]).To(BeFalse())
+			seen[vm.Address] = true
+			Expect(f.Links.Peer(vm.ID)).NotTo(BeNil())
+		}
+		Expect(f.Links.Platform(f.Routers[0].ID)).NotTo(BeNil())
+		Expect(f.Links.CutRegion("region-1")).To(Succeed())
+		Expect(f.Links.Heal()).To(Succeed())
+	})
+
+	It("writes settings and an inventory that read back the same", func() {
+		var inv config.Inventory
+		data, err := yaml.Marshal(f.Inventory)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(yaml.UnmarshalWithOptions(data, &inv, yaml.Strict())).To(Succeed())
+		Expect(inv).To(Equal(f.Inventory))
+		settings := sidecarSettings(f.Upstreams[0], Options{})
+		var read config.SidecarSettings
+		data, err = yaml.Marshal(settings)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(yaml.UnmarshalWithOptions(data, &read, yaml.Strict())).To(Succeed())
+		Expect(read).To(Equal(settings))
+	})
+})
--- /dev/null
+++ b/e2e/harness/shape.go
@@ -0,0 +1,84 @@
+package harness
+
+import (
+	"fmt"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Services of the inventories that Shape describes.
+const (
+	ModelService fleet.ServiceID = "assistant"
+	PlainService fleet.ServiceID = "bookings"
+)
+
+// Shape describes a regular fleet; all counts but Teams are per region.
+type Shape struct {
+	Regions  int
+	Routers  int
+	Engines  int
+	Services int
+	// Slots is the batch size of each upstream.
+	Slots int
+	Teams int
+}
+
+// Inventory returns the inventory of the shape, for Fleet to place. POST to
+// the plain service is not idempotent.
+func (s Shape) Inventory() config.Inventory {
+	inv := config.Inventory{
+		Services: []config.Service{
+			{ID: ModelService, Kind: config.KindModel, PromptTokenPrice: 0.1, GeneratedTokenPrice: 1},
+			{ID: PlainService, Kind: config.KindPlain, SecondPrice: 1},
+		},
+		Rules: config.Rules{
+			NonIdempotent: []config.NonIdempotentRule{{Service: PlainService, Methods: []string{"POST"}}},
+		},
+	}
+	for i := range s.Regions {
+		s.addRegion(&inv, i+1)
+	}
+	for i := range s.Teams {
+		inv.Teams = append(inv.Teams, config.Team{ID: fleet.TeamID(fmt.Sprintf("team-%d", i+1))})
+	}
+	return inv
+}
+
+func (s Shape) addRegion(inv *config.Inventory, n int) {
+	region := config.Region{
+		ID:             fleet.RegionID(fmt.Sprintf("region-%d", n)),
+		FailureDomains: []fleet.FailureDomainID{fleet.FailureDomainID(fmt.Sprintf("domain-%d", n))},
+	}
+	inv.Regions = append(inv.Regions, region)
+	for i := range s.Routers {
+		id := fmt.Sprintf("router-%d-%d", n, i+1)
+		vm := addVM(inv, region, id)
+		inv.Routers = append(inv.Routers, config.Router{ID: fleet.NodeID(id), VM: vm})
+	}
+	s.addUpstreams(inv, region, ModelService, fmt.Sprintf("engine-%d", n), s.Engines)
+	s.addUpstreams(inv, region, PlainService, fmt.Sprintf("service-%d", n), s.Services)
+}
+
+func (s Shape) addUpstreams(inv *config.Inventory, region config.Region, service fleet.ServiceID, prefix string, count int) {
+	for i := range count {
+		id := fmt.Sprintf("%s-%d", prefix, i+1)
+		inv.Upstreams = append(inv.Upstreams, config.Upstream{
+			ID:      fleet.UpstreamID(id),
+			VM:      addVM(inv, region, id),
+			Service: service,
+			Slots:   s.Slots,
+		})
+	}
+}
+
+// addVM adds the VM of one process.
+func addVM(inv *config.Inventory, region config.Region, process string) fleet.VMID {
+	id := fleet.VMID("vm-" + process)
+	inv.VMs = append(inv.VMs, config.VM{
+		ID:            id,
+		Region:        region.ID,
+		FailureDomain: region.FailureDomains[0],
+	})
+	return id
+}
