--- /dev/null
+++ b/config/adopter.go
@@ -0,0 +1,275 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+const (
+	// DefaultBehindBound is how long a process may know of a newer generation
+	// that it does not hold before it is Behind.
+	DefaultBehindBound = 10 * time.Second
+	// DefaultRetryInterval is the time between requests for what is missing.
+	DefaultRetryInterval = 500 * time.Millisecond
+	// maxCandidates bounds the incomplete configurations that are held.
+	maxCandidates = 4
+	// maxSightings bounds the generations whose first sight is remembered.
+	maxSightings = 64
+)
+
+// AdopterOptions set up an Adopter. Zero durations stand for the defaults.
+type AdopterOptions struct {
+	// Platform tells whether the process can read from the platform.
+	Platform      bool
+	BehindBound   time.Duration
+	RetryInterval time.Duration
+}
+
+// Adopter decides which accepted configuration a process holds. It moves to
+// higher generations only, and to those alone whose shards have the hashes
+// that the head names. It is not safe for concurrent use.
+//
+// It also knows when the process is behind: when a generation was first heard
+// of longer ago than the bound and is still not held. A process that merely
+// cannot reach the platform is not behind.
+type Adopter struct {
+	options    AdopterOptions
+	snapshot   Snapshot
+	encoded    Encoded
+	candidates []*candidate // by generation, ascending; all above the snapshot's
+	refused    uint64       // highest generation that could not be decoded
+	peers      map[fleet.NodeID]uint64
+	sightings  []sighting
+	behind     bool
+	nextPeer   int
+	requested  uint64 // highest generation that was asked for
+	retryAt    time.Time
+}
+
+// candidate is a configuration whose shards may be incomplete.
+type candidate struct {
+	head         Head
+	raw          []byte
+	shards       map[Hash][]byte
+	fromPlatform bool
+}
+
+// sighting is the first time that a generation was heard of.
+type sighting struct {
+	generation uint64
+	at         time.Time
+}
+
+// NewAdopter returns an Adopter that holds no configuration.
+func NewAdopter(options AdopterOptions) *Adopter {
+	if options.BehindBound == 0 {
+		options.BehindBound = DefaultBehindBound
+	}
+	if options.RetryInterval == 0 {
+		options.RetryInterval = DefaultRetryInterval
+	}
+	return &Adopter{options: options, peers: make(map[fleet.NodeID]uint64)}
+}
+
+// Generation returns the generation held; zero before the first.
+func (a *Adopter) Generation() uint64 {
+	return a.snapshot.Generation
+}
+
+// Encoded returns the configuration held, to be handed to neighbours.
+func (a *Adopter) Encoded() Encoded {
+	return a.encoded
+}
+
+// Step takes an event at a time that never goes back and returns what to do.
+func (a *Adopter) Step(now time.Time, event Event) []Action {
+	var actions []Action
+	switch e := event.(type) {
+	case HeadSeen:
+		actions = a.headSeen(now, e)
+	case ShardReceived:
+		actions = a.shardReceived(e.Shard)
+	case PeerGeneration:
+		a.peers[e.Peer] = max(a.peers[e.Peer], e.Generation)
+		a.sight(now, e.Generation)
+	case PeerLost:
+		delete(a.peers, e.Peer)
+	case Tick:
+	}
+	actions = append(actions, a.request(now)...)
+	return append(actions, a.judge(now)...)
+}
+
+// NextWake returns when to send a Tick, if at all.
+func (a *Adopter) NextWake() (time.Time, bool) {
+	if !a.wantsMore() {
+		return time.Time{}, false
+	}
+	wake := a.retryAt
+	if limit := a.sightings[0].at.Add(a.options.BehindBound); !a.behind && limit.Before(wake) {
+		wake = limit
+	}
+	return wake, true
+}
+
+func (a *Adopter) wantsMore() bool {
+	return len(a.sightings) > 0
+}
+
+func (a *Adopter) headSeen(now time.Time, e HeadSeen) []Action {
+	head, err := ParseHead(e.Head)
+	if err != nil {
+		return []Action{Reject{From: e.From, Err: err}}
+	}
+	a.sight(now, head.Generation)
+	if e.From != "" {
+		a.peers[e.From] = max(a.peers[e.From], head.Generation)
+	}
+	if err := a.checkKnown(head.Generation, e.Head); err != nil {
+		return []Action{Reject{From: e.From, Err: err}}
+	}
+	if head.Generation <= a.snapshot.Generation || head.Generation == a.refused {
+		return nil
+	}
+	c := a.candidate(head, e.Head)
+	c.fromPlatform = c.fromPlatform || e.From == ""
+	var actions []Action
+	for _, shard := range e.Shards {
+		if err := a.store(shard); err != nil {
+			actions = append(actions, Reject{From: e.From, Err: err})
+		}
+	}
+	return append(actions, a.adopt()...)
+}
+
+// checkKnown refuses a second head of a generation: acceptance makes each
+// generation unique, so one of the two is not the platform's.
+func (a *Adopter) checkKnown(generation uint64, raw []byte) error {
+	known := a.encoded.Head
+	if generation != a.snapshot.Generation {
+		known = nil
+		for _, c := range a.candidates {
+			if c.head.Generation == generation {
+				known = c.raw
+			}
+		}
+	}
+	if known == nil || bytes.Equal(known, raw) {
+		return nil
+	}
+	return eris.Wrapf(ErrCorrupt, "two heads of generation %d", generation)
+}
+
+// candidate returns the candidate of a head. A new one starts with the shards
+// that are held already. The lowest gives way when there are too many.
+func (a *Adopter) candidate(head Head, raw []byte) *candidate {
+	for _, c := range a.candidates {
+		if c.head.Generation == head.Generation {
+			return c
+		}
+	}
+	c := &candidate{head: head, raw: bytes.Clone(raw), shards: make(map[Hash][]byte)}
+	held := a.heldShards()
+	for _, hash := range head.Shards {
+		if data, ok := held[hash]; ok {
+			c.shards[hash] = data
+		}
+	}
+	a.candidates = append(a.candidates, c)
+	slices.SortFunc(a.candidates, func(x, y *candidate) int { return cmp.Compare(x.head.Generation, y.head.Generation) })
+	if len(a.candidates) > maxCandidates {
+		a.candidates = a.candidates[1:]
+	}
+	return c
+}
+
+func (a *Adopter) heldShards() map[Hash][]byte {
+	held := make(map[Hash][]byte)
+	for _, shard := range a.encoded.Shards {
+		held[shard.Hash] = shard.Data
+	}
+	for _, c := range a.candidates {
+		for hash, data := range c.shards {
+			held[hash] = data
+		}
+	}
+	return held
+}
+
+func (a *Adopter) shardReceived(shard Shard) []Action {
+	if err := a.store(shard); err != nil {
+		return []Action{Reject{Err: err}}
+	}
+	return a.adopt()
+}
+
+// store gives a shard to the candidates that name it.
+func (a *Adopter) store(shard Shard) error {
+	if HashOf(shard.Data) != shard.Hash {
+		return eris.Wrapf(ErrCorrupt, "shard %s has other content", shard.Hash)
+	}
+	for _, c := range a.candidates {
+		if slices.Contains(c.head.Shards, shard.Hash) {
+			c.shards[shard.Hash] = shard.Data
+		}
+	}
+	return nil
+}
+
+// adopt moves to the highest complete candidate.
+func (a *Adopter) adopt() []Action {
+	for i := len(a.candidates) - 1; i >= 0; i-- {
+		c := a.candidates[i]
+		if len(c.missing()) > 0 {
+			continue
+		}
+		snapshot, err := c.decode()
+		if err != nil {
+			a.refused = c.head.Generation
+			a.candidates = slices.Delete(a.candidates, i, i+1)
+			return append([]Action{Reject{Err: err}}, a.adopt()...)
+		}
+		a.snapshot = snapshot
+		a.encoded = c.encoded()
+		a.candidates = slices.Clone(a.candidates[i+1:])
+		a.forgetSightings()
+		return []Action{Adopt{Snapshot: snapshot}}
+	}
+	return nil
+}
+
+func (c *candidate) missing() []Hash {
+	var out []Hash
+	for _, hash := range c.head.Shards {
+		if _, ok := c.shards[hash]; !ok {
+			out = append(out, hash)
+		}
+	}
+	return out
+}
+
+func (c *candidate) decode() (Snapshot, error) {
+	inv, err := Join(c.head, c.shards)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	index, err := NewIndex(inv)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return Snapshot{Generation: c.head.Generation, Head: c.head, Inventory: inv, Index: index}, nil
+}
+
+func (c *candidate) encoded() Encoded {
+	shards := make([]Shard, len(c.head.Shards))
+	for i, hash := range c.head.Shards {
+		shards[i] = Shard{Hash: hash, Data: c.shards[hash]}
+	}
+	return Encoded{Head: c.raw, Shards: shards}
+}
--- a/config/head.go
+++ b/config/head.go
@@ -1,14 +1,23 @@
 package config
 
 import (
+	"encoding/json"
+	"slices"
+	"strconv"
 	"time"
-)
 
-// HeadKey is the key of the head object.
-const HeadKey = "config/head"
+	"github.com/rotisserie/eris"
+)
 
-// ShardPrefix is the key prefix of shards; the hash follows.
-const ShardPrefix = "config/shard/"
+const (
+	// HeadKey is the key of the head object.
+	HeadKey = "config/head"
+	// ShardPrefix is the key prefix of shards; the hash follows.
+	ShardPrefix = "config/shard/"
+	// HistoryPrefix is the key prefix of superseded heads; the generation
+	// follows.
+	HistoryPrefix = "config/history/"
+)
 
 // Hash is the SHA-256 of a shard in hexadecimal.
 type Hash string
@@ -37,22 +46,45 @@
 	Index      *Index
 }
 
-// Section is a list of the inventory or a part of the rules.
-type Section string
+// Encoded is a configuration as it is handed to neighbours.
+type Encoded struct {
+	// Head is the head object's value; empty while none is held.
+	Head   []byte
+	Shards []Shard
+}
 
-// Change is a difference between two inventories.
-type Change struct {
-	Section Section
-	ID      string
-	Kind    ChangeKind
+// Without returns the configuration without the shards that are held already.
+func (e Encoded) Without(have []Hash) Encoded {
+	missing := make([]Shard, 0, len(e.Shards))
+	for _, shard := range e.Shards {
+		if !slices.Contains(have, shard.Hash) {
+			missing = append(missing, shard)
+		}
+	}
+	return Encoded{Head: e.Head, Shards: missing}
 }
 
-// ChangeKind tells how an item differs.
-type ChangeKind string
+// ParseHead decodes a head object's value. It returns ErrCorrupt.
+func ParseHead(data []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(data, &head); err != nil {
+		return Head{}, eris.Wrapf(ErrCorrupt, "head: %v", err)
+	}
+	if head.Generation == 0 || len(head.Shards) == 0 {
+		return Head{}, eris.Wrap(ErrCorrupt, "head without generation or shards")
+	}
+	return head, nil
+}
 
-// Kinds of change.
-const (
-	Added    ChangeKind = "added"
-	Removed  ChangeKind = "removed"
-	Modified ChangeKind = "modified"
-)
+func formatHead(head Head) ([]byte, error) {
+	data, err := json.Marshal(head)
+	return data, eris.Wrap(err, "config: cannot encode the head")
+}
+
+func shardKey(hash Hash) string {
+	return ShardPrefix + string(hash)
+}
+
+func historyKey(generation uint64) string {
+	return HistoryPrefix + strconv.FormatUint(generation, 10)
+}
--- a/config/inventory.go
+++ b/config/inventory.go
@@ -21,7 +21,7 @@
 // Region is a region and its failure domains.
 type Region struct {
 	ID             fleet.RegionID          `json:"id" yaml:"id" validate:"id"`
-	FailureDomains []fleet.FailureDomainID `json:"failure_domains" yaml:"failure_domains" validate:"min=1,dive,id"`
+	FailureDomains []fleet.FailureDomainID `json:"failure_domains" yaml:"failure_domains" validate:"min=1,max=64,dive,id"`
 }
 
 // VM is a VM of the platform and its place.
@@ -85,14 +85,14 @@
 // Team is a team with the SHA-256 hashes of its bearer keys in hexadecimal.
 type Team struct {
 	ID        fleet.TeamID `json:"id" yaml:"id" validate:"id"`
-	KeyHashes []string     `json:"key_hashes" yaml:"key_hashes" validate:"dive,sha256_hex"`
+	KeyHashes []string     `json:"key_hashes" yaml:"key_hashes" validate:"max=64,dive,sha256_hex"`
 }
 
 // Rules are the operators' rules beside the inventory.
 type Rules struct {
 	Shares        []Share             `json:"shares,omitempty" yaml:"shares,omitempty" validate:"dive"`
-	NonIdempotent []NonIdempotentRule `json:"non_idempotent,omitempty" yaml:"non_idempotent,omitempty" validate:"dive"`
-	LeavingVMs    []LeavingVM         `json:"leaving_vms,omitempty" yaml:"leaving_vms,omitempty" validate:"dive"`
+	NonIdempotent []NonIdempotentRule `json:"non_idempotent,omitempty" yaml:"non_idempotent,omitempty" validate:"max=400,dive"`
+	LeavingVMs    []LeavingVM         `json:"leaving_vms,omitempty" yaml:"leaving_vms,omitempty" validate:"max=4000,dive"`
 	Limits        Limits              `json:"limits,omitempty" yaml:"limits,omitempty"`
 	// SpillAfter is the wait after which demand is told to other regions.
 	SpillAfter Duration `json:"spill_after,omitempty" yaml:"spill_after,omitempty" validate:"gt=0"`
@@ -113,9 +113,9 @@
 type NonIdempotentRule struct {
 	Service fleet.ServiceID `json:"service" yaml:"service" validate:"id"`
 	// Methods is empty for all methods.
-	Methods []string `json:"methods,omitempty" yaml:"methods,omitempty" validate:"dive,http_method"`
+	Methods []string `json:"methods,omitempty" yaml:"methods,omitempty" validate:"max=16,dive,http_method"`
 	// PathPrefix is compared to the clean path; empty matches every path.
-	PathPrefix string `json:"path_prefix,omitempty" yaml:"path_prefix,omitempty" validate:"omitempty,startswith=/"`
+	PathPrefix string `json:"path_prefix,omitempty" yaml:"path_prefix,omitempty" validate:"omitempty,startswith=/,max=1024"`
 }
 
 // LeavingVM takes a VM out of service.
--- /dev/null
+++ b/config/shard.go
@@ -0,0 +1,196 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxShardBytes bounds a shard of more than one item. Small shards keep what a
+// single change costs each process small; many make the head large.
+const maxShardBytes = 32 << 10
+
+// maxBuckets bounds the shards of a section.
+const maxBuckets = 4096
+
+// shardContent is the encoded form of a shard: some items of some sections.
+// Fields that a release does not know are refused, because a rule that is
+// silently ignored is not in force.
+type shardContent struct {
+	Regions   []Region   `json:"regions,omitempty"`
+	VMs       []VM       `json:"vms,omitempty"`
+	Routers   []Router   `json:"routers,omitempty"`
+	Services  []Service  `json:"services,omitempty"`
+	Upstreams []Upstream `json:"upstreams,omitempty"`
+	Teams     []Team     `json:"teams,omitempty"`
+	Shares    []Share    `json:"shares,omitempty"`
+	Rules     *Rules     `json:"rules,omitempty"`
+}
+
+// Split encodes an inventory into shards and a head that names them; the
+// head's other fields are left to the caller. Items go to shards by the hash
+// of their identifier, so that a change of one item alters one shard.
+func Split(inv Inventory) (Head, []Shard, error) {
+	s := &splitter{}
+	splitSection(s, inv.Regions, regionID, func(c *shardContent, items []Region) { c.Regions = items })
+	splitSection(s, inv.VMs, vmID, func(c *shardContent, items []VM) { c.VMs = items })
+	splitSection(s, inv.Routers, routerID, func(c *shardContent, items []Router) { c.Routers = items })
+	splitSection(s, inv.Services, serviceID, func(c *shardContent, items []Service) { c.Services = items })
+	splitSection(s, inv.Upstreams, upstreamID, func(c *shardContent, items []Upstream) { c.Upstreams = items })
+	splitSection(s, inv.Teams, teamID, func(c *shardContent, items []Team) { c.Teams = items })
+	splitSection(s, inv.Rules.Shares, shareID, func(c *shardContent, items []Share) { c.Shares = items })
+	rules := inv.Rules
+	rules.Shares = nil
+	s.add(shardContent{Rules: &rules})
+	if s.err != nil {
+		return Head{}, nil, eris.Wrapf(ErrInvalid, "cannot encode: %v", s.err)
+	}
+	head := Head{Shards: make([]Hash, len(s.shards))}
+	for i, shard := range s.shards {
+		head.Shards[i] = shard.Hash
+	}
+	return head, s.shards, nil
+}
+
+type splitter struct {
+	shards []Shard
+	err    error
+}
+
+func (s *splitter) encode(content shardContent) []byte {
+	data, err := json.Marshal(content)
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	return data
+}
+
+func (s *splitter) add(content shardContent) {
+	data := s.encode(content)
+	s.shards = append(s.shards, Shard{Hash: HashOf(data), Data: data})
+}
+
+// splitSection doubles the count of buckets until each fits in a shard.
+func splitSection[T any](s *splitter, items []T, id func(T) string, set func(*shardContent, []T)) {
+	for buckets := 1; ; buckets *= 2 {
+		datas, fits := encodeBuckets(s, bucketize(items, id, buckets), set)
+		if !fits && buckets < maxBuckets {
+			continue
+		}
+		for _, data := range datas {
+			s.shards = append(s.shards, Shard{Hash: HashOf(data), Data: data})
+		}
+		return
+	}
+}
+
+func bucketize[T any](items []T, id func(T) string, buckets int) [][]T {
+	out := make([][]T, buckets)
+	for _, item := range items {
+		sum := sha256.Sum256([]byte(id(item)))
+		bucket := binary.BigEndian.Uint64(sum[:]) % uint64(buckets)
+		out[bucket] = append(out[bucket], item)
+	}
+	for _, bucket := range out {
+		sortByID(bucket, id)
+	}
+	return out
+}
+
+// encodeBuckets skips empty buckets and stops at one that does not fit.
+func encodeBuckets[T any](s *splitter, buckets [][]T, set func(*shardContent, []T)) (datas [][]byte, fits bool) {
+	fits = true
+	for _, bucket := range buckets {
+		if len(bucket) == 0 {
+			continue
+		}
+		var content shardContent
+		set(&content, bucket)
+		data := s.encode(content)
+		if len(data) > maxShardBytes && len(bucket) > 1 {
+			fits = false
+			if len(buckets) < maxBuckets {
+				return nil, false
+			}
+		}
+		datas = append(datas, data)
+	}
+	return datas, fits
+}
+
+// Join decodes the inventory that a head names. It returns ErrCorrupt if a
+// shard is missing, has another hash or cannot be decoded. Lists come sorted
+// by identifier.
+func Join(head Head, shards map[Hash][]byte) (Inventory, error) {
+	var inv Inventory
+	for _, hash := range head.Shards {
+		data, ok := shards[hash]
+		if !ok {
+			return Inventory{}, eris.Wrapf(ErrCorrupt, "shard %s is missing", hash)
+		}
+		if HashOf(data) != hash {
+			return Inventory{}, eris.Wrapf(ErrCorrupt, "shard %s has other content", hash)
+		}
+		if err := joinShard(&inv, data); err != nil {
+			return Inventory{}, eris.Wrapf(ErrCorrupt, "shard %s: %v", hash, err)
+		}
+	}
+	sortInventory(&inv)
+	return inv, nil
+}
+
+func joinShard(inv *Inventory, data []byte) error {
+	var content shardContent
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&content); err != nil {
+		return err
+	}
+	inv.Regions = append(inv.Regions, content.Regions...)
+	inv.VMs = append(inv.VMs, content.VMs...)
+	inv.Routers = append(inv.Routers, content.Routers...)
+	inv.Services = append(inv.Services, content.Services...)
+	inv.Upstreams = append(inv.Upstreams, content.Upstreams...)
+	inv.Teams = append(inv.Teams, content.Teams...)
+	if content.Rules != nil {
+		shares := inv.Rules.Shares
+		inv.Rules = *content.Rules
+		inv.Rules.Shares = shares
+	}
+	inv.Rules.Shares = append(inv.Rules.Shares, content.Shares...)
+	return nil
+}
+
+func sortInventory(inv *Inventory) {
+	sortByID(inv.Regions, regionID)
+	sortByID(inv.VMs, vmID)
+	sortByID(inv.Routers, routerID)
+	sortByID(inv.Services, serviceID)
+	sortByID(inv.Upstreams, upstreamID)
+	sortByID(inv.Teams, teamID)
+	sortByID(inv.Rules.Shares, shareID)
+}
+
+func sortByID[T any](items []T, id func(T) string) {
+	slices.SortStableFunc(items, func(a, b T) int { return cmp.Compare(id(a), id(b)) })
+}
+
+// HashOf returns the hash of a shard's data.
+func HashOf(data []byte) Hash {
+	sum := sha256.Sum256(data)
+	return Hash(hex.EncodeToString(sum[:]))
+}
+
+func regionID(r Region) string     { return string(r.ID) }
+func vmID(v VM) string             { return string(v.ID) }
+func routerID(r Router) string     { return string(r.ID) }
+func serviceID(s Service) string   { return string(s.ID) }
+func upstreamID(u Upstream) string { return string(u.ID) }
+func teamID(t Team) string         { return string(t.ID) }
+func shareID(s Share) string       { return string(s.Team) + "/" + string(s.Service) }
