--- a/config/adopter.go
+++ b/config/adopter.go
@@ -145,7 +145,16 @@
 			actions = append(actions, Reject{From: e.From, Err: err})
 		}
 	}
-	return append(actions, a.adopt()...)
+	actions = append(actions, a.adopt()...)
+	a.trimCandidates()
+	return actions
+}
+
+// trimCandidates drops the lowest candidates when there are too many.
+func (a *Adopter) trimCandidates() {
+	if excess := len(a.candidates) - maxCandidates; excess > 0 {
+		a.candidates = slices.Clone(a.candidates[excess:])
+	}
 }
 
 // checkKnown refuses a second head of a generation: acceptance makes each
@@ -183,9 +192,6 @@
 	}
 	a.candidates = append(a.candidates, c)
 	slices.SortFunc(a.candidates, func(x, y *candidate) int { return cmp.Compare(x.head.Generation, y.head.Generation) })
-	if len(a.candidates) > maxCandidates {
-		a.candidates = a.candidates[1:]
-	}
 	return c
 }
 
@@ -231,7 +237,7 @@
 		}
 		snapshot, err := c.decode()
 		if err != nil {
-			a.refused = c.head.Generation
+			a.refused = max(a.refused, c.head.Generation)
 			a.candidates = slices.Delete(a.candidates, i, i+1)
 			return append([]Action{Reject{Err: err}}, a.adopt()...)
 		}
