Bound the harness's waits and refuse faults that would miss connections

A fault for one source address has no effect on a process that doesn't connect from its VM's address; a test would then pass without its fault. The links now refuse to set it.

--- a/e2e/faultproxy/link.go
+++ b/e2e/faultproxy/link.go
@@ -149,6 +149,18 @@
 	return len(l.pairs)
 }
 
+// Sources returns the IP addresses that present connections come from.
+func (l *Link) Sources() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sources []string
+	for p := range l.pairs {
+		sources = append(sources, p.source)
+	}
+	slices.Sort(sources)
+	return slices.Compact(sources)
+}
+
 // Close ends the link and waits for its goroutines.
 func (l *Link) Close() {
 	l.cancel()
--- a/e2e/faultproxy/link_test.go
+++ b/e2e/faultproxy/link_test.go
@@ -154,6 +154,7 @@
 		first, second := dialFrom("127.0.0.2"), dialFrom("127.0.0.3")
 		echoes(first, "hello")
 		echoes(second, "hello")
+		Expect(link.Sources()).To(Equal([]string{"127.0.0.2", "127.0.0.3"}))
 		link.Cut("127.0.0.2")
 		_, err := first.Read(make([]byte, 1))
 		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue())
--- a/e2e/harness/control.go
+++ b/e2e/harness/control.go
@@ -18,6 +18,8 @@
 	callTimeout = 5 * time.Second
 	// pollInterval is the period at which a condition is tried.
 	pollInterval = 10 * time.Millisecond
+	// readyTimeout bounds the wait for one condition.
+	readyTimeout = 30 * time.Second
 )
 
 // controlClient keeps no connections, so that it leaves no goroutines.
@@ -104,9 +106,11 @@
 	return nil
 }
 
-// AwaitHTTP waits until GET url answers 200. It fails when ctx ends or the
-// process does; a nil process is not watched.
+// AwaitHTTP waits until GET url answers 200, at most half a minute. It fails
+// when ctx ends or the process does; a nil process is not watched.
 func AwaitHTTP(ctx context.Context, url string, p *Process) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
 	var ended <-chan struct{}
 	name := url
 	if p != nil {
--- a/e2e/harness/harness_test.go
+++ b/e2e/harness/harness_test.go
@@ -102,6 +102,18 @@
 		Expect(f.Links.Heal()).To(Succeed())
 	})
 
+	It("won't set a fault for one source that would miss connections", func() {
+		link := f.Links.Peer(f.Upstreams[0].VM.ID)
+		listener, err := net.Listen("tcp", f.Upstreams[0].VM.Address+peerPort)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		conn, err := net.Dial("tcp", link.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Eventually(link.Connections).Should(Equal(1))
+		Expect(errors.Is(f.Links.CutRegion("region-1"), ErrUnknown)).To(BeTrue())
+	})
+
 	It("writes settings and an inventory that read back the same", func() {
 		var inv config.Inventory
 		data, err := yaml.Marshal(f.Inventory)
--- a/e2e/harness/links.go
+++ b/e2e/harness/links.go
@@ -11,7 +11,7 @@
 )
 
 // Links are the fault proxies of a fleet. A process connects from its own VM's
-// address, so a fault can be set for one source.
+// address, so that a fault can be set for one source.
 type Links struct {
 	vms      []config.VM
 	peers    map[fleet.VMID]*faultproxy.Link
@@ -127,6 +127,9 @@
 	if len(l.vms) == 0 {
 		return eris.Wrap(ErrUnknown, "the fleet has no fault proxies")
 	}
+	if err := l.checkSources(); err != nil {
+		return err
+	}
 	for _, target := range l.vms {
 		for _, source := range l.vms {
 			if source.ID == target.ID || !apart(source, target) {
@@ -140,6 +143,23 @@
 	return nil
 }
 
+// checkSources fails if a connection comes from no VM's address: a fault for
+// one source would silently miss it.
+func (l *Links) checkSources() error {
+	known := map[string]bool{}
+	for _, vm := range l.vms {
+		known[vm.Address] = true
+	}
+	for id, link := range l.peers {
+		for _, source := range link.Sources() {
+			if !known[source] {
+				return eris.Wrapf(ErrUnknown, "a connection to %s comes from %s, which is no VM's address", id, source)
+			}
+		}
+	}
+	return nil
+}
+
 func isVM(id fleet.VMID) func(a, b config.VM) bool {
 	return func(a, b config.VM) bool { return a.ID == id || b.ID == id }
 }
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -187,6 +187,8 @@
 
 // Run runs a command of one of the binaries to its end and returns its output.
 func (r *Runner) Run(ctx context.Context, binary string, args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(r.binDir, binary), args...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.CombinedOutput()
