--- a/e2e/harness/fleet.go
+++ b/e2e/harness/fleet.go
@@ -18,7 +18,7 @@
 	// firstIncarnation is the VM incarnation that a fleet starts with.
 	firstIncarnation = 1
 	// Paths of the admin listeners.
-	livePath  = "/livez"
+	livePath  = "/healthz"
 	readyPath = "/readyz"
 	// Names of the binaries.
 	standinBinary = "standin"
