--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,5 @@
+package claim
+
+import "go.uber.org/zap"
+
+var nopLog = zap.NewNop()
