--- /dev/null
+++ b/config/head.go
@@ -0,0 +1,90 @@
+package config
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// HeadKey is the key of the head object.
+	HeadKey = "config/head"
+	// ShardPrefix is the key prefix of shards; the hash follows.
+	ShardPrefix = "config/shard/"
+	// HistoryPrefix is the key prefix of superseded heads; the generation
+	// follows.
+	HistoryPrefix = "config/history/"
+)
+
+// Hash is the SHA-256 of a shard in hexadecimal.
+type Hash string
+
+// Head names the configuration in force. Writing it is the acceptance.
+type Head struct {
+	// Generation grows by one with each acceptance, from one.
+	Generation uint64    `json:"generation"`
+	Shards     []Hash    `json:"shards"`
+	ChangeID   string    `json:"change_id"`
+	Author     string    `json:"author"`
+	Accepted   time.Time `json:"accepted"`
+}
+
+// Shard is a part of an encoded inventory.
+type Shard struct {
+	Hash Hash
+	Data []byte
+}
+
+// Snapshot is a whole accepted configuration. It is not changed once made.
+type Snapshot struct {
+	Generation uint64
+	Head       Head
+	Inventory  Inventory
+	Index      *Index
+}
+
+// Encoded is a configuration as it is handed to neighbours.
+type Encoded struct {
+	// Head is the head object's value; empty while none is held.
+	Head   []byte
+	Shards []Shard
+}
+
+// Without returns the configuration without the shards that are held already.
+func (e Encoded) Without(have []Hash) Encoded {
+	missing := make([]Shard, 0, len(e.Shards))
+	for _, shard := range e.Shards {
+		if !slices.Contains(have, shard.Hash) {
+			missing = append(missing, shard)
+		}
+	}
+	return Encoded{Head: e.Head, Shards: missing}
+}
+
+// ParseHead decodes a head object's value. It returns ErrCorrupt.
+func ParseHead(data []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(data, &head); err != nil {
+		return Head{}, eris.Wrapf(ErrCorrupt, "head: %v", err)
+	}
+	if head.Generation == 0 || len(head.Shards) == 0 {
+		return Head{}, eris.Wrap(ErrCorrupt, "head without generation or shards")
+	}
+	return head, nil
+}
+
+func formatHead(head Head) ([]byte, error) {
+	data, err := json.Marshal(head)
+	return data, eris.Wrap(err, "config: cannot encode the head")
+}
+
+func shardKey(hash Hash) string {
+	return ShardPrefix + string(hash)
+}
+
+func historyKey(generation uint64) string {
+	return HistoryPrefix + strconv.FormatUint(generation, 10)
+}
