--- /dev/null
+++ b/caller/parse.go
@@ -0,0 +1,146 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Limits of what callers send.
+const (
+	maxIdempotencyKeyBytes = 256
+	maxTimeout             = 24 * time.Hour
+	// affinityPrefixBytes is how much of a prompt decides its affinity.
+	affinityPrefixBytes = 256
+)
+
+// hopHeaders are the headers of one connection or of this interface; they are
+// not passed on.
+var hopHeaders = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Accept-Encoding",
+	HeaderRequestTimeout, "Traceparent", "Tracestate",
+}
+
+func forwardHeader(in http.Header) http.Header {
+	out := in.Clone()
+	for _, name := range strings.Split(in.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(name))
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+func (s *Server) authenticate(c echo.Context) (*config.Index, fleet.TeamID, error) {
+	index := s.opts.Index()
+	if index == nil {
+		refusal := NotRun(http.StatusServiceUnavailable, "no_configuration", "no configuration has been accepted yet")
+		refusal.RetryAfter = time.Second
+		return nil, "", refusal
+	}
+	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+	if ok {
+		if team, known := index.TeamByKey(key); known {
+			return index, team, nil
+		}
+	}
+	return nil, "", NotRun(http.StatusUnauthorized, "unauthorized", "a team's bearer key is required")
+}
+
+func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	limit := s.opts.Limits.MaxBodyBytes
+	rc := http.NewResponseController(c.Response())
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return nil, tooLarge(limit)
+	}
+	return nil, NotRun(http.StatusBadRequest, "incomplete_body", "the request body could not be read in time")
+}
+
+func tooLarge(limit int64) *Refusal {
+	return NotRun(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body exceeds %d bytes", limit))
+}
+
+// completion is the part of a completion request that routing needs.
+type completion struct {
+	Model    string          `json:"model"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+func parseCompletion(body []byte) (*completion, error) {
+	var parsed completion
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return nil, NotRun(http.StatusBadRequest, "invalid_json", "the body is not a JSON object: "+err.Error())
+	}
+	if parsed.Model == "" {
+		return nil, NotRun(http.StatusBadRequest, "missing_model", "the field \"model\" must name a service")
+	}
+	return &parsed, nil
+}
+
+func (c *completion) affinityKey() uint64 {
+	prompt := c.Messages
+	if len(prompt) == 0 {
+		prompt = c.Prompt
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), affinityPrefixBytes)])
+}
+
+func idempotencyKey(h http.Header, required bool) (string, error) {
+	key := h.Get(HeaderIdempotencyKey)
+	if key == "" && required {
+		return "", NotRun(http.StatusBadRequest, "missing_idempotency_key",
+			"this request is non-idempotent: the header Idempotency-Key is required")
+	}
+	if len(key) > maxIdempotencyKeyBytes {
+		return "", NotRun(http.StatusBadRequest, "invalid_idempotency_key",
+			fmt.Sprintf("Idempotency-Key exceeds %d bytes", maxIdempotencyKeyBytes))
+	}
+	return key, nil
+}
+
+func requestTimeout(h http.Header) (time.Duration, error) {
+	value := h.Get(HeaderRequestTimeout)
+	if value == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	valid := err == nil && seconds > 0 && seconds <= maxTimeout.Seconds()
+	if !valid {
+		return 0, NotRun(http.StatusBadRequest, "invalid_timeout",
+			fmt.Sprintf("Request-Timeout must be seconds above 0 and at most %.0f, got %q", maxTimeout.Seconds(), value))
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// digest identifies a request by team, service and content.
+func digest(req *Request) string {
+	h := sha256.New()
+	for _, part := range []string{string(req.Team), string(req.Service), req.Method, req.Path} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
--- /dev/null
+++ b/node/account.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"fulmarspindle.example/fulmarspindle/fairness"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// ReportToWire converts a report of accounts to its message.
+func ReportToWire(r fairness.Report) *peerpb.AccountReport {
+	out := &peerpb.AccountReport{Seq: r.Seq, VirtualTime: r.VirtualTime}
+	for _, t := range r.Teams {
+		entry := &peerpb.AccountEntry{
+			Team:    string(t.Team),
+			Charged: t.Charged,
+			Active:  t.Active,
+		}
+		if t.Echo != (fairness.Echo{}) {
+			entry.Echo = echoToWire(t.Echo)
+		}
+		out.Entries = append(out.Entries, entry)
+	}
+	return out
+}
+
+func echoToWire(e fairness.Echo) *peerpb.AccountEcho {
+	return &peerpb.AccountEcho{
+		KeeperIncarnation: uint64(e.Keeper),
+		RegionTotal:       e.RegionTotal,
+		FleetTotal:        e.FleetTotal,
+		ChargedIncluded:   e.ChargedIncluded,
+		Lift:              e.Lift,
+		Stale:             e.Stale,
+	}
+}
+
+// ReportFromWire converts a message to a report of accounts.
+func ReportFromWire(m *peerpb.AccountReport) fairness.Report {
+	r := fairness.Report{Seq: m.GetSeq(), VirtualTime: m.GetVirtualTime()}
+	for _, e := range m.GetEntries() {
+		r.Teams = append(r.Teams, fairness.TeamReport{
+			Team:    fleet.TeamID(e.GetTeam()),
+			Charged: e.GetCharged(),
+			Active:  e.GetActive(),
+			Echo: fairness.Echo{
+				Keeper:          fleet.Incarnation(e.GetEcho().GetKeeperIncarnation()),
+				RegionTotal:     e.GetEcho().GetRegionTotal(),
+				FleetTotal:      e.GetEcho().GetFleetTotal(),
+				ChargedIncluded: e.GetEcho().GetChargedIncluded(),
+				Lift:            e.GetEcho().GetLift(),
+				Stale:           e.GetEcho().GetStale(),
+			},
+		})
+	}
+	return r
+}
+
+// TotalsToWire converts a keeper's totals to their message.
+func TotalsToWire(t fairness.Totals) *peerpb.AccountTotals {
+	out := &peerpb.AccountTotals{
+		ReportSeq:         t.ReportSeq,
+		KeeperIncarnation: uint64(t.Keeper),
+		VirtualTime:       t.VirtualTime,
+	}
+	for _, team := range t.Teams {
+		out.Totals = append(out.Totals, &peerpb.AccountTotal{
+			Team:        string(team.Team),
+			RegionTotal: team.RegionTotal,
+			Lift:        team.Lift,
+			FleetTotal:  team.FleetTotal,
+		})
+	}
+	return out
+}
+
+// TotalsFromWire converts a message to a keeper's totals.
+func TotalsFromWire(m *peerpb.AccountTotals) fairness.Totals {
+	t := fairness.Totals{
+		ReportSeq:   m.GetReportSeq(),
+		Keeper:      fleet.Incarnation(m.GetKeeperIncarnation()),
+		VirtualTime: m.GetVirtualTime(),
+	}
+	for _, team := range m.GetTotals() {
+		t.Teams = append(t.Teams, fairness.TeamTotal{
+			Team:        fleet.TeamID(team.GetTeam()),
+			RegionTotal: team.GetRegionTotal(),
+			Lift:        team.GetLift(),
+			FleetTotal:  team.GetFleetTotal(),
+		})
+	}
+	return t
+}
+
+// SumsToWire converts a region's sums of one service to their message.
+func SumsToWire(service fleet.ServiceID, s fairness.Sums) *peerpb.RegionSums {
+	out := &peerpb.RegionSums{
+		Region:            string(s.Region),
+		Service:           string(service),
+		Seq:               s.Seq,
+		VirtualTime:       s.VirtualTime,
+		KeeperIncarnation: uint64(s.Keeper),
+	}
+	for _, t := range s.Teams {
+		out.Sums = append(out.Sums, &peerpb.RegionSum{
+			Team:   string(t.Team),
+			Total:  t.Total,
+			Lift:   t.Lift,
+			Active: t.Active,
+		})
+	}
+	return out
+}
+
+// SumsFromWire converts a message to a region's sums.
+func SumsFromWire(m *peerpb.RegionSums) fairness.Sums {
+	s := fairness.Sums{
+		Region:      fleet.RegionID(m.GetRegion()),
+		Keeper:      fleet.Incarnation(m.GetKeeperIncarnation()),
+		Seq:         m.GetSeq(),
+		VirtualTime: m.GetVirtualTime(),
+	}
+	for _, t := range m.GetSums() {
+		s.Teams = append(s.Teams, fairness.RegionSum{
+			Team:   fleet.TeamID(t.GetTeam()),
+			Total:  t.GetTotal(),
+			Lift:   t.GetLift(),
+			Active: t.GetActive(),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// Sizes of messages, in bytes.
+const (
+	// MaxControlBytes bounds a control message; a configuration snapshot is
+	// the largest.
+	MaxControlBytes = 8 << 20
+	// MaxFrameBytes bounds a frame of a request stream.
+	MaxFrameBytes = 1 << 20
+	// ChunkBytes is the largest data frame that a sender produces.
+	ChunkBytes = 32 << 10
+)
+
+// writeMessage writes m behind its length and returns the bytes written.
+func writeMessage(w io.Writer, m proto.Message) (int, error) {
+	buf := make([]byte, 0, binary.MaxVarintLen64+proto.Size(m))
+	buf = binary.AppendUvarint(buf, uint64(proto.Size(m)))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
+	if err != nil {
+		return 0, eris.Wrap(ErrMessage, err.Error())
+	}
+	n, err := w.Write(buf)
+	if err != nil {
+		return n, eris.Wrap(ErrClosed, err.Error())
+	}
+	return n, nil
+}
+
+// readMessage reads one message of at most limit bytes into m. The end of the
+// stream between two messages is io.EOF.
+func readMessage(r *bufio.Reader, m proto.Message, limit int64) error {
+	err := protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, m)
+	if err == nil {
+		return nil
+	}
+	if eris.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return eris.Wrap(ErrMessage, err.Error())
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// dialHandshake starts a session on a dialed connection. An empty want accepts
+// any peer.
+func dialHandshake(conn net.Conn, local *Local, want fleet.NodeID) (*Session, error) {
+	counting := &countingConn{Conn: conn}
+	mux, err := yamux.Client(counting, muxConfig())
+	if err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	s, err := handshake(mux, mux.Open, local, want)
+	if err != nil {
+		mux.Close()
+		return nil, err
+	}
+	s.dialed = true
+	counting.pair = s.pair
+	return s, nil
+}
+
+// acceptHandshake starts a session on an accepted connection.
+func acceptHandshake(conn net.Conn, local *Local) (*Session, error) {
+	counting := &countingConn{Conn: conn}
+	mux, err := yamux.Server(counting, muxConfig())
+	if err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	// A peer that never opens its control stream must not hold the session.
+	timer := time.AfterFunc(handshakeTimeout, func() { mux.Close() })
+	s, err := handshake(mux, mux.Accept, local, "")
+	timer.Stop()
+	if err != nil {
+		mux.Close()
+		return nil, err
+	}
+	counting.pair = s.pair
+	return s, nil
+}
+
+func handshake(mux *yamux.Session, open func() (net.Conn, error), local *Local, want fleet.NodeID) (*Session, error) {
+	control, err := open()
+	if err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	deadline := time.Now().Add(handshakeTimeout)
+	if err := control.SetDeadline(deadline); err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	reader := bufio.NewReader(control)
+	remote, err := exchangeHello(control, reader, local)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHello(remote, local, want); err != nil {
+		return nil, err
+	}
+	if err := control.SetDeadline(time.Time{}); err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	s := &Session{
+		mux:     mux,
+		control: control,
+		reader:  reader,
+		local:   local,
+		remote:  remote,
+		pair:    regionPair(fleet.RegionID(local.Hello.GetRegion()), fleet.RegionID(remote.GetRegion())),
+		queue:   make(chan *peerpb.Envelope, sendQueueLength),
+		done:    make(chan struct{}),
+	}
+	s.received.Store(time.Now().UnixNano())
+	return s, nil
+}
+
+func exchangeHello(control net.Conn, reader *bufio.Reader, local *Local) (*peerpb.Hello, error) {
+	out := &peerpb.Envelope{
+		Generation: local.Generation(),
+		Body:       &peerpb.Envelope_Hello{Hello: local.Hello},
+	}
+	if _, err := writeMessage(control, out); err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	in := &peerpb.Envelope{}
+	if err := readMessage(reader, in, MaxFrameBytes); err != nil {
+		return nil, eris.Wrap(ErrHandshake, err.Error())
+	}
+	hello := in.GetHello()
+	if hello == nil {
+		return nil, eris.Wrap(ErrHandshake, "first message is not a hello")
+	}
+	return hello, nil
+}
+
+func checkHello(remote *peerpb.Hello, local *Local, want fleet.NodeID) error {
+	if remote.GetProtocolVersion() != ProtocolVersion {
+		return eris.Wrapf(ErrHandshake, "protocol version %d, want %d", remote.GetProtocolVersion(), ProtocolVersion)
+	}
+	if remote.GetId() == "" || remote.GetRole() == peerpb.Role_ROLE_UNSPECIFIED {
+		return eris.Wrap(ErrHandshake, "hello without id or role")
+	}
+	if remote.GetId() == local.Hello.GetId() {
+		return eris.Wrap(ErrHandshake, "peer has this process's own id")
+	}
+	if want != "" && remote.GetId() != string(want) {
+		return eris.Wrapf(ErrHandshake, "peer is %q, want %q", remote.GetId(), want)
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/metrics.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"expvar"
+	"net"
+	"strings"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// Traffic counters. Keys of the first two are kind/own region/peer region; all
+// values are bytes, except sentMessages.
+var (
+	sentBytes     = expvar.NewMap("peer_control_sent_bytes")
+	sentMessages  = expvar.NewMap("peer_control_sent_messages")
+	connSentBytes = expvar.NewMap("peer_conn_sent_bytes")
+	dataSentBytes = expvar.NewMap("peer_data_sent_bytes")
+)
+
+func regionPair(from, to fleet.RegionID) string {
+	return string(from) + "/" + string(to)
+}
+
+// kindOf names the kind of a control message for the counters.
+func kindOf(env *peerpb.Envelope) string {
+	m := env.ProtoReflect()
+	field := m.WhichOneof(m.Descriptor().Oneofs().ByName("body"))
+	if field == nil {
+		return "empty"
+	}
+	return string(field.Name())
+}
+
+func countControl(env *peerpb.Envelope, pair string, n int) {
+	kind := kindOf(env)
+	sentBytes.Add(strings.Join([]string{kind, pair}, "/"), int64(n))
+	sentMessages.Add(kind, 1)
+}
+
+// countingConn counts all bytes written to a connection, including those of
+// the multiplexer.
+type countingConn struct {
+	net.Conn
+	pair string
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	connSentBytes.Add(c.pair, int64(n))
+	return n, err
+}
--- /dev/null
+++ b/peer/network.go
@@ -0,0 +1,168 @@
+// Package peer carries control messages and request streams between routers
+// and sidecars over yamux sessions.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Reconnect intervals.
+const (
+	minReconnect = 100 * time.Millisecond
+	maxReconnect = 2 * time.Second
+	dialTimeout  = 3 * time.Second
+	// maxPendingHandshakes bounds connections that have not yet been
+	// identified.
+	maxPendingHandshakes = 256
+)
+
+// Target is a peer to keep a session to.
+type Target struct {
+	// ID is empty for seed addresses whose process is not known.
+	ID      fleet.NodeID
+	Address string
+}
+
+// Network keeps the sessions of one process.
+type Network struct {
+	local   *Local
+	handler Handler
+	log     *zap.Logger
+	// serverTLS and clientTLS are nil for plain TCP.
+	serverTLS *tls.Config
+	clientTLS *tls.Config
+
+	mu      sync.Mutex
+	targets map[Target]context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// NewNetwork returns a Network. The TLS configurations may be nil for plain
+// TCP.
+func NewNetwork(local *Local, handler Handler, log *zap.Logger, server, client *tls.Config) *Network {
+	return &Network{
+		local:     local,
+		handler:   handler,
+		log:       log,
+		serverTLS: server,
+		clientTLS: client,
+		targets:   make(map[Target]context.CancelFunc),
+	}
+}
+
+// Serve accepts sessions until ctx ends or the listener fails.
+func (n *Network) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	pending := make(chan struct{}, maxPendingHandshakes)
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			n.wg.Wait()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(ErrClosed, err.Error())
+		}
+		select {
+		case pending <- struct{}{}:
+			n.wg.Go(func() { n.serveConn(ctx, conn, pending) })
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func (n *Network) serveConn(ctx context.Context, conn net.Conn, pending <-chan struct{}) {
+	defer conn.Close()
+	if n.serverTLS != nil {
+		conn = tls.Server(conn, n.serverTLS)
+	}
+	s, err := acceptHandshake(conn, n.local)
+	<-pending
+	if err != nil {
+		n.log.Warn("refused a peer", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
+		return
+	}
+	cause := s.run(ctx, n.handler)
+	n.logDown(s, cause)
+}
+
+// SetTargets replaces the set of peers that this process dials. Sessions to
+// peers that left the set are closed.
+func (n *Network) SetTargets(ctx context.Context, targets []Target) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	keep := make(map[Target]bool, len(targets))
+	for _, t := range targets {
+		keep[t] = true
+		if _, ok := n.targets[t]; ok {
+			continue
+		}
+		dialCtx, cancel := context.WithCancel(ctx)
+		n.targets[t] = cancel
+		n.wg.Go(func() { n.dialLoop(dialCtx, t) })
+	}
+	for t, cancel := range n.targets {
+		if !keep[t] {
+			cancel()
+			delete(n.targets, t)
+		}
+	}
+}
+
+// Wait blocks until every dial loop and accepted session has ended.
+func (n *Network) Wait() { n.wg.Wait() }
+
+func (n *Network) dialLoop(ctx context.Context, t Target) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = minReconnect
+	retry.MaxInterval = maxReconnect
+	for ctx.Err() == nil {
+		started := time.Now()
+		if err := n.dialOnce(ctx, t); err != nil && ctx.Err() == nil {
+			n.log.Debug("session to peer failed", zap.String("address", t.Address), zap.String("peer", string(t.ID)), zap.Error(err))
+		}
+		if time.Since(started) > heartbeatTimeout {
+			retry.Reset()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retry.NextBackOff()):
+		}
+	}
+}
+
+func (n *Network) dialOnce(ctx context.Context, t Target) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return eris.Wrap(ErrClosed, err.Error())
+	}
+	defer conn.Close()
+	if n.clientTLS != nil {
+		conn = tls.Client(conn, n.clientTLS)
+	}
+	s, err := dialHandshake(conn, n.local, t.ID)
+	if err != nil {
+		n.log.Warn("handshake failed", zap.String("address", t.Address), zap.Error(err))
+		return err
+	}
+	cause := s.run(ctx, n.handler)
+	n.logDown(s, cause)
+	return cause
+}
+
+func (n *Network) logDown(s *Session, cause error) {
+	n.log.Info("session closed", zap.String("peer", string(s.ID())), zap.Error(cause))
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,234 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// ProtocolVersion is the version of the wire protocol. Peers of another
+// version are refused.
+const ProtocolVersion = 1
+
+// Limits of a session.
+const (
+	handshakeTimeout  = 5 * time.Second
+	writeTimeout      = 5 * time.Second
+	heartbeatInterval = time.Second
+	// heartbeatTimeout is how long a silent peer keeps its session.
+	heartbeatTimeout = 4 * time.Second
+	sendQueueLength  = 1024
+	acceptBacklog    = 1024
+)
+
+// Local describes this process to its peers.
+type Local struct {
+	Hello *peerpb.Hello
+	// Generation returns the highest configuration generation held.
+	Generation func() uint64
+	// Draining reports whether this process takes no new work.
+	Draining func() bool
+}
+
+// Handler receives what happens on sessions. Message is called by one
+// goroutine per session and must not block; Stream has a goroutine of its own.
+type Handler interface {
+	SessionUp(s *Session)
+	SessionDown(s *Session, cause error)
+	Message(s *Session, env *peerpb.Envelope)
+	Stream(s *Session, st *Stream)
+}
+
+// Session is one connection to a peer.
+type Session struct {
+	mux     *yamux.Session
+	control net.Conn
+	reader  *bufio.Reader
+	local   *Local
+	remote  *peerpb.Hello
+	pair    string
+	// dialed is set if this process opened the connection.
+	dialed bool
+
+	queue     chan *peerpb.Envelope
+	done      chan struct{}
+	closeOnce sync.Once
+	cause     error
+	received  atomic.Int64
+	rtt       atomic.Int64
+}
+
+// ID returns the peer's identifier.
+func (s *Session) ID() fleet.NodeID { return fleet.NodeID(s.remote.GetId()) }
+
+// Incarnation returns the peer's incarnation.
+func (s *Session) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation(s.remote.GetIncarnation())
+}
+
+// Role returns the peer's role.
+func (s *Session) Role() peerpb.Role { return s.remote.GetRole() }
+
+// Location returns where the peer runs.
+func (s *Session) Location() fleet.Location {
+	return fleet.Location{
+		Region:        fleet.RegionID(s.remote.GetRegion()),
+		FailureDomain: fleet.FailureDomainID(s.remote.GetFailureDomain()),
+	}
+}
+
+// VMIncarnation returns the platform's incarnation of the peer's VM, zero if
+// the peer does not know it.
+func (s *Session) VMIncarnation() uint64 { return s.remote.GetVmIncarnation() }
+
+// Preferred reports whether this session outranks another one to the same
+// incarnation of the peer: the one that the lower identifier dialed does, so
+// that both sides keep the same.
+func (s *Session) Preferred() bool {
+	lower := s.local.Hello.GetId() < s.remote.GetId()
+	return s.dialed == lower
+}
+
+// RTT returns the last measured round trip time, zero before the first.
+func (s *Session) RTT() time.Duration { return time.Duration(s.rtt.Load()) }
+
+// Done is closed when the session ends.
+func (s *Session) Done() <-chan struct{} { return s.done }
+
+// Send queues a control message. A session whose queue is full is closed: its
+// peer reads too slowly, and all control state is resent on a new session.
+func (s *Session) Send(env *peerpb.Envelope) {
+	select {
+	case <-s.done:
+	case s.queue <- env:
+	default:
+		s.close(eris.Wrap(ErrClosed, "send queue full"))
+	}
+}
+
+// OpenStream opens a request stream.
+func (s *Session) OpenStream() (*Stream, error) {
+	conn, err := s.mux.Open()
+	if err != nil {
+		return nil, eris.Wrap(ErrClosed, err.Error())
+	}
+	return newStream(conn, s.pair), nil
+}
+
+// Close ends the session and all its streams.
+func (s *Session) Close() { s.close(ErrClosed) }
+
+func (s *Session) close(cause error) {
+	s.closeOnce.Do(func() {
+		s.cause = cause
+		close(s.done)
+		s.mux.Close()
+	})
+}
+
+// run serves the session until it ends.
+func (s *Session) run(ctx context.Context, h Handler) error {
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	h.SessionUp(s)
+	var wg sync.WaitGroup
+	wg.Go(s.writeLoop)
+	wg.Go(s.heartbeatLoop)
+	wg.Go(func() { s.acceptLoop(h) })
+	s.readLoop(h)
+	wg.Wait()
+	h.SessionDown(s, s.cause)
+	return s.cause
+}
+
+func (s *Session) readLoop(h Handler) {
+	for {
+		env := &peerpb.Envelope{}
+		if err := readMessage(s.reader, env, MaxControlBytes); err != nil {
+			s.close(err)
+			return
+		}
+		s.received.Store(time.Now().UnixNano())
+		h.Message(s, env)
+	}
+}
+
+func (s *Session) writeLoop() {
+	idle := time.NewTimer(heartbeatInterval)
+	defer idle.Stop()
+	for {
+		var env *peerpb.Envelope
+		select {
+		case <-s.done:
+			return
+		case env = <-s.queue:
+		case <-idle.C:
+			env = s.heartbeat()
+		}
+		env.Generation = s.local.Generation()
+		n, err := writeMessage(s.control, env)
+		countControl(env, s.pair, n)
+		if err != nil {
+			s.close(err)
+			return
+		}
+		idle.Reset(heartbeatInterval)
+	}
+}
+
+func (s *Session) heartbeat() *peerpb.Envelope {
+	hb := &peerpb.Heartbeat{Draining: s.local.Draining()}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: hb}}
+}
+
+// heartbeatLoop closes a session whose peer is silent, and measures the round
+// trip time.
+func (s *Session) heartbeatLoop() {
+	ticker := time.NewTicker(heartbeatTimeout / 4)
+	defer ticker.Stop()
+	for {
+		if rtt, err := s.mux.Ping(); err == nil {
+			s.rtt.Store(int64(rtt))
+		}
+		select {
+		case <-s.done:
+			return
+		case now := <-ticker.C:
+			silent := now.UnixNano() - s.received.Load()
+			if silent > int64(heartbeatTimeout) {
+				s.close(eris.Wrapf(ErrClosed, "no message for %v", time.Duration(silent)))
+				return
+			}
+		}
+	}
+}
+
+func (s *Session) acceptLoop(h Handler) {
+	for {
+		conn, err := s.mux.Accept()
+		if err != nil {
+			s.close(eris.Wrap(ErrClosed, err.Error()))
+			return
+		}
+		go h.Stream(s, newStream(conn, s.pair))
+	}
+}
+
+func muxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,117 @@
+// Package quarantine decides which requests are suspected of crashing
+// upstreams. A request that was running at one crash is a suspect and runs
+// alone; one that was running at two is refused. The state is mergeable in any
+// order and does no I/O.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Limits of the list.
+const (
+	// TTL is how long a suspect is remembered after its last crash.
+	TTL = time.Hour
+	// MaxSuspects bounds the list; the ones that expire first are dropped.
+	MaxSuspects = 4096
+	// refusedCrashes is the count of crashes from which a request is refused.
+	refusedCrashes = 2
+	// maxCrashIDs bounds the crashes remembered of one suspect.
+	maxCrashIDs = 8
+)
+
+// Suspect is a request that was running when upstreams crashed.
+type Suspect struct {
+	Digest  string
+	Team    fleet.TeamID
+	Service fleet.ServiceID
+	// CrashIDs identify distinct crashes, in order.
+	CrashIDs []string
+	Expires  time.Time
+}
+
+// Refused reports whether the suspect must not run again.
+func (s Suspect) Refused() bool { return len(s.CrashIDs) >= refusedCrashes }
+
+// List is the set of suspects that one process knows.
+type List struct {
+	suspects map[string]Suspect
+}
+
+// NewList returns an empty list.
+func NewList() *List {
+	return &List{suspects: make(map[string]Suspect)}
+}
+
+// Lookup returns what is known of a digest.
+func (l *List) Lookup(digest string, now time.Time) (Suspect, bool) {
+	s, ok := l.suspects[digest]
+	return s, ok && s.Expires.After(now)
+}
+
+// Merge adds what another process, or this one, learned. It reports whether
+// the list changed.
+func (l *List) Merge(s Suspect, now time.Time) bool {
+	if !s.Expires.After(now) {
+		return false
+	}
+	s.Expires = earliest(s.Expires, now.Add(TTL))
+	known, ok := l.suspects[s.Digest]
+	merged := s
+	if ok {
+		merged = merge(known, s)
+	}
+	if ok && len(merged.CrashIDs) == len(known.CrashIDs) && merged.Expires.Equal(known.Expires) {
+		return false
+	}
+	l.suspects[s.Digest] = merged
+	l.shrink(now)
+	return true
+}
+
+func merge(a, b Suspect) Suspect {
+	ids := slices.Concat(a.CrashIDs, b.CrashIDs)
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	a.CrashIDs = ids[:min(len(ids), maxCrashIDs)]
+	if b.Expires.After(a.Expires) {
+		a.Expires = b.Expires
+	}
+	return a
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// All returns the suspects that have not expired, by digest.
+func (l *List) All(now time.Time) []Suspect {
+	var out []Suspect
+	for _, s := range l.suspects {
+		if s.Expires.After(now) {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Digest, b.Digest) })
+	return out
+}
+
+// shrink drops expired suspects, and the first to expire above the bound.
+func (l *List) shrink(now time.Time) {
+	if len(l.suspects) <= MaxSuspects {
+		return
+	}
+	all := l.All(now)
+	slices.SortStableFunc(all, func(a, b Suspect) int { return b.Expires.Compare(a.Expires) })
+	l.suspects = make(map[string]Suspect, MaxSuspects)
+	for _, s := range all[:min(len(all), MaxSuspects)] {
+		l.suspects[s.Digest] = s
+	}
+}
--- /dev/null
+++ b/router/keeper.go
@@ -0,0 +1,140 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fairness"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// regionSumsInterval is the time between two exchanges of region sums.
+const regionSumsInterval = 500 * time.Millisecond
+
+// keepers holds the account keepers of this router, one for each service.
+type keepers struct {
+	sessions    *node.Sessions
+	self        fleet.NodeID
+	region      fleet.RegionID
+	incarnation fleet.Incarnation
+
+	mu        sync.Mutex
+	byService map[fleet.ServiceID]*fairness.Keeper
+}
+
+func newKeepers(sessions *node.Sessions, self fleet.NodeID, region fleet.RegionID, inc fleet.Incarnation) *keepers {
+	return &keepers{
+		sessions:    sessions,
+		self:        self,
+		region:      region,
+		incarnation: inc,
+		byService:   make(map[fleet.ServiceID]*fairness.Keeper),
+	}
+}
+
+func (k *keepers) keeper(service fleet.ServiceID, now time.Time) *fairness.Keeper {
+	keeper := k.byService[service]
+	if keeper == nil {
+		keeper = fairness.NewKeeper(fairness.KeeperConfig{}, k.region, k.incarnation, now)
+		k.byService[service] = keeper
+	}
+	return keeper
+}
+
+// report merges a sidecar's report and answers it with the teams' totals.
+func (k *keepers) report(s *peer.Session, service fleet.ServiceID, m *peerpb.AccountReport) {
+	now := time.Now()
+	k.mu.Lock()
+	totals := k.keeper(service, now).Report(s.ID(), s.Incarnation(), node.ReportFromWire(m), now)
+	k.mu.Unlock()
+	s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_AccountTotals{AccountTotals: node.TotalsToWire(totals)}})
+}
+
+// merge takes another region's sums.
+func (k *keepers) merge(m *peerpb.RegionSums) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keeper(fleet.ServiceID(m.GetService()), now).MergeRegion(node.SumsFromWire(m), now)
+}
+
+// exchange sends this region's sums to the keepers of the other regions until
+// ctx ends.
+func (k *keepers) exchange(ctx context.Context) {
+	ticker := time.NewTicker(regionSumsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for service, sums := range k.sums(now) {
+				k.send(service, sums)
+			}
+		}
+	}
+}
+
+func (k *keepers) sums(now time.Time) map[fleet.ServiceID]fairness.Sums {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[fleet.ServiceID]fairness.Sums)
+	for service, keeper := range k.byService {
+		if sums, ok := keeper.RegionSums(now); ok {
+			out[service] = sums
+		}
+	}
+	return out
+}
+
+// send splits a service's sums by the keepers of each other region.
+func (k *keepers) send(service fleet.ServiceID, sums fairness.Sums) {
+	for _, routers := range k.otherRegions() {
+		parts := make(map[fleet.NodeID]*fairness.Sums)
+		for _, sum := range sums.Teams {
+			keeper, ok := fairness.Assign(service, sum.Team, routers)
+			if !ok {
+				continue
+			}
+			part := parts[keeper]
+			if part == nil {
+				part = &fairness.Sums{Region: sums.Region, Keeper: sums.Keeper, Seq: sums.Seq, VirtualTime: sums.VirtualTime}
+				parts[keeper] = part
+			}
+			part.Teams = append(part.Teams, sum)
+		}
+		for keeper, part := range parts {
+			env := &peerpb.Envelope{Body: &peerpb.Envelope_RegionSums{RegionSums: node.SumsToWire(service, *part)}}
+			k.sessions.Send(keeper, env)
+		}
+	}
+}
+
+// otherRegions returns the connected routers of each other region.
+func (k *keepers) otherRegions() map[fleet.RegionID][]fleet.NodeID {
+	out := make(map[fleet.RegionID][]fleet.NodeID)
+	for _, s := range k.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		region := s.Location().Region
+		if region != k.region {
+			out[region] = append(out[region], s.ID())
+		}
+	}
+	return out
+}
+
+// retain drops the teams of which other routers of this region are keepers.
+func (k *keepers) retain() {
+	routers := append(k.sessions.Routers(k.region), k.self)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for service, keeper := range k.byService {
+		keeper.Retain(func(team fleet.TeamID) bool {
+			assigned, _ := fairness.Assign(service, team, routers)
+			return assigned == k.self
+		})
+	}
+}
--- /dev/null
+++ b/router/quarantine.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/caller"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/quarantine"
+)
+
+// suspects keeps the quarantine list of this router and spreads it to others.
+type suspects struct {
+	sessions *node.Sessions
+
+	mu   sync.Mutex
+	list *quarantine.List
+}
+
+func newSuspects(sessions *node.Sessions) *suspects {
+	return &suspects{sessions: sessions, list: quarantine.NewList()}
+}
+
+func (q *suspects) lookup(digest string) (quarantine.Suspect, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.Lookup(digest, time.Now())
+}
+
+// refused reports whether a request must not run again.
+func (q *suspects) refused(digest string) bool {
+	s, ok := q.lookup(digest)
+	return ok && s.Refused()
+}
+
+// suspected reports whether a request must run alone.
+func (q *suspects) suspected(digest string) bool {
+	_, ok := q.lookup(digest)
+	return ok
+}
+
+// crashed records that a request was running when an upstream crashed.
+func (q *suspects) crashed(req *caller.Request, crashID string) {
+	q.learn([]quarantine.Suspect{{
+		Digest:   req.Digest,
+		Team:     req.Team,
+		Service:  req.Service,
+		CrashIDs: []string{crashID},
+		Expires:  time.Now().Add(quarantine.TTL),
+	}})
+}
+
+// learn merges suspects and passes on those that are news.
+func (q *suspects) learn(list []quarantine.Suspect) {
+	now := time.Now()
+	var news []quarantine.Suspect
+	q.mu.Lock()
+	for _, s := range list {
+		if q.list.Merge(s, now) {
+			merged, _ := q.list.Lookup(s.Digest, now)
+			news = append(news, merged)
+		}
+	}
+	q.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, session := range q.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		session.Send(suspectsEnvelope(news))
+	}
+}
+
+// greet sends the whole list to a new router session.
+func (q *suspects) greet(s *peer.Session) {
+	q.mu.Lock()
+	all := q.list.All(time.Now())
+	q.mu.Unlock()
+	if len(all) > 0 {
+		s.Send(suspectsEnvelope(all))
+	}
+}
+
+// all returns the suspects for the operators' page.
+func (q *suspects) all() []quarantine.Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.All(time.Now())
+}
+
+func suspectsEnvelope(list []quarantine.Suspect) *peerpb.Envelope {
+	update := &peerpb.SuspectUpdate{}
+	for _, s := range list {
+		update.Suspects = append(update.Suspects, &peerpb.Suspect{
+			Digest:        s.Digest,
+			CrashIds:      s.CrashIDs,
+			ExpiresUnixMs: uint64(s.Expires.UnixMilli()),
+			Team:          string(s.Team),
+			Service:       string(s.Service),
+		})
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Suspects{Suspects: update}}
+}
+
+func suspectsFromWire(m *peerpb.SuspectUpdate) []quarantine.Suspect {
+	var list []quarantine.Suspect
+	for _, s := range m.GetSuspects() {
+		list = append(list, quarantine.Suspect{
+			Digest:   s.GetDigest(),
+			CrashIDs: s.GetCrashIds(),
+			Expires:  time.UnixMilli(int64(s.GetExpiresUnixMs())),
+			Team:     fleet.TeamID(s.GetTeam()),
+			Service:  fleet.ServiceID(s.GetService()),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/router/repeat.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/caller"
+	"fulmarspindle.example/fulmarspindle/claim"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// repeated answers a request whose key another attempt holds. It returns true
+// if the key may be claimed anew.
+func (r *Router) repeated(ctx context.Context, req *caller.Request, held claim.Record, w caller.Responder) (bool, error) {
+	session := r.sessions.Get(held.Router)
+	_, state := r.answers.Lookup(held.Attempt)
+	decision := claim.Decide(claim.Repeat{
+		Existing:   held,
+		Digest:     claim.RequestDigest(req.Method, req.Path, req.Body),
+		Self:       claim.Router{ID: r.settings.ID, Incarnation: r.incarnation},
+		HolderLive: session != nil && session.Incarnation() == held.Incarnation,
+		Answer:     state,
+	})
+	switch decision {
+	case claim.DecisionClaim:
+		return true, nil
+	case claim.DecisionWait, claim.DecisionReplay:
+		return false, r.replay(ctx, held.Attempt, w)
+	case claim.DecisionAskRouter:
+		return false, r.askRouter(ctx, session, held, w)
+	case claim.DecisionAlreadyRun:
+		return false, alreadyRun()
+	case claim.DecisionKeyReused:
+		return false, keyReused()
+	case claim.DecisionRetryLater:
+		return false, retryLater("release_pending", "an earlier attempt did not run; its claim is being released")
+	default:
+		return false, lostHolder()
+	}
+}
+
+func lostHolder() *caller.Refusal {
+	return caller.Unknown(http.StatusConflict, "holder_lost",
+		"the router that claimed this key is not reachable; whether the request ran is unknown")
+}
+
+// askRouter asks the router that holds a claim for its answer.
+func (r *Router) askRouter(ctx context.Context, session *peer.Session, held claim.Record, w caller.Responder) error {
+	st, err := session.OpenStream()
+	if err != nil {
+		return lostHolder()
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { st.Close() })
+	defer stop()
+	query := &peerpb.AnswerQuery{
+		AttemptId: string(held.Attempt),
+		Team:      string(held.Scope.Team),
+		Service:   string(held.Scope.Service),
+		Key:       held.Scope.Key,
+	}
+	if err := st.SendOpen(&peerpb.StreamOpen{Body: &peerpb.StreamOpen_AnswerQuery{AnswerQuery: query}}); err != nil {
+		return lostHolder()
+	}
+	if err := receiveAnswer(st, w); err != nil {
+		if ctx.Err() != nil {
+			return stillRunning(ctx)
+		}
+		return err
+	}
+	return nil
+}
+
+// receiveAnswer reads another router's reply to an AnswerQuery.
+func receiveAnswer(st *peer.Stream, w caller.Responder) error {
+	f, err := st.Receive()
+	if err != nil {
+		return lostHolder()
+	}
+	if end := f.GetEnd(); end != nil {
+		return refusalFromEnd(end)
+	}
+	head := f.GetHead()
+	if head == nil {
+		return lostHolder()
+	}
+	body, err := st.ReceiveBody(claim.DefaultMaxBodyBytes)
+	if err != nil {
+		return lostHolder()
+	}
+	answer := claim.Answer{Status: int(head.GetStatus()), Body: body}
+	for _, h := range head.GetHeaders() {
+		answer.Header = append(answer.Header, claim.HeaderField{Name: h.GetName(), Values: h.GetValues()})
+	}
+	return sendAnswer(answer, w)
+}
+
+func refusalFromEnd(end *peerpb.End) error {
+	switch end.GetOutcome() {
+	case peerpb.Outcome_OUTCOME_COMPLETE:
+		return alreadyRun()
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return retryLater("not_run", "the attempt that held the key did not run")
+	default:
+		return lostHolder()
+	}
+}
+
+// answerQuery serves another router's AnswerQuery.
+func (r *Router) answerQuery(ctx context.Context, st *peer.Stream, q *peerpb.AnswerQuery) {
+	answer, state, err := r.answers.Wait(ctx, claim.AttemptID(q.GetAttemptId()))
+	if err != nil {
+		return
+	}
+	if state == claim.AnswerKept {
+		err = sendKept(st, answer)
+	} else {
+		err = st.SendEnd(&peerpb.End{Outcome: outcomeOf(state)})
+	}
+	if err != nil {
+		r.log.Debug("answer not delivered to a router", zap.Error(err))
+	}
+}
+
+func sendKept(st *peer.Stream, answer claim.Answer) error {
+	head := &peerpb.ResponseHead{Status: int32(answer.Status)}
+	for _, field := range answer.Header {
+		head.Headers = append(head.Headers, &peerpb.Header{Name: field.Name, Values: field.Values})
+	}
+	if err := st.Send(&peerpb.Frame{Body: &peerpb.Frame_Head{Head: head}}); err != nil {
+		return err
+	}
+	if err := st.SendData(answer.Body); err != nil {
+		return err
+	}
+	return st.SendEnd(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE, BodyBytes: uint64(len(answer.Body))})
+}
+
+func outcomeOf(state claim.AnswerState) peerpb.Outcome {
+	switch state {
+	case claim.AnswerGone:
+		return peerpb.Outcome_OUTCOME_COMPLETE
+	case claim.AnswerNotRun:
+		return peerpb.Outcome_OUTCOME_NOT_RUN
+	default:
+		return peerpb.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// maxRefusals bounds the refusals kept for attempts that did not run.
+const maxRefusals = 4096
+
+// refusalTable keeps why attempts did not run until their callers are told.
+type refusalTable struct {
+	mu    sync.Mutex
+	byID  map[claim.AttemptID]error
+	order []claim.AttemptID
+}
+
+func newRefusalTable() *refusalTable {
+	return &refusalTable{byID: make(map[claim.AttemptID]error)}
+}
+
+func (t *refusalTable) put(id claim.AttemptID, cause error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byID[id] = cause
+	t.order = append(t.order, id)
+	if len(t.order) > maxRefusals {
+		delete(t.byID, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// take returns the refusal of an attempt. Every waiter of the attempt gets it.
+func (t *refusalTable) take(id claim.AttemptID) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cause, ok := t.byID[id]; ok {
+		return cause
+	}
+	return retryLater("not_run", "the attempt did not run")
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,209 @@
+// Package router runs the process between callers and sidecars: it keeps the
+// waiting requests, binds them to granted slots, relays the answers, and keeps
+// a share of the fleet's accounts.
+package router
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"fulmarspindle.example/fulmarspindle/caller"
+	"fulmarspindle.example/fulmarspindle/claim"
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/dispatch"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/platform"
+)
+
+// ErrListen reports an address that can't be listened on, or a listener that
+// failed.
+var ErrListen = eris.New("router: listen failed")
+
+// Counters of requests.
+var (
+	requests  = expvar.NewInt("router_requests")
+	completed = expvar.NewInt("router_completed")
+	retries   = expvar.NewInt("router_retries")
+	refused   = expvar.NewMap("router_refused")
+)
+
+// Router is a router process.
+type Router struct {
+	settings    config.RouterSettings
+	incarnation fleet.Incarnation
+	log         *zap.Logger
+	ctx         context.Context
+	store       platform.Store
+
+	sessions   *node.Sessions
+	adoption   *node.Adoption
+	network    *peer.Network
+	queue      *queue
+	membership *membership
+	keepers    *keepers
+	suspects   *suspects
+	budget     *retryBudget
+	claims     *claim.Committer
+	answers    *claim.Answers
+	refusals   *refusalTable
+
+	draining atomic.Bool
+	behind   atomic.Bool
+	inFlight sync.WaitGroup
+}
+
+// New returns a router. Its background work ends with ctx.
+func New(ctx context.Context, settings config.RouterSettings, tls TLS, store platform.Store, log *zap.Logger) *Router {
+	r := &Router{
+		settings:    settings,
+		incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		log:         log,
+		ctx:         ctx,
+		store:       store,
+		sessions:    node.NewSessions(),
+		budget:      newRetryBudget(settings.RetryBudget),
+		claims:      claim.NewCommitter(store, claim.CommitterConfig{Partitions: claimPartitions, Log: log}),
+		answers:     claim.NewAnswers(claim.AnswersConfig{}),
+		refusals:    newRefusalTable(),
+	}
+	location := fleet.Location{Region: settings.Region, FailureDomain: settings.FailureDomain}
+	r.queue = newQueue(r.sessions, dispatch.RouterConfig{Self: settings.ID, Location: location})
+	r.keepers = newKeepers(r.sessions, settings.ID, settings.Region, r.incarnation)
+	r.suspects = newSuspects(r.sessions)
+	r.adoption = node.NewAdoption(ctx, node.AdoptionOptions{
+		Sessions: r.sessions,
+		Store:    store,
+		Log:      log,
+		OnAdopt:  r.adopted,
+		OnBehind: r.behind.Store,
+	})
+	r.membership = newMembership(r.queue, r.adoption.Index, log)
+	local := &peer.Local{Hello: r.hello(), Generation: r.adoption.Generation, Draining: r.draining.Load}
+	r.network = peer.NewNetwork(local, r, log, tls.PeerServer, tls.PeerClient)
+	return r
+}
+
+// claimPartitions is the count of partitions of claims.
+const claimPartitions = 8
+
+func (r *Router) hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		ProtocolVersion: peer.ProtocolVersion,
+		Id:              string(r.settings.ID),
+		Incarnation:     uint64(r.incarnation),
+		Role:            peerpb.Role_ROLE_ROUTER,
+		Region:          string(r.settings.Region),
+		FailureDomain:   string(r.settings.FailureDomain),
+	}
+}
+
+// adopted puts a new configuration to use.
+func (r *Router) adopted(s config.Snapshot) {
+	limits := s.Inventory.Rules.Limits
+	r.queue.step(dispatch.UpdateLimits{Limits: dispatch.Limits{
+		TeamWaiting:   limits.TeamWaiting,
+		RouterWaiting: limits.RouterWaiting,
+		RouterBytes:   limits.RouterBytes,
+	}})
+	r.network.SetTargets(r.ctx, r.targets(s.Inventory))
+	// The adoption's lock is held; membership takes its own.
+	go r.membership.reconfigure()
+}
+
+// targets returns the peers that this router dials: every sidecar, and the
+// routers with a higher identifier.
+func (r *Router) targets(inv config.Inventory) []peer.Target {
+	var targets []peer.Target
+	for _, u := range inv.Upstreams {
+		targets = append(targets, peer.Target{ID: fleet.NodeID(u.ID), Address: u.SidecarAddress})
+	}
+	for _, other := range inv.Routers {
+		if other.ID > r.settings.ID {
+			targets = append(targets, peer.Target{ID: other.ID, Address: other.PeerAddress})
+		}
+	}
+	return targets
+}
+
+// Run serves until ctx ends, then stops gracefully within the drain timeout.
+func (r *Router) Run(ctx context.Context, listeners Listeners) error {
+	background, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	r.start(background, listeners.Peer)
+	front := caller.NewServer(caller.Options{
+		Limits:  r.settings.Limits,
+		Log:     r.log,
+		Index:   r.adoption.Index,
+		Backend: r,
+	}).HTTPServer()
+	failed := make(chan error, 1)
+	go func() {
+		limited := netutil.LimitListener(listeners.Caller, r.settings.Limits.MaxConnections)
+		failed <- front.Serve(limited)
+	}()
+	r.log.Info("router started", zap.Stringer("caller", listeners.Caller.Addr()))
+	select {
+	case <-ctx.Done():
+		r.stop(front)
+		r.claims.Close()
+		return nil
+	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return eris.Wrap(ErrListen, err.Error())
+	}
+}
+
+// start runs the background work of the router.
+func (r *Router) start(ctx context.Context, ln net.Listener) {
+	go func() {
+		if err := r.network.Serve(ctx, ln); err != nil {
+			r.log.Error("peer listener failed", zap.Error(err))
+		}
+	}()
+	go r.adoption.Watch(ctx)
+	go r.membership.followVMs(ctx, r.store)
+	go r.keepers.exchange(ctx)
+	seeds := make([]peer.Target, 0, len(r.settings.Peers))
+	for _, address := range r.settings.Peers {
+		seeds = append(seeds, peer.Target{Address: address})
+	}
+	r.network.SetTargets(ctx, seeds)
+}
+
+// stop finishes what is waiting and in flight. Waiting requests are refused as
+// not run when the drain timeout passes.
+func (r *Router) stop(front *http.Server) {
+	r.log.Info("router stopping")
+	r.draining.Store(true)
+	r.queue.step(dispatch.StopAccepting{})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), r.settings.DrainTimeout.Std())
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		r.log.Warn("requests cut by the drain timeout", zap.Error(err))
+	}
+	done := make(chan struct{})
+	go func() {
+		r.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	r.log.Info("router stopped")
+}
--- /dev/null
+++ b/router/serve.go
@@ -0,0 +1,205 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fulmarspindle.example/fulmarspindle/caller"
+	"fulmarspindle.example/fulmarspindle/dispatch"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/telemetry"
+)
+
+// maxRetries bounds how often an idempotent request is dispatched again after
+// an attempt whose fate is unknown.
+const maxRetries = 1
+
+// overheadBytes is the memory of a waiting request beside its body.
+const overheadBytes = 4 << 10
+
+// job is a request on its way through this router.
+type job struct {
+	req     *caller.Request
+	queued  dispatch.Request
+	solo    bool
+	retries int
+	// again is set once the request has been in its queue.
+	again bool
+	// dispatched is set once an attempt may have been received.
+	dispatched bool
+	// relayed counts the answer's bytes that the caller was sent.
+	relayed uint64
+}
+
+// Serve implements caller.Backend.
+func (r *Router) Serve(ctx context.Context, req *caller.Request, w caller.Responder) error {
+	requests.Add(1)
+	if err := r.admit(req); err != nil {
+		return err
+	}
+	r.inFlight.Add(1)
+	defer r.inFlight.Done()
+	if req.NonIdempotent {
+		return r.serveOnce(ctx, req, w)
+	}
+	return r.serveIdempotent(ctx, r.newJob(req), w)
+}
+
+// admit refuses what this router must not queue.
+func (r *Router) admit(req *caller.Request) error {
+	if r.draining.Load() {
+		return retryLater("stopping", "this router is stopping")
+	}
+	if r.behind.Load() {
+		return retryLater("configuration_behind", "this router lacks the configuration in force")
+	}
+	if r.suspects.refused(req.Digest) {
+		return caller.NotRun(http.StatusUnprocessableEntity, "quarantined",
+			"this request was running at two upstream crashes and is not run again")
+	}
+	return nil
+}
+
+func retryLater(code, message string) *caller.Refusal {
+	refusal := caller.NotRun(http.StatusServiceUnavailable, code, message)
+	refusal.RetryAfter = time.Second
+	return refusal
+}
+
+func (r *Router) newJob(req *caller.Request) *job {
+	snapshot := r.adoption.Snapshot()
+	return &job{
+		req:  req,
+		solo: r.suspects.suspected(req.Digest),
+		queued: dispatch.Request{
+			ID:          r.queue.newRequest(),
+			Service:     req.Service,
+			Team:        req.Team,
+			Weight:      req.Weight,
+			Bytes:       int64(len(req.Body)) + overheadBytes,
+			Arrived:     time.Now(),
+			Deadline:    req.Deadline,
+			AffinityKey: req.AffinityKey,
+			SpillAfter:  snapshot.Inventory.Rules.SpillAfter.Std(),
+		},
+	}
+}
+
+// serveIdempotent runs a request that may be repeated.
+func (r *Router) serveIdempotent(ctx context.Context, j *job, w caller.Responder) error {
+	r.budget.request()
+	for {
+		res, err := r.dispatchOnce(ctx, j, w, uuid.NewString())
+		if err != nil {
+			return r.refusal(ctx, j, err)
+		}
+		if res.outcome == peerpb.Outcome_OUTCOME_COMPLETE {
+			completed.Add(1)
+			return nil
+		}
+		if err := r.retry(ctx, j, w, res); err != nil {
+			return err
+		}
+	}
+}
+
+// retry decides whether an attempt that did not complete is followed by
+// another one.
+func (r *Router) retry(ctx context.Context, j *job, w caller.Responder, res result) error {
+	if res.callerGone {
+		return caller.ErrCallerGone
+	}
+	if res.outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return r.refusal(ctx, j, context.Cause(ctx))
+	}
+	j.queued.Exclude = append(j.queued.Exclude, res.sidecar)
+	if r.suspects.refused(j.req.Digest) {
+		return caller.Unknown(http.StatusUnprocessableEntity, "quarantined",
+			"two upstreams crashed while they ran this request")
+	}
+	resumable := !w.Started() || res.streaming
+	if !resumable || j.retries >= maxRetries || !r.budget.take() {
+		return caller.Unknown(http.StatusBadGateway, "upstream_failed", res.reason)
+	}
+	j.retries++
+	j.solo = j.solo || res.crashID != ""
+	retries.Add(1)
+	return nil
+}
+
+// dispatchOnce waits for a slot and runs one attempt. An error means that the
+// request left its queue without being dispatched.
+func (r *Router) dispatchOnce(ctx context.Context, j *job, w caller.Responder, attemptID string) (result, error) {
+	bind, err := r.waitForSlot(ctx, j)
+	if err != nil {
+		return result{}, err
+	}
+	session := r.sessions.Get(bind.Sidecar)
+	if session == nil {
+		return result{outcome: peerpb.Outcome_OUTCOME_NOT_RUN, reason: "session closed"}, nil
+	}
+	a := &attempt{id: attemptID, job: j, bind: bind, w: w, session: session}
+	res := a.run(ctx)
+	res.sidecar = bind.Sidecar
+	if res.crashID != "" {
+		r.suspects.crashed(j.req, res.crashID)
+	}
+	return res, nil
+}
+
+func (r *Router) waitForSlot(ctx context.Context, j *job) (*dispatch.Bind, error) {
+	ctx, span := telemetry.StartSpan(ctx, "router.queue")
+	defer span.End()
+	v, err := r.queue.wait(ctx, j.queued, j.again)
+	j.again = true
+	if err != nil {
+		return nil, err
+	}
+	if v.refuse != nil {
+		return nil, refusalOf(v.refuse)
+	}
+	return v.bind, nil
+}
+
+// refusalOf maps a queue's refusal to the caller's.
+func refusalOf(r *dispatch.Refuse) *caller.Refusal {
+	refused.Add(r.Reason.String(), 1)
+	status := http.StatusTooManyRequests
+	switch r.Reason {
+	case dispatch.ReasonDeadline, dispatch.ReasonExpectedWait:
+		status = http.StatusGatewayTimeout
+	case dispatch.ReasonStopping, dispatch.ReasonRouterLimit:
+		status = http.StatusServiceUnavailable
+	}
+	refusal := caller.NotRun(status, r.Reason.String(), "the request was not run: "+r.Reason.String())
+	refusal.RetryAfter = r.RetryAfter
+	return refusal
+}
+
+// refusal turns the error of a request that is no longer queued into the
+// caller's answer.
+func (r *Router) refusal(ctx context.Context, j *job, err error) error {
+	var refusal *caller.Refusal
+	if errors.As(err, &refusal) {
+		if j.retries > 0 {
+			// An earlier attempt may have run.
+			refusal.Outcome = caller.OutcomeUnknown
+		}
+		return refusal
+	}
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return caller.ErrCallerGone
+	}
+	timeout := caller.Unknown(http.StatusGatewayTimeout, "deadline", "the deadline passed")
+	if !j.dispatched {
+		timeout.Outcome = caller.OutcomeNotRun
+	}
+	return timeout
+}
--- /dev/null
+++ b/router/sessions.go
@@ -0,0 +1,98 @@
+package router
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/dispatch"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// SessionUp implements peer.Handler.
+func (r *Router) SessionUp(s *peer.Session) {
+	if !r.sessions.Add(s) {
+		return
+	}
+	r.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
+	switch s.Role() {
+	case peerpb.Role_ROLE_SIDECAR:
+		r.membership.up(s)
+	case peerpb.Role_ROLE_ROUTER:
+		r.suspects.greet(s)
+		r.keepers.retain()
+	}
+}
+
+// SessionDown implements peer.Handler.
+func (r *Router) SessionDown(s *peer.Session, _ error) {
+	if !r.sessions.Remove(s) {
+		return
+	}
+	r.adoption.Lost(s.ID())
+	if s.Role() == peerpb.Role_ROLE_SIDECAR {
+		r.membership.down(s.ID())
+	}
+}
+
+// Message implements peer.Handler.
+func (r *Router) Message(s *peer.Session, env *peerpb.Envelope) {
+	r.adoption.Observe(s, env.GetGeneration())
+	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Grant:
+		r.grant(s, b.Grant)
+	case *peerpb.Envelope_Load:
+		r.membership.load(s.ID(), b.Load)
+	case *peerpb.Envelope_Heartbeat:
+		r.membership.heartbeat(s.ID(), b.Heartbeat.GetDraining())
+	case *peerpb.Envelope_AccountReport:
+		r.accountReport(s, b.AccountReport)
+	case *peerpb.Envelope_RegionSums:
+		r.keepers.merge(b.RegionSums)
+	case *peerpb.Envelope_ConfigRequest:
+		r.adoption.Request(s, b.ConfigRequest)
+	case *peerpb.Envelope_ConfigSnapshot:
+		r.adoption.Receive(s, b.ConfigSnapshot)
+	case *peerpb.Envelope_Suspects:
+		r.suspects.learn(suspectsFromWire(b.Suspects))
+	}
+}
+
+func (r *Router) grant(s *peer.Session, g *peerpb.Grant) {
+	// The grant has travelled for half a round trip.
+	left := time.Duration(g.GetExpiresInMs())*time.Millisecond - s.RTT()/2
+	r.queue.step(dispatch.GrantReceived{
+		Sidecar: s.ID(),
+		GrantID: g.GetId(),
+		Team:    fleet.TeamID(g.GetTeam()),
+		Expires: time.Now().Add(left),
+	})
+}
+
+func (r *Router) accountReport(s *peer.Session, m *peerpb.AccountReport) {
+	service, ok := r.membership.serviceOf(s.ID())
+	if ok {
+		r.keepers.report(s, service, m)
+	}
+}
+
+// Stream implements peer.Handler: other routers ask for answers of claims that
+// this one holds.
+func (r *Router) Stream(_ *peer.Session, st *peer.Stream) {
+	defer st.Close()
+	if err := st.SetDeadline(time.Now().Add(answerQueryTimeout)); err != nil {
+		return
+	}
+	open, err := st.ReceiveOpen()
+	if err != nil {
+		return
+	}
+	if q := open.GetAnswerQuery(); q != nil {
+		r.answerQuery(r.ctx, st, q)
+	}
+}
+
+// answerQueryTimeout bounds how long another router waits for an answer.
+const answerQueryTimeout = 15 * time.Minute
--- /dev/null
+++ b/sidecar/scheduler.go
@@ -0,0 +1,275 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/dispatch"
+	"fulmarspindle.example/fulmarspindle/fairness"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// scheduler binds the dispatch and fairness state machines to the clock and
+// to the sessions. Its lock covers both machines.
+type scheduler struct {
+	sessions *node.Sessions
+
+	mu      sync.Mutex
+	machine *dispatch.Sidecar
+	ledger  *fairness.Ledger
+	now     time.Time
+	wake    *time.Timer
+	waiting *demandTable
+	// reserved holds the charges of grants that have no request yet.
+	reserved map[fleet.TeamID][]uint64
+	nextID   uint64
+	// verdicts are the requests that wait for a slot.
+	verdicts map[uint64]chan verdict
+	running  int
+	lastLoad dispatch.Load
+	usage    slotUsage
+}
+
+// verdict tells a request that arrived whether it may run.
+type verdict struct {
+	start  bool
+	reason dispatch.RejectReason
+}
+
+func newScheduler(sessions *node.Sessions, cfg dispatch.SidecarConfig, ledger fairness.LedgerConfig) *scheduler {
+	s := &scheduler{
+		sessions: sessions,
+		ledger:   fairness.NewLedger(ledger),
+		waiting:  newDemandTable(),
+		reserved: make(map[fleet.TeamID][]uint64),
+		verdicts: make(map[uint64]chan verdict),
+	}
+	s.machine = dispatch.NewSidecar(cfg, (*reservations)(s))
+	return s
+}
+
+// step feeds one event to the dispatch machine and performs its actions.
+func (s *scheduler) step(ev dispatch.SidecarEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stepLocked(ev)
+}
+
+func (s *scheduler) stepLocked(ev dispatch.SidecarEvent) {
+	s.now = time.Now()
+	s.observeUsage()
+	for _, action := range s.machine.Step(s.now, ev) {
+		s.perform(action)
+	}
+	s.announceLoad()
+	s.arm()
+}
+
+func (s *scheduler) perform(action dispatch.SidecarAction) {
+	switch a := action.(type) {
+	case dispatch.SendGrant:
+		grant := &peerpb.Grant{
+			Id:          a.GrantID,
+			Team:        string(a.Team),
+			ExpiresInMs: uint32(a.Expires.Milliseconds()),
+		}
+		s.sessions.Send(a.Router, &peerpb.Envelope{Body: &peerpb.Envelope_Grant{Grant: grant}})
+	case dispatch.StartRequest:
+		s.running++
+		s.decide(a.RequestID, verdict{start: true})
+	case dispatch.RejectRequest:
+		s.decide(a.RequestID, verdict{reason: a.Reason})
+	}
+}
+
+func (s *scheduler) decide(id uint64, v verdict) {
+	ch, ok := s.verdicts[id]
+	if !ok {
+		return
+	}
+	delete(s.verdicts, id)
+	ch <- v
+}
+
+func (s *scheduler) arm() {
+	at, ok := s.machine.NextWake()
+	if !ok {
+		return
+	}
+	delay := max(time.Until(at), 0)
+	if s.wake == nil {
+		s.wake = time.AfterFunc(delay, func() { s.step(dispatch.TickSidecar{}) })
+		return
+	}
+	s.wake.Reset(delay)
+}
+
+// demand records a router's demand and passes it on.
+func (s *scheduler) demand(router fleet.NodeID, d *peerpb.Demand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team := fleet.TeamID(d.GetTeam())
+	s.now = time.Now()
+	if d.GetWeight() > 0 {
+		s.ledger.SetWeight(team, d.GetWeight())
+	}
+	s.waiting.set(team, router, d.GetWaiting() > 0, s.now)
+	s.ledger.SetActive(team, s.waiting.has(team), s.now)
+	s.stepLocked(dispatch.DemandReceived{
+		Router:    router,
+		Team:      team,
+		Seq:       d.GetSeq(),
+		Waiting:   int(d.GetWaiting()),
+		OldestAge: time.Duration(d.GetOldestAgeMs()) * time.Millisecond,
+		Weight:    d.GetWeight(),
+	})
+}
+
+func (s *scheduler) declined(router fleet.NodeID, d *peerpb.Decline) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team := fleet.TeamID(d.GetTeam())
+	s.now = time.Now()
+	if d.GetSeq() > 0 {
+		s.waiting.set(team, router, false, s.now)
+		s.ledger.SetActive(team, s.waiting.has(team), s.now)
+	}
+	s.stepLocked(dispatch.GrantDeclined{
+		Router:  router,
+		GrantID: d.GetGrantId(),
+		Team:    team,
+		Seq:     d.GetSeq(),
+	})
+}
+
+func (s *scheduler) routerDown(router fleet.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = time.Now()
+	for _, team := range s.waiting.dropRouter(router) {
+		s.ledger.SetActive(team, s.waiting.has(team), s.now)
+	}
+	s.stepLocked(dispatch.RouterDown{Router: router})
+}
+
+// arrive charges a request and asks for its slot.
+func (s *scheduler) arrive(router fleet.NodeID, d *peerpb.Dispatch) (uint64, <-chan verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = time.Now()
+	s.nextID++
+	id := s.nextID
+	ch := make(chan verdict, 1)
+	s.verdicts[id] = ch
+	team := fleet.TeamID(d.GetTeam())
+	if d.GetWeight() > 0 {
+		s.ledger.SetWeight(team, d.GetWeight())
+	}
+	s.ledger.Begin(id, team, 0, s.now)
+	s.stepLocked(dispatch.RequestArrived{
+		Router:    router,
+		GrantID:   d.GetGrantId(),
+		RequestID: id,
+		Solo:      d.GetSolo(),
+	})
+	return id, ch
+}
+
+// abandon ends a request that did not run and takes its charge back. Its
+// verdict may have come meanwhile.
+func (s *scheduler) abandon(id uint64, admitted <-chan verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observeUsage()
+	select {
+	case v := <-admitted:
+		if v.start {
+			s.running--
+		}
+	default:
+		delete(s.verdicts, id)
+	}
+	s.ledger.Release(id, time.Now())
+	s.stepLocked(dispatch.RequestFinished{RequestID: id})
+}
+
+// finish ends a request that ran and settles its cost.
+func (s *scheduler) finish(id uint64, cost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.observeUsage()
+	s.running--
+	s.ledger.Settle(id, cost, now)
+	s.stepLocked(dispatch.RequestFinished{RequestID: id})
+}
+
+// accrue charges what a running request has cost so far.
+func (s *scheduler) accrue(id uint64, cost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Accrue(id, cost)
+}
+
+// report returns the accounts that a keeper should hear of.
+func (s *scheduler) report() (fairness.Report, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, team := range s.waiting.expire(now) {
+		s.ledger.SetActive(team, s.waiting.has(team), now)
+	}
+	return s.ledger.Report(now)
+}
+
+func (s *scheduler) totals(t fairness.Totals) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Totals(t)
+}
+
+// configure sets the slots of the upstream.
+func (s *scheduler) configure(slots int) {
+	if s.load().Slots != slots {
+		s.step(dispatch.SetSlots{Slots: slots})
+	}
+}
+
+func (s *scheduler) load() dispatch.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Load()
+}
+
+// reservations implements dispatch.Accounts on the ledger. The scheduler's
+// lock is held in every call.
+type reservations scheduler
+
+// Account implements dispatch.Accounts.
+func (r *reservations) Account(team fleet.TeamID) float64 {
+	return r.ledger.Account(team)
+}
+
+// Reserve implements dispatch.Accounts.
+func (r *reservations) Reserve(team fleet.TeamID) {
+	r.nextID++
+	r.ledger.Begin(r.nextID, team, 0, r.now)
+	r.reserved[team] = append(r.reserved[team], r.nextID)
+}
+
+// Release implements dispatch.Accounts.
+func (r *reservations) Release(team fleet.TeamID) {
+	ids := r.reserved[team]
+	if len(ids) == 0 {
+		return
+	}
+	last := len(ids) - 1
+	r.ledger.Release(ids[last], r.now)
+	if last == 0 {
+		delete(r.reserved, team)
+		return
+	}
+	r.reserved[team] = ids[:last]
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,220 @@
+// Package sidecar runs the process beside one upstream: it grants the
+// upstream's slots to waiting requests, runs what arrives, and accounts for
+// the service that each team receives.
+package sidecar
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/dispatch"
+	"fulmarspindle.example/fulmarspindle/fairness"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+// Errors of a sidecar.
+var (
+	// ErrDispatch reports a request that this sidecar can't run.
+	ErrDispatch = eris.New("sidecar: bad dispatch")
+	// ErrListen reports a listener that failed.
+	ErrListen = eris.New("sidecar: listen failed")
+)
+
+const (
+	// reportInterval is the time between two reports of accounts.
+	reportInterval = 100 * time.Millisecond
+	// drainPoll is the time between two checks for running requests.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Sidecar is a sidecar process.
+type Sidecar struct {
+	settings    config.SidecarSettings
+	incarnation fleet.Incarnation
+	log         *zap.Logger
+	ctx         context.Context
+
+	sessions  *node.Sessions
+	adoption  *node.Adoption
+	network   *peer.Network
+	scheduler *scheduler
+	health    *health
+	client    *upstream.Client
+
+	// deriveMu keeps an older derivation from overwriting a newer one.
+	deriveMu sync.Mutex
+	draining atomic.Bool
+	// active counts the requests that arrived and have not been answered.
+	active atomic.Int64
+}
+
+// New returns a sidecar. Its background work ends with ctx. The TLS
+// configuration is nil for plain TCP.
+func New(ctx context.Context, settings config.SidecarSettings, server *tls.Config, log *zap.Logger) *Sidecar {
+	s := &Sidecar{
+		settings:    settings,
+		incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		log:         log,
+		ctx:         ctx,
+		sessions:    node.NewSessions(),
+		client:      upstream.NewClient(settings.Upstream.URL, settings.Upstream.HealthPath),
+	}
+	s.scheduler = newScheduler(s.sessions, dispatch.SidecarConfig{
+		Incarnation:     s.incarnation,
+		StagingDisabled: !settings.Staging,
+	}, fairness.LedgerConfig{})
+	s.scheduler.step(dispatch.SetAccepting{Accepting: false})
+	s.health = newHealth(string(settings.ID), s.client, log, func(bool) { s.derive() })
+	s.adoption = node.NewAdoption(ctx, node.AdoptionOptions{
+		Sessions: s.sessions,
+		Log:      log,
+		OnAdopt:  func(config.Snapshot) { s.derive() },
+		OnBehind: func(bool) {},
+	})
+	local := &peer.Local{Hello: s.hello(), Generation: s.adoption.Generation, Draining: s.draining.Load}
+	s.network = peer.NewNetwork(local, s, log, server, nil)
+	return s
+}
+
+func (s *Sidecar) hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		ProtocolVersion: peer.ProtocolVersion,
+		Id:              string(s.settings.ID),
+		Incarnation:     uint64(s.incarnation),
+		Role:            peerpb.Role_ROLE_SIDECAR,
+		Region:          string(s.settings.Region),
+		FailureDomain:   string(s.settings.FailureDomain),
+		VmIncarnation:   s.settings.VMIncarnation,
+	}
+}
+
+// upstream returns this sidecar's entry of the configuration.
+func (s *Sidecar) upstream() (config.Upstream, bool) {
+	index := s.adoption.Index()
+	if index == nil {
+		return config.Upstream{}, false
+	}
+	return index.Upstream(fleet.UpstreamID(s.settings.ID))
+}
+
+// service returns the service of the upstream.
+func (s *Sidecar) service() (config.Service, bool) {
+	u, ok := s.upstream()
+	if !ok {
+		return config.Service{}, false
+	}
+	return s.adoption.Index().Service(u.Service)
+}
+
+// derive sets slots and acceptance from present inputs alone.
+func (s *Sidecar) derive() {
+	s.deriveMu.Lock()
+	defer s.deriveMu.Unlock()
+	u, configured := s.upstream()
+	if configured {
+		s.scheduler.configure(u.Slots)
+	}
+	accepting := configured && s.eligible(u)
+	s.scheduler.step(dispatch.SetAccepting{Accepting: accepting})
+}
+
+// eligible applies the operators' rules and this process's own state. The
+// routers apply the platform's VM list.
+func (s *Sidecar) eligible(u config.Upstream) bool {
+	in := fleet.Inputs{
+		Rule: s.adoption.Index().Leaving(u.VM),
+		Sidecar: fleet.SidecarState{
+			Incarnation:   s.incarnation,
+			VMIncarnation: s.settings.VMIncarnation,
+		},
+		Healthy: s.health.isUp(),
+	}
+	if s.draining.Load() {
+		in.Sidecar.DrainingIncarnation = s.incarnation
+	}
+	ok, _ := fleet.Eligible(in)
+	return ok
+}
+
+// Run serves until ctx ends, then finishes what runs within the drain timeout.
+func (s *Sidecar) Run(ctx context.Context, ln net.Listener) error {
+	background, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() { failed <- s.network.Serve(background, ln) }()
+	go s.health.run(background)
+	go s.reportLoop(background)
+	s.log.Info("sidecar started", zap.Stringer("peer", ln.Addr()))
+	select {
+	case <-ctx.Done():
+		s.drain()
+		return nil
+	case err := <-failed:
+		return eris.Wrap(ErrListen, err.Error())
+	}
+}
+
+// drain stops granting and waits for what runs.
+func (s *Sidecar) drain() {
+	s.log.Info("sidecar draining")
+	s.draining.Store(true)
+	s.derive()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), s.settings.DrainTimeout.Std())
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			s.log.Warn("requests cut by the drain timeout", zap.Int64("running", s.active.Load()))
+			return
+		case <-ticker.C:
+		}
+	}
+	s.log.Info("sidecar drained")
+}
+
+// reportLoop sends the accounts to their keepers.
+func (s *Sidecar) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.report()
+		}
+	}
+}
+
+func (s *Sidecar) report() {
+	u, ok := s.upstream()
+	if !ok {
+		return
+	}
+	report, ok := s.scheduler.report()
+	if !ok {
+		return
+	}
+	routers := s.sessions.Routers(s.settings.Region)
+	keeperOf := func(team fleet.TeamID) (fleet.NodeID, bool) {
+		return fairness.Assign(u.Service, team, routers)
+	}
+	for _, part := range fairness.SplitReport(report, keeperOf) {
+		m := node.ReportToWire(part.Report)
+		s.sessions.Send(part.Keeper, &peerpb.Envelope{Body: &peerpb.Envelope_AccountReport{AccountReport: m}})
+	}
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,192 @@
+// Package upstream calls the upstream beside a sidecar and measures what each
+// call costs.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Limits of the connections to the upstream.
+const (
+	maxIdleConnections = 256
+	readBufferBytes    = 32 << 10
+	healthTimeout      = 2 * time.Second
+)
+
+// HeaderResumeOffset asks an upstream to resume a stream at a byte offset, and
+// HeaderResumedAt confirms it.
+const (
+	HeaderResumeOffset = "X-Resume-Offset"
+	HeaderResumedAt    = "X-Resumed-At"
+)
+
+// Client calls one upstream.
+type Client struct {
+	baseURL    string
+	healthPath string
+	http       *http.Client
+	// once never reuses a connection: on a reused one the transport may send
+	// a request with an Idempotency-Key header a second time.
+	once *http.Client
+}
+
+// NewClient returns a client of the upstream at baseURL.
+func NewClient(baseURL, healthPath string) *Client {
+	return &Client{
+		baseURL:    baseURL,
+		healthPath: healthPath,
+		http:       newHTTPClient(false),
+		once:       newHTTPClient(true),
+	}
+}
+
+func newHTTPClient(disableKeepAlives bool) *http.Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConnections,
+		DisableCompression:  true,
+		DisableKeepAlives:   disableKeepAlives,
+		IdleConnTimeout:     time.Minute,
+	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+}
+
+// Call is one request to the upstream.
+type Call struct {
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Idempotent calls may be sent again by the transport.
+	Idempotent bool
+	// IdleTimeout bounds the time without a byte of the answer.
+	IdleTimeout time.Duration
+	// ResumeOffset is the count of body bytes to skip, zero for none.
+	ResumeOffset uint64
+}
+
+// Sink receives the answer of a call.
+type Sink interface {
+	Head(status int, header http.Header) error
+	Data(p []byte) error
+}
+
+// Do runs the call and relays the answer to sink. Its errors are ErrNotSent,
+// ErrBroken, ErrIdle, or the sink's own.
+func (c *Client) Do(ctx context.Context, call *Call, sink Sink) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	idle := time.AfterFunc(call.IdleTimeout, func() { cancel(ErrIdle) })
+	defer idle.Stop()
+
+	resp, err := c.send(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	idle.Reset(call.IdleTimeout)
+	if err := checkResumed(call, resp); err != nil {
+		return err
+	}
+	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
+		return err
+	}
+	return relay(ctx, resp.Body, sink, func() { idle.Reset(call.IdleTimeout) })
+}
+
+// send starts the call and waits for the answer's head.
+func (c *Client) send(ctx context.Context, call *Call) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		// The transport writes the head as soon as it has a connection.
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.baseURL+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
+	req.Header = call.Header.Clone()
+	if call.ResumeOffset > 0 {
+		req.Header.Set(HeaderResumeOffset, strconv.FormatUint(call.ResumeOffset, 10))
+	}
+	client := c.once
+	if call.Idempotent {
+		client = c.http
+	}
+	resp, err := client.Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	if !sent.Load() {
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
+	return nil, broken(ctx, err)
+}
+
+func checkResumed(call *Call, resp *http.Response) error {
+	if call.ResumeOffset == 0 {
+		return nil
+	}
+	want := strconv.FormatUint(call.ResumeOffset, 10)
+	if resp.StatusCode == http.StatusOK && resp.Header.Get(HeaderResumedAt) == want {
+		return nil
+	}
+	return eris.Wrap(ErrBroken, "the upstream did not resume the stream")
+}
+
+func relay(ctx context.Context, body io.Reader, sink Sink, progress func()) error {
+	buf := make([]byte, readBufferBytes)
+	for {
+		n, err := body.Read(buf)
+		progress()
+		if n > 0 {
+			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
+				return sinkErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return broken(ctx, err)
+		}
+	}
+}
+
+// broken turns a transport error into this package's.
+func broken(ctx context.Context, err error) error {
+	if eris.Is(context.Cause(ctx), ErrIdle) {
+		return eris.Wrap(ErrIdle, err.Error())
+	}
+	return eris.Wrap(ErrBroken, err.Error())
+}
+
+// Healthy asks the upstream's health path.
+func (c *Client) Healthy(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.baseURL+c.healthPath, nil)
+	if err != nil {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(ErrBroken, err.Error())
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return eris.Wrapf(ErrBroken, "health check answered %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/errors.go
@@ -0,0 +1,14 @@
+package upstream
+
+import "github.com/rotisserie/eris"
+
+// Errors of calls to an upstream.
+var (
+	// ErrNotSent reports a call that failed before any of it was sent: the
+	// upstream did not run it.
+	ErrNotSent = eris.New("upstream: request not sent")
+	// ErrBroken reports a call that failed after it may have been received.
+	ErrBroken = eris.New("upstream: answer broken off")
+	// ErrIdle reports an upstream that sent nothing for the idle timeout.
+	ErrIdle = eris.New("upstream: idle timeout")
+)
