--- a/cmd/fulmarside/main.go
+++ b/cmd/fulmarside/main.go
@@ -1,4 +1,88 @@
 // Command fulmarside runs the sidecar beside one upstream.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/sidecar"
+	"fulmarspindle.example/fulmarspindle/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	// exitUsage is for bad arguments and settings.
+	exitUsage = 2
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"YAML file with the sidecar's settings"`
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "fulmarside " + telemetry.Version }
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "fulmarside runs beside one upstream and grants its slots to waiting requests."
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var args arguments
+	arg.MustParse(&args)
+	err := serve(ctx, args.Settings)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "fulmarside:", err)
+	if errors.Is(err, config.ErrInvalid) {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailure)
+}
+
+func serve(ctx context.Context, path string) error {
+	settings, err := config.LoadSidecarSettings(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(settings.Log.Level, string(settings.ID))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	background := context.WithoutCancel(ctx)
+	flush, err := telemetry.StartTraces(background, telemetry.TraceOptions{
+		Endpoint: settings.Traces.OTLPEndpoint,
+		Stdout:   settings.Traces.Stdout,
+	}, string(settings.ID))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(background) }()
+	server, _, err := node.PeerTLS(settings.TLS.Peer)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", settings.Listen.Peer)
+	if err != nil {
+		return err
+	}
+	adminLn, err := net.Listen("tcp", settings.Listen.Admin)
+	if err != nil {
+		return err
+	}
+	return sidecar.New(background, settings, server, log).Run(ctx, ln, adminLn)
+}
--- a/cmd/fulmarspindle/main.go
+++ b/cmd/fulmarspindle/main.go
@@ -1,4 +1,201 @@
 // Command fulmarspindle runs a router and gives operators their commands.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/operator"
+	"fulmarspindle.example/fulmarspindle/platform"
+	"fulmarspindle.example/fulmarspindle/router"
+	"fulmarspindle.example/fulmarspindle/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	// exitUsage is for bad arguments and settings.
+	exitUsage = 2
+)
+
+type serveCmd struct {
+	Settings string `arg:"--settings,required" help:"YAML file with the router's settings"`
+}
+
+type adminArgs struct {
+	Admin string `arg:"--admin,env:FULMARSPINDLE_ADMIN,required" help:"URL of a router's admin API"`
+	Token string `arg:"--token,env:FULMARSPINDLE_TOKEN,required" help:"admin token"`
+}
+
+type checkCmd struct {
+	File string `arg:"positional,required" help:"inventory file"`
+}
+
+type applyCmd struct {
+	adminArgs
+	Base   int64  `arg:"--base" default:"-1" help:"generation that the file was edited from; default is the one in force"`
+	DryRun bool   `arg:"--dry-run" help:"check and show the changes only"`
+	File   string `arg:"positional,required" help:"inventory file"`
+}
+
+type getCmd struct{ adminArgs }
+
+type diffCmd struct {
+	adminArgs
+	File string `arg:"positional,required" help:"inventory file"`
+}
+
+type configCmd struct {
+	Check *checkCmd `arg:"subcommand:check" help:"check an inventory file"`
+	Apply *applyCmd `arg:"subcommand:apply" help:"put an inventory in force"`
+	Get   *getCmd   `arg:"subcommand:get" help:"print the inventory in force"`
+	Diff  *diffCmd  `arg:"subcommand:diff" help:"show what a file would change"`
+}
+
+type statusCmd struct{ adminArgs }
+
+type upstreamArgs struct {
+	adminArgs
+	ID string `arg:"positional,required" help:"upstream"`
+}
+
+type upstreamCmd struct {
+	Drain  *upstreamArgs `arg:"subcommand:drain" help:"give the upstream's VM no new work"`
+	Return *upstreamArgs `arg:"subcommand:return" help:"give the upstream's VM work again"`
+}
+
+type arguments struct {
+	Serve    *serveCmd    `arg:"subcommand:serve" help:"run a router"`
+	Config   *configCmd   `arg:"subcommand:config" help:"check, apply, print or compare the configuration"`
+	Status   *statusCmd   `arg:"subcommand:status" help:"print a router's state"`
+	Upstream *upstreamCmd `arg:"subcommand:upstream" help:"drain or return an upstream"`
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "fulmarspindle " + telemetry.Version }
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "fulmarspindle routes the requests of teams to upstreams that they share fairly."
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx))
+}
+
+func run(ctx context.Context) int {
+	var args arguments
+	parser := arg.MustParse(&args)
+	err := command(ctx, &args)
+	if errors.Is(err, errNoCommand) {
+		parser.WriteHelp(os.Stderr)
+		return exitUsage
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fulmarspindle:", err)
+		return exitCode(err)
+	}
+	return 0
+}
+
+func command(ctx context.Context, args *arguments) error {
+	switch {
+	case args.Serve != nil:
+		return serve(ctx, args.Serve.Settings)
+	case args.Config != nil:
+		return configCommand(ctx, args.Config)
+	case args.Status != nil:
+		return operator.PrintStatus(ctx, args.Status.client(), os.Stdout)
+	case args.Upstream != nil:
+		return upstreamCommand(ctx, args.Upstream)
+	}
+	return errNoCommand
+}
+
+func (a adminArgs) client() *operator.Client { return operator.NewClient(a.Admin, a.Token) }
+
+func configCommand(ctx context.Context, c *configCmd) error {
+	switch {
+	case c.Check != nil:
+		return operator.Check(c.Check.File, os.Stdout)
+	case c.Apply != nil:
+		return operator.Apply(ctx, c.Apply.client(), c.Apply.File, c.Apply.Base, c.Apply.DryRun, os.Stdout)
+	case c.Get != nil:
+		return operator.Get(ctx, c.Get.client(), os.Stdout)
+	case c.Diff != nil:
+		return operator.Diff(ctx, c.Diff.client(), c.Diff.File, os.Stdout)
+	}
+	return errNoCommand
+}
+
+func upstreamCommand(ctx context.Context, c *upstreamCmd) error {
+	switch {
+	case c.Drain != nil:
+		return operator.Drain(ctx, c.Drain.client(), fleet.UpstreamID(c.Drain.ID), os.Stdout)
+	case c.Return != nil:
+		return operator.Return(ctx, c.Return.client(), fleet.UpstreamID(c.Return.ID), os.Stdout)
+	}
+	return errNoCommand
+}
+
+func serve(ctx context.Context, path string) error {
+	settings, err := config.LoadRouterSettings(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(settings.Log.Level, string(settings.ID))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	background := context.WithoutCancel(ctx)
+	flush, err := telemetry.StartTraces(background, telemetry.TraceOptions{
+		Endpoint: settings.Traces.OTLPEndpoint,
+		Stdout:   settings.Traces.Stdout,
+	}, string(settings.ID))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(background) }()
+	links, err := links(settings.TLS)
+	if err != nil {
+		return err
+	}
+	store, err := platform.NewClient(platform.Options{
+		URL:     settings.Platform.URL,
+		Token:   settings.Platform.Token,
+		Timeout: settings.Platform.Timeout.Std(),
+	})
+	if err != nil {
+		return err
+	}
+	listeners, err := router.Listen(settings.Listen, links)
+	if err != nil {
+		return err
+	}
+	return router.New(background, settings, links, store, log).Run(ctx, listeners)
+}
+
+func links(t config.RouterTLS) (router.TLS, error) {
+	var out router.TLS
+	var err error
+	if out.PeerServer, out.PeerClient, err = node.PeerTLS(t.Peer); err != nil {
+		return out, err
+	}
+	if out.Caller, err = node.ServerTLS(t.Caller); err != nil {
+		return out, err
+	}
+	out.Admin, err = node.ServerTLS(t.Admin)
+	return out, err
+}
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -111,8 +111,8 @@
 	return printChanges(out, config.Diff(current, proposed))
 }
 
-// Status prints a router's status, upstreams, teams and suspects as JSON.
-func Status(ctx context.Context, c *Client, out io.Writer) error {
+// PrintStatus prints a router's status, upstreams, teams and suspects as JSON.
+func PrintStatus(ctx context.Context, c *Client, out io.Writer) error {
 	for _, path := range []string{"/v1/status", "/v1/upstreams", "/v1/teams", "/v1/suspects"} {
 		body, err := c.Get(ctx, path)
 		if err != nil {
--- a/router/membership.go
+++ b/router/membership.go
@@ -10,6 +10,7 @@
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/dispatch"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/operator"
 	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 	"fulmarspindle.example/fulmarspindle/platform"
@@ -192,36 +193,26 @@
 	}
 }
 
-// UpstreamStatus is an upstream as this router sees it.
-type UpstreamStatus struct {
-	ID        fleet.NodeID `json:"id"`
-	Connected bool         `json:"connected"`
-	Accepting bool         `json:"accepting"`
-	Reason    fleet.Reason `json:"reason,omitempty"`
-	Slots     int          `json:"slots"`
-	FreeSlots int          `json:"free_slots"`
-}
-
 // status returns the upstreams that the configuration names.
-func (m *membership) status(upstreams []config.Upstream) []UpstreamStatus {
+func (m *membership) status(upstreams []config.Upstream) []operator.Upstream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]UpstreamStatus, 0, len(upstreams))
+	out := make([]operator.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
-		id := fleet.NodeID(u.ID)
-		state := m.sidecars[id]
-		if state == nil {
-			out = append(out, UpstreamStatus{ID: id, Reason: fleet.ReasonNotConnected, Slots: u.Slots})
-			continue
+		status := operator.Upstream{
+			ID:      fleet.NodeID(u.ID),
+			Service: u.Service,
+			VM:      u.VM,
+			Reason:  fleet.ReasonNotConnected,
+			Slots:   u.Slots,
+		}
+		if state := m.sidecars[status.ID]; state != nil {
+			status.Connected = true
+			status.Accepting = state.reason == fleet.ReasonNone && state.load.GetAccepting()
+			status.Reason = state.reason
+			status.FreeSlots = int(state.load.GetFreeSlots())
 		}
-		out = append(out, UpstreamStatus{
-			ID:        id,
-			Connected: true,
-			Accepting: state.reason == fleet.ReasonNone && state.load.GetAccepting(),
-			Reason:    state.reason,
-			Slots:     u.Slots,
-			FreeSlots: int(state.load.GetFreeSlots()),
-		})
+		out = append(out, status)
 	}
 	return out
 }
--- /dev/null
+++ b/router/report.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/operator"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/telemetry"
+)
+
+// Ready implements operator.Reporter: the router takes requests.
+func (r *Router) Ready() bool {
+	return !r.draining.Load() && !r.behind.Load() && r.adoption.Index() != nil
+}
+
+// Status implements operator.Reporter.
+func (r *Router) Status() operator.Status {
+	return operator.Status{
+		Router:        r.settings.ID,
+		Region:        r.settings.Region,
+		FailureDomain: r.settings.FailureDomain,
+		Version:       telemetry.Version,
+		Generation:    r.adoption.Generation(),
+		Behind:        r.behind.Load(),
+		Draining:      r.draining.Load(),
+		Routers:       peersOf(r.sessions.All(peerpb.Role_ROLE_ROUTER)),
+		Sidecars:      peersOf(r.sessions.All(peerpb.Role_ROLE_SIDECAR)),
+	}
+}
+
+func peersOf(sessions []*peer.Session) []operator.Peer {
+	out := make([]operator.Peer, 0, len(sessions))
+	for _, s := range sessions {
+		out = append(out, operator.Peer{ID: s.ID(), Region: s.Location().Region, RTTMicros: s.RTT().Microseconds()})
+	}
+	return out
+}
+
+// Upstreams implements operator.Reporter.
+func (r *Router) Upstreams() []operator.Upstream {
+	inv := r.adoption.Snapshot().Inventory
+	return r.membership.status(inv.Upstreams)
+}
+
+// Teams implements operator.Reporter: the accounts that this router keeps.
+func (r *Router) Teams() []operator.Team {
+	index := r.adoption.Index()
+	inv := r.adoption.Snapshot().Inventory
+	out := []operator.Team{}
+	for _, service := range inv.Services {
+		for _, team := range inv.Teams {
+			account, ok := r.keepers.account(service.ID, team.ID)
+			if !ok {
+				continue
+			}
+			out = append(out, operator.Team{
+				ID:      team.ID,
+				Service: service.ID,
+				Weight:  index.Weight(service.ID, team.ID),
+				Account: account,
+			})
+		}
+	}
+	return out
+}
+
+// Suspects implements operator.Reporter.
+func (r *Router) Suspects() []operator.Suspect {
+	out := []operator.Suspect{}
+	for _, s := range r.suspects.all() {
+		out = append(out, operator.Suspect{
+			Digest:  s.Digest,
+			Team:    s.Team,
+			Service: s.Service,
+			Crashes: s.CrashIDs,
+			Refused: s.Refused(),
+		})
+	}
+	return out
+}
+
+// account returns a team's account, if this router keeps it.
+func (k *keepers) account(service fleet.ServiceID, team fleet.TeamID) (float64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	keeper := k.byService[service]
+	if keeper == nil {
+		return 0, false
+	}
+	return keeper.Account(team)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"fulmarspindle.example/fulmarspindle/dispatch"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/operator"
 	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 	"fulmarspindle.example/fulmarspindle/platform"
@@ -149,7 +150,15 @@
 		Index:   r.adoption.Index,
 		Backend: r,
 	}).HTTPServer()
-	failed := make(chan error, 1)
+	admin := operator.NewHTTPServer(operator.Options{
+		Tokens:    r.settings.AdminTokens,
+		Publisher: config.NewPublisher(r.store, time.Now),
+		Reporter:  r,
+		Log:       r.log,
+	})
+	defer admin.Close()
+	failed := make(chan error, 2)
+	go func() { failed <- admin.Serve(listeners.Admin) }()
 	go func() {
 		limited := netutil.LimitListener(listeners.Caller, r.settings.Limits.MaxConnections)
 		failed <- front.Serve(limited)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -149,7 +149,9 @@
 }
 
 // Run serves until ctx ends, then finishes what runs within the drain timeout.
-func (s *Sidecar) Run(ctx context.Context, ln net.Listener) error {
+func (s *Sidecar) Run(ctx context.Context, ln, adminLn net.Listener) error {
+	admin := s.serveAdmin(adminLn)
+	defer admin.Close()
 	background, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	failed := make(chan error, 1)
