Read the outcome of streams from the trailer

Streams carry Fulmarspindle-Outcome as a trailer, so the client saw none. The client takes the trailer where the header is absent.

go test -race -count=1 ./... in e2e passes, three times in a row.

--- a/e2e/harness/client.go
+++ b/e2e/harness/client.go
@@ -50,7 +50,8 @@
 // Answer is what a caller got.
 type Answer struct {
 	// Status is 0 if no header came.
-	Status  int
+	Status int
+	// Outcome is the header's or the trailer's value; empty if neither came.
 	Outcome string
 	Header  http.Header
 	Body    []byte
@@ -128,6 +129,10 @@
 	defer func() { _ = resp.Body.Close() }()
 	answer := Answer{Status: resp.StatusCode, Outcome: resp.Header.Get(HeaderOutcome), Header: resp.Header}
 	answer.read(resp.Body, begin)
+	if answer.Outcome == "" {
+		// Streams carry the outcome as a trailer, known once the body has ended.
+		answer.Outcome = resp.Trailer.Get(HeaderOutcome)
+	}
 	return answer
 }
 
