Add fleet-wide fair accounts

The sidecars need one account per team over the whole fleet, without a coordinator. Ledgers report cumulative charges, keepers add them up and exchange region sums; echoes refill a keeper that starts empty.

Refilling by max(total, echo) alone was ruled out: the restart property test failed, since charges that came before the first echo were lost. A new total now keeps its refilled base apart from the charges since.

Measured: go test -race ./fairness -rapid.checks=5000 passes.

--- /dev/null
+++ b/fairness/config.go
@@ -0,0 +1,75 @@
+package fairness
+
+import "time"
+
+// Defaults of the configurations. The TTLs are ordered: a keeper must forget a
+// reporter's counter before the ledger forgets the team and starts counting
+// from zero, and a ledger must forget its echo before the keeper forgets the
+// team.
+const (
+	DefaultRefreshInterval = time.Second
+	DefaultActivityTTL     = 3 * time.Second
+	DefaultReporterTTL     = 2 * time.Minute
+	DefaultRetention       = 5 * time.Minute
+	DefaultTeamTTL         = 10 * time.Minute
+	// DefaultEstimate is the cost charged before any cost is known, in the
+	// service's cost units.
+	DefaultEstimate = 1.0
+)
+
+// LedgerConfig configures a Ledger. Zero fields take the defaults.
+type LedgerConfig struct {
+	// Estimate is the cost charged at Begin while no cost of the service is
+	// known, in the service's cost units.
+	Estimate float64
+	// RefreshInterval is the time after which an active or unconfirmed team is
+	// reported again.
+	RefreshInterval time.Duration
+	// ActivityTTL is the time without waiting requests after which a team
+	// counts as idle.
+	ActivityTTL time.Duration
+	// Retention is the time after which an idle team is forgotten. It must be
+	// longer than the keepers' ReporterTTL and shorter than their TeamTTL.
+	Retention time.Duration
+}
+
+func (c LedgerConfig) withDefaults() LedgerConfig {
+	if !validCost(c.Estimate) || c.Estimate == 0 {
+		c.Estimate = DefaultEstimate
+	}
+	c.RefreshInterval = orDefault(c.RefreshInterval, DefaultRefreshInterval)
+	c.ActivityTTL = orDefault(c.ActivityTTL, DefaultActivityTTL)
+	c.Retention = orDefault(c.Retention, DefaultRetention)
+	return c
+}
+
+// KeeperConfig configures a Keeper. Zero fields take the defaults.
+type KeeperConfig struct {
+	// ActivityTTL is the time without an active flag from any reporter or
+	// region after which a team counts as idle. It must be at least twice the
+	// reporters' refresh interval and the interval between region sums.
+	ActivityTTL time.Duration
+	// ReporterTTL is the time after which the counters of a silent reporter
+	// are forgotten. Their charges stay in the total.
+	ReporterTTL time.Duration
+	// TeamTTL is the time after which an idle team is forgotten.
+	TeamTTL time.Duration
+	// MaxCredit bounds how far an account may lie behind the virtual time when
+	// its team has waiting requests, in normalized service. It must exceed the
+	// gap that the fleet's own lag can cause. 0 means no bound.
+	MaxCredit float64
+}
+
+func (c KeeperConfig) withDefaults() KeeperConfig {
+	c.ActivityTTL = orDefault(c.ActivityTTL, DefaultActivityTTL)
+	c.ReporterTTL = orDefault(c.ReporterTTL, DefaultReporterTTL)
+	c.TeamTTL = orDefault(c.TeamTTL, DefaultTeamTTL)
+	return c
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/fairness/estimate.go
@@ -0,0 +1,49 @@
+package fairness
+
+import "math"
+
+const (
+	teamSmoothing    = 0.2
+	serviceSmoothing = 0.05
+	// hintShare is the share of a caller's hint in an estimate.
+	hintShare = 0.1
+	// hintLimit bounds a hint to this multiple of the average cost.
+	hintLimit = 4
+)
+
+// average is an exponentially weighted moving average of costs.
+type average struct {
+	value float64
+	known bool
+}
+
+func (a *average) observe(cost, smoothing float64) {
+	if !a.known {
+		a.value = cost
+		a.known = true
+		return
+	}
+	a.value += smoothing * (cost - a.value)
+}
+
+// estimate returns the cost to charge for a new request of a team. A hint of 0
+// means none.
+func (l *Ledger) estimate(a *account, hint float64) float64 {
+	expected := l.cfg.Estimate
+	switch {
+	case a.costs.known:
+		expected = a.costs.value
+	case l.costs.known:
+		expected = l.costs.value
+	}
+	if !validCost(hint) || hint == 0 {
+		return expected
+	}
+	hint = min(hint, hintLimit*expected)
+	return expected + hintShare*(hint-expected)
+}
+
+// validCost reports whether a cost is a number of at least 0.
+func validCost(cost float64) bool {
+	return cost >= 0 && !math.IsInf(cost, 1)
+}
--- /dev/null
+++ b/fairness/keeper.go
@@ -0,0 +1,205 @@
+package fairness
+
+import (
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// sweepsPerReporterTTL is how often within a reporter TTL forgotten state is
+// looked for.
+const sweepsPerReporterTTL = 4
+
+// Keeper holds the region's totals of the teams that are assigned to one
+// router, for one service. It is not safe for concurrent use.
+//
+// Its virtual time is the least one of the reporters heard from within the
+// activity TTL, and never falls. Other regions' virtual times count only while
+// no reporter of the own region is fresh, and then the least one does. The
+// regions may stand far apart while they serve different teams: the largest
+// would lift a returning team over those that it competes with here and starve
+// it, and the least would give it credit over them.
+type Keeper struct {
+	cfg         KeeperConfig
+	region      fleet.RegionID
+	incarnation fleet.Incarnation
+	start       time.Time
+
+	teams        map[fleet.TeamID]*teamState
+	reporters    []*reporter
+	reporterByID map[reporterID]*reporter
+	nextReporter uint32
+	regions      []regionClock
+
+	virtualTime float64
+	sumsSeq     uint64
+	resend      bool
+	lastSweep   time.Duration
+}
+
+type reporterID struct {
+	node        fleet.NodeID
+	incarnation fleet.Incarnation
+}
+
+// reporter is one incarnation of a sidecar. Times are since the keeper's start.
+type reporter struct {
+	id          reporterID
+	number      uint32
+	virtualTime float64
+	seen        time.Duration
+}
+
+// NewKeeper returns an empty keeper of one region. The incarnation must differ
+// from that of any other keeper.
+func NewKeeper(cfg KeeperConfig, region fleet.RegionID, incarnation fleet.Incarnation, now time.Time) *Keeper {
+	return &Keeper{
+		cfg:          cfg.withDefaults(),
+		region:       region,
+		incarnation:  incarnation,
+		start:        now,
+		teams:        make(map[fleet.TeamID]*teamState),
+		reporterByID: make(map[reporterID]*reporter),
+	}
+}
+
+// VirtualTime returns the virtual time, in normalized service.
+func (k *Keeper) VirtualTime() float64 {
+	return k.virtualTime
+}
+
+// Teams returns the number of teams held.
+func (k *Keeper) Teams() int {
+	return len(k.teams)
+}
+
+// Account returns the fleet-wide account of a team in normalized service, and
+// whether the team is known.
+func (k *Keeper) Account(team fleet.TeamID) (float64, bool) {
+	t, ok := k.teams[team]
+	if !ok {
+		return 0, false
+	}
+	return t.fleetTotal() + t.lift, true
+}
+
+// Report takes in a sidecar's report and answers it. Entries older than what
+// the sidecar already reported are left out of the answer.
+func (k *Keeper) Report(from fleet.NodeID, inc fleet.Incarnation, r Report, now time.Time) Totals {
+	at := now.Sub(k.start)
+	k.sweep(at)
+	rep := k.reporter(reporterID{node: from, incarnation: inc}, at)
+	rep.virtualTime = max(rep.virtualTime, r.VirtualTime)
+	k.advanceVirtualTime(at)
+	answer := Totals{
+		ReportSeq:   r.Seq,
+		Keeper:      k.incarnation,
+		VirtualTime: k.virtualTime,
+		Teams:       make([]TeamTotal, 0, len(r.Teams)),
+	}
+	for i := range r.Teams {
+		entry := &r.Teams[i]
+		t := k.team(entry.Team, at)
+		delta, ok := t.apply(rep.number, r.Seq, entry, k.incarnation, at, k.cfg.ActivityTTL)
+		if !ok {
+			continue
+		}
+		if entry.Active {
+			k.activate(t, entry, delta, at)
+		}
+		answer.Teams = append(answer.Teams, t.answer())
+	}
+	return answer
+}
+
+// activate marks a team as active in this region and lifts it if it was
+// inactive in the whole fleet. An echo that isn't stale shows that it was
+// active at its reporter while this keeper did not hear of it. The charge that
+// came with the report was made after the return and counts on top of the
+// lift.
+func (k *Keeper) activate(t *teamState, entry *TeamReport, delta float64, at time.Duration) {
+	idle := !t.active(at, k.cfg.ActivityTTL)
+	if idle && (entry.Echo.Keeper == 0 || entry.Echo.Stale) {
+		t.raiseTo(k.virtualTime + max(0, delta))
+	}
+	if k.cfg.MaxCredit > 0 {
+		t.raiseTo(k.virtualTime - k.cfg.MaxCredit)
+	}
+	t.activeHere.mark(at)
+}
+
+// Retain forgets the teams that are no longer assigned to this router. Call it
+// when the region's live routers change.
+func (k *Keeper) Retain(assigned func(fleet.TeamID) bool) {
+	for id := range k.teams {
+		if !assigned(id) {
+			delete(k.teams, id)
+		}
+	}
+}
+
+func (k *Keeper) team(id fleet.TeamID, at time.Duration) *teamState {
+	t, ok := k.teams[id]
+	if !ok {
+		t = &teamState{id: id, used: at}
+		k.teams[id] = t
+	}
+	return t
+}
+
+func (k *Keeper) reporter(id reporterID, at time.Duration) *reporter {
+	r, ok := k.reporterByID[id]
+	if !ok {
+		r = &reporter{id: id, number: k.nextReporter}
+		k.nextReporter++
+		k.reporterByID[id] = r
+		k.reporters = append(k.reporters, r)
+	}
+	r.seen = at
+	return r
+}
+
+func (k *Keeper) advanceVirtualTime(at time.Duration) {
+	least, ok := k.leastReporterTime(at)
+	if !ok {
+		least, ok = k.leastRegionTime(at)
+	}
+	if ok {
+		k.virtualTime = max(k.virtualTime, least)
+	}
+}
+
+func (k *Keeper) leastReporterTime(at time.Duration) (least float64, ok bool) {
+	for _, r := range k.reporters {
+		if r.virtualTime == 0 || at-r.seen > k.cfg.ActivityTTL {
+			continue
+		}
+		if !ok || r.virtualTime < least {
+			least = r.virtualTime
+			ok = true
+		}
+	}
+	return least, ok
+}
+
+// sweep forgets silent reporters with their counters, and idle teams.
+func (k *Keeper) sweep(at time.Duration) {
+	if at-k.lastSweep < k.cfg.ReporterTTL/sweepsPerReporterTTL {
+		return
+	}
+	k.lastSweep = at
+	k.reporters = slices.DeleteFunc(k.reporters, func(r *reporter) bool {
+		expired := at-r.seen > k.cfg.ReporterTTL
+		if expired {
+			delete(k.reporterByID, r.id)
+		}
+		return expired
+	})
+	for id, t := range k.teams {
+		t.forgetCounters(at, k.cfg.ReporterTTL)
+		if at-t.used > k.cfg.TeamTTL {
+			delete(k.teams, id)
+		}
+	}
+}
--- /dev/null
+++ b/fairness/keeper_team.go
@@ -0,0 +1,223 @@
+package fairness
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// maxSources bounds the keepers remembered as sources of a total.
+const maxSources = 4
+
+// teamState is a keeper's state of one team. Times are since the keeper's
+// start.
+type teamState struct {
+	id fleet.TeamID
+	// total is the region's total, in normalized service.
+	total float64
+	lift  float64
+	// base is the part of total that was refilled by echoes.
+	base float64
+	// reported is set once a sidecar of this region has reported the team. Until
+	// refillUntil, echoes are of the keeper that was there before.
+	reported    bool
+	refillUntil time.Duration
+	counters    []counter
+	sources     []source
+	merges      uint32
+
+	regions []regionTotal
+	// otherRegions is what the other regions' totals came to by the echoes. It
+	// stands in for sums that this keeper has not received.
+	otherRegions float64
+
+	activeHere  activity
+	activeThere activity
+	changed     time.Duration
+	used        time.Duration
+}
+
+// counter is what one reporter has charged. Counters are ordered by reporter.
+type counter struct {
+	reporter uint32
+	// merges is the team's count of merged sources when the counter was set.
+	merges  uint32
+	seq     uint64
+	charged float64
+	seen    time.Duration
+}
+
+// source is a keeper that took over for a while and whose total was merged.
+type source struct {
+	keeper fleet.Incarnation
+	merge  uint32
+}
+
+// activity is the last time at which a team was active.
+type activity struct {
+	last  time.Duration
+	known bool
+}
+
+func (a *activity) mark(at time.Duration) {
+	a.last = at
+	a.known = true
+}
+
+func (a *activity) within(at, ttl time.Duration) bool {
+	return a.known && at-a.last <= ttl
+}
+
+func (t *teamState) active(at, ttl time.Duration) bool {
+	return t.activeHere.within(at, ttl) || t.activeThere.within(at, ttl)
+}
+
+// apply adds what a report's entry charges beyond what is already included,
+// and returns the added part. It reports false for an old entry.
+//
+// Four cases decide what is already included:
+//
+//   - A known reporter: its last charge. This is exact, also when it reported
+//     to another keeper meanwhile.
+//   - A known reporter whose echo names a source that was merged after its last
+//     report: the charge in its echo, which the source's total includes.
+//   - An unknown reporter with an echo: the charge in the echo. The total is
+//     first raised by the echoed one.
+//   - An unknown reporter without an echo: nothing.
+func (t *teamState) apply(
+	reporter uint32, seq uint64, entry *TeamReport, self fleet.Incarnation, at, refillTime time.Duration,
+) (delta float64, ok bool) {
+	index, known := t.find(reporter)
+	if known && seq < t.counters[index].seq {
+		return 0, false
+	}
+	t.used = at
+	if !t.reported {
+		t.reported = true
+		t.refillUntil = at + refillTime
+	}
+	included := entry.Echo.ChargedIncluded
+	switch {
+	case known && !t.mergedSince(entry.Echo.Keeper, t.counters[index].merges):
+		included = t.counters[index].charged
+	case entry.Echo.Keeper == 0:
+		included = 0
+	case at <= t.refillUntil:
+		t.refill(&entry.Echo)
+	case entry.Echo.Keeper != self:
+		t.merge(&entry.Echo)
+	}
+	t.lift = max(t.lift, entry.Echo.Lift)
+	delta = entry.Charged - included
+	if delta != 0 {
+		t.total += delta
+		t.changed = at
+	}
+	c := counter{reporter: reporter, merges: t.merges, seq: seq, charged: entry.Charged, seen: at}
+	t.setCounter(index, known, c)
+	return delta, true
+}
+
+// refill raises the base of a new total to the total of its former keeper. The
+// echoes of all reporters tell of the same former total, and none includes what
+// was charged here since, so the largest echo replaces the base and the charges
+// since come on top. The result is exact but for charges that the former keeper
+// counted without the answer reaching the reporter. A keeper that goes before it
+// has answered each reporter may leave echoes of two former totals, of which the
+// smaller is lost.
+func (t *teamState) refill(echo *Echo) {
+	t.raise(echo, max(0, echo.RegionTotal-t.base))
+	t.base = max(t.base, echo.RegionTotal)
+}
+
+// merge raises an old total to the total of a keeper that took over for a
+// while, such as in a partitioned region. That total may include all of this
+// one, so the larger of both counts: of what both keepers charged meanwhile to
+// reporters that are not known here, the smaller part is lost. An echo of this
+// keeper is never merged, for estimates that were settled must not come back.
+func (t *teamState) merge(echo *Echo) {
+	t.raise(echo, max(0, echo.RegionTotal-t.total))
+	if t.mergedSince(echo.Keeper, 0) {
+		return
+	}
+	t.merges++
+	if len(t.sources) == maxSources {
+		t.sources = slices.Delete(t.sources, 0, 1)
+	}
+	t.sources = append(t.sources, source{keeper: echo.Keeper, merge: t.merges})
+}
+
+// raise adds a missing part to the total and takes in the other regions' part.
+// The lift may have been granted while they were missing, so it pays for them.
+func (t *teamState) raise(echo *Echo, missing float64) {
+	before := t.fleetTotal()
+	t.total += missing
+	t.otherRegions = max(t.otherRegions, echo.FleetTotal-echo.RegionTotal)
+	t.payByLift(t.fleetTotal()-before, echo.Lift)
+}
+
+// payByLift lowers the lift by a part that was missing in the fleet total when
+// the lift was granted, so that the account stays. The lift does not fall below
+// one that another keeper granted.
+func (t *teamState) payByLift(missing, granted float64) {
+	if missing > 0 {
+		t.lift = max(0, t.lift-missing)
+	}
+	t.lift = max(t.lift, granted)
+}
+
+// mergedSince reports whether a keeper's total was merged after a count of
+// merges.
+func (t *teamState) mergedSince(keeper fleet.Incarnation, merges uint32) bool {
+	for _, s := range t.sources {
+		if s.keeper == keeper {
+			return s.merge > merges
+		}
+	}
+	return false
+}
+
+func (t *teamState) find(reporter uint32) (index int, known bool) {
+	return slices.BinarySearchFunc(t.counters, reporter, func(c counter, reporter uint32) int {
+		return cmp.Compare(c.reporter, reporter)
+	})
+}
+
+func (t *teamState) setCounter(index int, known bool, c counter) {
+	if known {
+		t.counters[index] = c
+		return
+	}
+	t.counters = slices.Insert(t.counters, index, c)
+}
+
+// forgetCounters forgets silent reporters. Their charges stay in the total.
+func (t *teamState) forgetCounters(at, ttl time.Duration) {
+	t.counters = slices.DeleteFunc(t.counters, func(c counter) bool {
+		return at-c.seen > ttl
+	})
+}
+
+func (t *teamState) fleetTotal() float64 {
+	others := 0.0
+	for i := range t.regions {
+		others += t.regions[i].total
+	}
+	return t.total + max(others, t.otherRegions)
+}
+
+// raiseTo raises the lift so that the account is at least the given one.
+func (t *teamState) raiseTo(account float64) {
+	t.lift = max(t.lift, account-t.fleetTotal())
+}
+
+func (t *teamState) answer() TeamTotal {
+	return TeamTotal{
+		Team:        t.id,
+		RegionTotal: t.total,
+		Lift:        t.lift,
+		FleetTotal:  t.fleetTotal(),
+	}
+}
--- /dev/null
+++ b/fairness/keeper_test.go
@@ -0,0 +1,198 @@
+package fairness_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"fulmarspindle.example/fulmarspindle/fairness"
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+var _ = Describe("Keeper", func() {
+	It("adds up charges in any order, with loss and duplication", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			k := newKeeper(1)
+			charged := map[string]float64{}
+			type message struct {
+				from   string
+				report fairness.Report
+			}
+			var sent []message
+			for seq := range rapid.IntRange(1, 40).Draw(t, "reports") {
+				from := rapid.SampledFrom([]string{"s1", "s2", "s3"}).Draw(t, "from")
+				charged[from] = max(0, charged[from]+rapid.Float64Range(-5, 20).Draw(t, "charge"))
+				sent = append(sent, message{from, entry(uint64(seq+1), 0, charged[from])})
+			}
+			for _, m := range rapid.SliceOf(rapid.SampledFrom(sent)).Draw(t, "delivered") {
+				k.Report(fleet.NodeID(m.from), 1, m.report, epoch)
+			}
+			truth := 0.0
+			for from, c := range charged {
+				k.Report(fleet.NodeID(from), 1, entry(1000, 0, c), epoch)
+				truth += c
+			}
+			if got := account(k, "a"); math.Abs(got-truth) > epsilon {
+				t.Fatalf("account %v, charged %v", got, truth)
+			}
+		})
+	})
+
+	// The bound needs that the team is active at each reporter, so that each
+	// reports again, and that each was answered since the restart before.
+	It("is refilled after a restart, to within the charges that were not confirmed", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			k := newKeeper(1)
+			var ledgers [3]*fairness.Ledger
+			for i := range ledgers {
+				ledgers[i] = fairness.NewLedger(fairness.LedgerConfig{})
+				ledgers[i].SetActive("a", true, epoch)
+			}
+			confirmed := make([]float64, len(ledgers))
+			charged := make([]float64, len(ledgers))
+			unconfirmed := 0.0
+			answered := map[int]bool{}
+			for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now := after(time.Duration(step) * 20 * time.Millisecond)
+				i := rapid.IntRange(0, 2).Draw(t, "sidecar")
+				cost := rapid.Float64Range(0, 20).Draw(t, "cost")
+				charged[i] += cost
+				ledgers[i].Begin(uint64(step), "a", 0, now)
+				ledgers[i].Settle(uint64(step), cost, now)
+				if len(answered) == len(ledgers) && rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+					k = newKeeper(fleet.Incarnation(step + 2))
+					clear(answered)
+					for j := range charged {
+						unconfirmed += charged[j] - confirmed[j]
+					}
+				}
+				r, ok := ledgers[i].Report(now)
+				if !ok {
+					continue
+				}
+				answer := k.Report(fleet.NodeID(fmt.Sprint(i)), 1, r, now)
+				if rapid.Bool().Draw(t, "answer arrives") {
+					ledgers[i].Totals(answer)
+					confirmed[i] = charged[i]
+					answered[i] = true
+				}
+			}
+			truth := 0.0
+			for i, l := range ledgers {
+				truth += charged[i]
+				if r, ok := l.Report(after(3 * time.Second)); ok {
+					k.Report(fleet.NodeID(fmt.Sprint(i)), 1, r, after(3*time.Second))
+				}
+			}
+			got, _ := k.Account("a")
+			if math.Abs(got-truth) > unconfirmed+epsilon {
+				t.Fatalf("account %v, charged %v, unconfirmed at restarts %v", got, truth, unconfirmed)
+			}
+		})
+	})
+
+	foreign := func(total, included float64) fairness.Echo {
+		return fairness.Echo{Keeper: 9, RegionTotal: total, FleetTotal: total, ChargedIncluded: included}
+	}
+
+	It("counts a second reporter's echoed charges once after a refill", func() {
+		k := newKeeper(2)
+		k.Report("s1", 1, echoed(5, 65, foreign(100, 60)), epoch)
+		k.Report("s2", 1, echoed(5, 43, foreign(100, 40)), epoch)
+		Expect(account(k, "a")).To(Equal(108.0))
+	})
+
+	It("counts charges once that came before the first echo, in account and total", func() {
+		k := newKeeper(2)
+		r := entry(1, 500, 7)
+		k.Report("s2", 1, r, epoch)
+		Expect(account(k, "a")).To(Equal(507.0))
+		k.Report("s1", 1, echoed(5, 65, foreign(100, 60)), epoch)
+		Expect(account(k, "a")).To(Equal(512.0), "the lift pays for the refilled part")
+		sums, _ := k.RegionSums(epoch)
+		Expect(sums.Teams).To(ConsistOf(HaveField("Total", 112.0)))
+	})
+
+	It("counts a known reporter once that reported to another keeper meanwhile", func() {
+		k := newKeeper(2)
+		k.Report("s1", 1, entry(1, 0, 10), epoch)
+		k.Report("s2", 1, entry(1, 0, 20), epoch)
+		healed := after(time.Minute)
+		By("s1 comes back first: its own counter is exact")
+		k.Report("s1", 1, echoed(9, 55, foreign(70, 50)), healed)
+		Expect(account(k, "a")).To(Equal(75.0))
+		By("s3 only ever knew the other keeper, which had 50 of s1 and 20 of s2")
+		k.Report("s3", 1, echoed(9, 5, foreign(75, 5)), healed)
+		By("s2 charged 3 more; its echo is of a source that was merged")
+		k.Report("s2", 1, echoed(9, 23, foreign(70, 20)), healed)
+		k.Report("s2", 1, echoed(10, 24, foreign(70, 20)), healed)
+		Expect(account(k, "a")).To(Equal(79.0))
+	})
+
+	It("does not bring back settled estimates by its own echo", func() {
+		k := newKeeper(9)
+		k.Report("s1", 1, entry(1, 0, 100), epoch)
+		k.Report("s1", 1, entry(2, 0, 10), epoch)
+		later := after(time.Minute)
+		k.Report("s2", 1, echoed(1, 5, foreign(100, 5)), later)
+		k.Report("s1", 1, echoed(3, 12, foreign(100, 10)), later)
+		Expect(account(k, "a")).To(Equal(12.0))
+	})
+
+	It("is refilled by its own echoes when a team comes back to it", func() {
+		k := newKeeper(9)
+		k.Retain(func(fleet.TeamID) bool { return false })
+		k.Report("s1", 1, echoed(3, 12, foreign(100, 10)), epoch)
+		k.Report("s2", 1, echoed(3, 7, foreign(100, 7)), epoch)
+		Expect(account(k, "a")).To(Equal(102.0))
+	})
+
+	It("keeps the charges of dead reporters and forgets idle teams", func() {
+		k := newKeeper(1)
+		k.Report("s1", 1, entry(1, 0, 100), epoch)
+		k.Report("s2", 1, entry(1, 0, 10), after(3*time.Minute))
+		k.Report("s1", 2, entry(1, 0, 1), after(3*time.Minute))
+		Expect(account(k, "a")).To(Equal(111.0))
+		k.RegionSums(after(time.Hour))
+		Expect(k.Teams()).To(BeZero())
+	})
+
+	It("lifts a team that was idle in the whole fleet, and only that", func() {
+		k := newKeeper(1)
+		k.Report("s1", 1, entry(1, 500, 10), epoch)
+		Expect(account(k, "a")).To(Equal(510.0), "its new charges count on top")
+		k.Report("s1", 1, entry(2, 900, 20), after(2*time.Second))
+		Expect(account(k, "a")).To(Equal(520.0), "it stayed backlogged and is owed")
+		k.Report("s2", 1, entry(1, 900, 1), after(4*time.Second))
+		Expect(account(k, "a")).To(Equal(521.0), "it is backlogged elsewhere")
+		k.Report("s1", 1, entry(3, 900, 20), after(time.Minute))
+		Expect(account(k, "a")).To(Equal(900.0))
+		fresh := foreign(300, 5)
+		k.Report("s1", 1, echoed(4, 20, fresh), after(2*time.Minute))
+		Expect(account(k, "a")).To(Equal(900.0))
+	})
+
+	It("does not lift a backlogged team when it starts empty", func() {
+		k := newKeeper(1)
+		r := echoed(1, 20, foreign(300, 20))
+		r.VirtualTime = 900
+		k.Report("s1", 1, r, epoch)
+		Expect(account(k, "a")).To(Equal(300.0))
+	})
+
+	It("advances the virtual time to the least of the fresh reporters, and never back", func() {
+		k := newKeeper(1)
+		k.Report("s1", 1, entry(1, 0, 0), epoch)
+		k.Report("s2", 1, entry(1, 50, 0), epoch)
+		Expect(k.VirtualTime()).To(Equal(50.0))
+		k.Report("s1", 1, entry(2, 30, 0), epoch)
+		k.Report("s2", 1, entry(2, 80, 0), after(time.Second))
+		Expect(k.VirtualTime()).To(Equal(50.0))
+		k.Report("s2", 1, entry(3, 90, 0), after(time.Minute))
+		Expect(k.VirtualTime()).To(Equal(90.0))
+	})
+})
--- /dev/null
+++ b/fairness/ledger.go
@@ -0,0 +1,256 @@
+package fairness
+
+import (
+	"math"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+const defaultWeight = 1.0
+
+// Ledger holds the accounts of all teams for one service, as one sidecar knows
+// them. It is not safe for concurrent use.
+type Ledger struct {
+	cfg      LedgerConfig
+	accounts map[fleet.TeamID]*account
+	requests map[uint64]request
+	costs    average
+
+	virtualTime float64
+	// largestServed is the largest account at the end of a request.
+	largestServed float64
+	waitingTeams  int
+	// synced is set once a keeper has answered. Until then the virtual time
+	// is not reported, because a sidecar that just started knows nothing.
+	synced bool
+
+	seq uint64
+	// live lists the accounts that may have to be reported, in the order in
+	// which they became so. idle lists the others, oldest first.
+	live []*account
+	idle []idleEntry
+}
+
+// account is the state of one team. Its balance is base + charged.
+type account struct {
+	team   fleet.TeamID
+	weight float64
+	costs  average
+	// charged is the normalized service charged by this ledger.
+	charged float64
+	// base is the last known fleet total and lift, without the own charges
+	// that they include; before a keeper's answer it is provisional.
+	base     float64
+	inFlight int
+
+	waiting     bool
+	lastWaiting time.Time
+	// activatedSeq is the first report that tells of the last activation.
+	// Answers to earlier reports do not include its lift.
+	activatedSeq uint64
+
+	changed    bool
+	listed     bool
+	reportedAt time.Time
+	lastUsed   time.Time
+	// idleSince is when the account was last moved from live to idle.
+	idleSince time.Time
+	echo      Echo
+	sent      sentReports
+}
+
+// request is one request in flight.
+type request struct {
+	account *account
+	weight  float64
+	// charged is the cost charged so far, in cost units.
+	charged float64
+}
+
+type idleEntry struct {
+	account *account
+	since   time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(cfg LedgerConfig) *Ledger {
+	return &Ledger{
+		cfg:      cfg.withDefaults(),
+		accounts: make(map[fleet.TeamID]*account),
+		requests: make(map[uint64]request),
+	}
+}
+
+// Account returns the best knowledge of a team's fleet-wide account, in
+// normalized service. An unknown team stands at the virtual time.
+func (l *Ledger) Account(team fleet.TeamID) float64 {
+	a, ok := l.accounts[team]
+	if !ok {
+		return l.virtualTime
+	}
+	return a.balance()
+}
+
+// VirtualTime returns the virtual time, in normalized service. It never falls.
+func (l *Ledger) VirtualTime() float64 {
+	return l.virtualTime
+}
+
+// Teams returns the number of teams held.
+func (l *Ledger) Teams() int {
+	return len(l.accounts)
+}
+
+// SetWeight sets the weight of a team for requests that begin later. A weight
+// that is not a positive number is ignored. Weights are forgotten with their
+// teams.
+func (l *Ledger) SetWeight(team fleet.TeamID, weight float64) {
+	if !(weight > 0) || math.IsInf(weight, 1) {
+		return
+	}
+	l.ensure(team).weight = weight
+}
+
+// SetActive tells whether requests of a team wait for this sidecar. A team that
+// was idle is lifted to the virtual time until its keeper has answered.
+func (l *Ledger) SetActive(team fleet.TeamID, waiting bool, now time.Time) {
+	a, known := l.accounts[team]
+	if !known && !waiting {
+		return
+	}
+	if !known {
+		a = l.ensure(team)
+	}
+	if a.waiting == waiting {
+		return
+	}
+	if waiting {
+		l.activate(a, now)
+		return
+	}
+	a.waiting = false
+	a.lastWaiting = now
+	l.waitingTeams--
+	l.riseWhenIdle()
+}
+
+// activate marks a team as waiting and lifts it if it was idle.
+func (l *Ledger) activate(a *account, now time.Time) {
+	if l.wasIdle(a, now) {
+		a.base += max(0, l.virtualTime-a.balance())
+		a.activatedSeq = l.seq + 1
+		a.echo.Stale = true
+	}
+	a.waiting = true
+	a.changed = true
+	l.waitingTeams++
+	l.list(a)
+}
+
+func (l *Ledger) wasIdle(a *account, now time.Time) bool {
+	return a.lastWaiting.IsZero() || now.Sub(a.lastWaiting) > l.cfg.ActivityTTL
+}
+
+// Begin charges the estimated cost of a request that is about to be granted.
+// The hint is the caller's own estimate in cost units, 0 if there is none; it
+// counts little. An id that is already in flight is ignored.
+func (l *Ledger) Begin(id uint64, team fleet.TeamID, hint float64, now time.Time) {
+	if _, exists := l.requests[id]; exists {
+		return
+	}
+	a := l.ensure(team)
+	a.lastUsed = now
+	l.virtualTime = max(l.virtualTime, a.balance())
+	cost := l.estimate(a, hint)
+	l.requests[id] = request{account: a, weight: a.weight, charged: cost}
+	a.inFlight++
+	l.charge(a, cost/a.weight)
+}
+
+// Accrue tells the cost of a request so far, in cost units. The charge becomes
+// the larger of the estimate and the cost. An unknown id is ignored.
+func (l *Ledger) Accrue(id uint64, cost float64) {
+	r, ok := l.requests[id]
+	if !ok || !validCost(cost) || cost <= r.charged {
+		return
+	}
+	l.charge(r.account, (cost-r.charged)/r.weight)
+	r.charged = cost
+	l.requests[id] = r
+}
+
+// Settle replaces the charge of a request by its actual cost, in cost units:
+// at its end, when it is cancelled and when the upstream crashed. An unknown id
+// is ignored; a cost that is not a number of at least 0 leaves the charge.
+func (l *Ledger) Settle(id uint64, cost float64, now time.Time) {
+	r, ok := l.requests[id]
+	if !ok {
+		return
+	}
+	if !validCost(cost) {
+		cost = r.charged
+	}
+	r.account.costs.observe(cost, teamSmoothing)
+	l.costs.observe(cost, serviceSmoothing)
+	l.finish(id, r, cost, now)
+	l.largestServed = max(l.largestServed, r.account.balance())
+	l.riseWhenIdle()
+}
+
+// Release takes back the charge of a request that did not run, such as a
+// declined grant. An unknown id is ignored.
+func (l *Ledger) Release(id uint64, now time.Time) {
+	r, ok := l.requests[id]
+	if !ok {
+		return
+	}
+	l.finish(id, r, 0, now)
+	l.riseWhenIdle()
+}
+
+func (l *Ledger) finish(id uint64, r request, cost float64, now time.Time) {
+	delete(l.requests, id)
+	a := r.account
+	a.inFlight--
+	a.lastUsed = now
+	l.charge(a, (cost-r.charged)/r.weight)
+}
+
+// riseWhenIdle raises the virtual time to the largest account served when
+// nothing waits or runs, so that a new team gets no credit over one that was
+// served alone.
+func (l *Ledger) riseWhenIdle() {
+	if l.waitingTeams == 0 && len(l.requests) == 0 {
+		l.virtualTime = max(l.virtualTime, l.largestServed)
+	}
+}
+
+func (l *Ledger) charge(a *account, normalized float64) {
+	a.charged += normalized
+	a.changed = true
+	l.list(a)
+}
+
+func (l *Ledger) ensure(team fleet.TeamID) *account {
+	a, ok := l.accounts[team]
+	if ok {
+		return a
+	}
+	a = &account{team: team, weight: defaultWeight, base: l.virtualTime}
+	l.accounts[team] = a
+	l.list(a)
+	return a
+}
+
+func (l *Ledger) list(a *account) {
+	if a.listed {
+		return
+	}
+	a.listed = true
+	l.live = append(l.live, a)
+}
+
+func (a *account) balance() float64 {
+	return a.base + a.charged
+}
--- /dev/null
+++ b/fairness/ledger_report.go
@@ -0,0 +1,169 @@
+package fairness
+
+import "time"
+
+// maxSent bounds the unanswered reports remembered for one team.
+const maxSent = 4
+
+// sentReport is the charge of a team at the time of a report.
+type sentReport struct {
+	seq     uint64
+	charged float64
+	active  bool
+}
+
+// sentReports are the unanswered reports of a team, oldest first.
+type sentReports struct {
+	entries [maxSent]sentReport
+	count   int
+}
+
+func (s *sentReports) full() bool {
+	return s.count == maxSent
+}
+
+// add remembers a report. The oldest one is dropped when there is no room.
+func (s *sentReports) add(r sentReport) {
+	if s.full() {
+		s.drop(1)
+	}
+	s.entries[s.count] = r
+	s.count++
+}
+
+// answer removes and returns a report, and removes all older ones.
+func (s *sentReports) answer(seq uint64) (r sentReport, ok bool) {
+	for i := range s.count {
+		if s.entries[i].seq != seq {
+			continue
+		}
+		r = s.entries[i]
+		s.drop(i + 1)
+		return r, true
+	}
+	return sentReport{}, false
+}
+
+func (s *sentReports) drop(n int) {
+	copy(s.entries[:], s.entries[n:s.count])
+	s.count -= n
+}
+
+// Report returns the charges of the teams that changed since the last report,
+// and of active or unconfirmed teams that were not reported for the refresh
+// interval. It reports false if there is nothing to send.
+func (l *Ledger) Report(now time.Time) (Report, bool) {
+	r := Report{Seq: l.seq + 1}
+	kept := l.live[:0]
+	for _, a := range l.live {
+		if l.due(a, now) {
+			r.Teams = append(r.Teams, l.reportTeam(a, r.Seq, now))
+		}
+		if a.live() && !l.expired(a, now) {
+			kept = append(kept, a)
+			continue
+		}
+		a.listed = false
+		a.idleSince = now
+		l.idle = append(l.idle, idleEntry{account: a, since: now})
+	}
+	clear(l.live[len(kept):])
+	l.live = kept
+	l.forgetIdle(now)
+	if len(r.Teams) == 0 {
+		return Report{}, false
+	}
+	l.seq = r.Seq
+	if l.synced {
+		r.VirtualTime = l.virtualTime
+	}
+	return r, true
+}
+
+// due reports whether a team belongs into the next report. With too many
+// unanswered reports a changed team waits for the refresh interval.
+func (l *Ledger) due(a *account, now time.Time) bool {
+	if now.Sub(a.reportedAt) >= l.cfg.RefreshInterval {
+		return a.changed || a.waiting || a.unconfirmed()
+	}
+	return a.changed && !a.sent.full()
+}
+
+func (l *Ledger) reportTeam(a *account, seq uint64, now time.Time) TeamReport {
+	a.changed = false
+	a.reportedAt = now
+	a.sent.add(sentReport{seq: seq, charged: a.charged, active: a.waiting})
+	return TeamReport{Team: a.team, Charged: a.charged, Active: a.waiting, Echo: a.echo}
+}
+
+// Totals takes in a keeper's answer. Answers to reports that are not
+// remembered are ignored.
+func (l *Ledger) Totals(t Totals) {
+	l.synced = true
+	l.virtualTime = max(l.virtualTime, t.VirtualTime)
+	for _, total := range t.Teams {
+		a, ok := l.accounts[total.Team]
+		if !ok {
+			continue
+		}
+		l.applyTotal(a, t, total)
+	}
+}
+
+func (l *Ledger) applyTotal(a *account, t Totals, total TeamTotal) {
+	sent, ok := a.sent.answer(t.ReportSeq)
+	if !ok {
+		return
+	}
+	current := t.ReportSeq >= a.activatedSeq
+	a.echo = Echo{
+		Keeper:          t.Keeper,
+		RegionTotal:     total.RegionTotal,
+		FleetTotal:      total.FleetTotal,
+		ChargedIncluded: sent.charged,
+		Lift:            total.Lift,
+		Stale:           !sent.active || !current,
+	}
+	if current {
+		a.base = total.FleetTotal + total.Lift - sent.charged
+	}
+}
+
+// live reports whether the account may have to be reported without a further
+// event.
+func (a *account) live() bool {
+	return a.waiting || a.inFlight > 0 || a.changed || a.unconfirmed()
+}
+
+// unconfirmed reports whether no keeper has confirmed the charges.
+func (a *account) unconfirmed() bool {
+	return a.charged != a.echo.ChargedIncluded
+}
+
+// expired reports whether an account without requests was not confirmed for
+// the retention. It bounds the memory while no keeper can be reached.
+func (l *Ledger) expired(a *account, now time.Time) bool {
+	if a.waiting || a.inFlight > 0 {
+		return false
+	}
+	last := a.lastWaiting
+	if a.lastUsed.After(last) {
+		last = a.lastUsed
+	}
+	return !last.IsZero() && now.Sub(last) > l.cfg.Retention
+}
+
+// forgetIdle forgets the accounts that have been idle for the retention.
+func (l *Ledger) forgetIdle(now time.Time) {
+	n := 0
+	for n < len(l.idle) && now.Sub(l.idle[n].since) > l.cfg.Retention {
+		entry := l.idle[n]
+		if !entry.account.listed && entry.account.idleSince.Equal(entry.since) {
+			delete(l.accounts, entry.account.team)
+		}
+		n++
+	}
+	if n > 0 {
+		l.idle = append(l.idle[:0:0], l.idle[n:]...)
+	}
+}
--- /dev/null
+++ b/fairness/messages.go
@@ -0,0 +1,80 @@
+package fairness
+
+import "fulmarspindle.example/fulmarspindle/fleet"
+
+// Echo is what a reporter was last told about a team. The zero value means
+// that it was told nothing.
+type Echo struct {
+	// Keeper is the incarnation of the keeper that sent the total.
+	Keeper fleet.Incarnation
+	// RegionTotal is the region's total, in normalized service.
+	RegionTotal float64
+	// FleetTotal is the total over all regions, without the lift.
+	FleetTotal float64
+	// ChargedIncluded is the part of the reporter's own charges that
+	// RegionTotal includes.
+	ChargedIncluded float64
+	// Lift is the lift of the account.
+	Lift float64
+	// Stale is set unless the team had waiting requests in the report that the
+	// total answered and has not been idle since.
+	Stale bool
+}
+
+// TeamReport is the state of one team at a reporter.
+type TeamReport struct {
+	Team fleet.TeamID
+	// Charged is the normalized service that this incarnation of the reporter
+	// has charged.
+	Charged float64
+	// Active is set if requests of the team wait.
+	Active bool
+	// Echo is the last total that a keeper sent for this team.
+	Echo Echo
+}
+
+// Report carries the charges of one sidecar.
+type Report struct {
+	// Seq increases with each report of an incarnation.
+	Seq uint64
+	// VirtualTime is the reporter's virtual time; 0 means unknown.
+	VirtualTime float64
+	Teams       []TeamReport
+}
+
+// TeamTotal is a keeper's total for one team.
+type TeamTotal struct {
+	Team        fleet.TeamID
+	RegionTotal float64
+	Lift        float64
+	FleetTotal  float64
+}
+
+// Totals answers a Report.
+type Totals struct {
+	ReportSeq uint64
+	// Keeper is the incarnation of the keeper that answers.
+	Keeper      fleet.Incarnation
+	VirtualTime float64
+	Teams       []TeamTotal
+}
+
+// RegionSum is one region's total for one team.
+type RegionSum struct {
+	Team   fleet.TeamID
+	Total  float64
+	Lift   float64
+	Active bool
+}
+
+// Sums carries region totals to the keepers of other regions.
+type Sums struct {
+	Region fleet.RegionID
+	// Keeper is the incarnation of the sending keeper.
+	Keeper fleet.Incarnation
+	// Seq increases with each message of an incarnation.
+	Seq uint64
+	// VirtualTime is the virtual time of the sending keeper.
+	VirtualTime float64
+	Teams       []RegionSum
+}
--- /dev/null
+++ b/fairness/region.go
@@ -0,0 +1,134 @@
+package fairness
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// regionTotal is another region's last total of a team.
+type regionTotal struct {
+	region fleet.RegionID
+	keeper fleet.Incarnation
+	seq    uint64
+	total  float64
+	seen   time.Duration
+}
+
+// regionClock is another region's virtual time.
+type regionClock struct {
+	region      fleet.RegionID
+	virtualTime float64
+	seen        time.Duration
+}
+
+// RegionSums returns this region's totals of the teams that were active or
+// changed within the activity TTL, so that a few lost messages do no harm. The
+// teams are ordered by id. It reports false if there are none.
+func (k *Keeper) RegionSums(now time.Time) (Sums, bool) {
+	at := now.Sub(k.start)
+	k.sweep(at)
+	s := Sums{
+		Region:      k.region,
+		Keeper:      k.incarnation,
+		Seq:         k.sumsSeq + 1,
+		VirtualTime: k.virtualTime,
+	}
+	for _, t := range k.teams {
+		active := t.activeHere.within(at, k.cfg.ActivityTTL)
+		recent := active || at-t.changed <= k.cfg.ActivityTTL
+		if !t.reported || (!recent && !k.resend) {
+			continue
+		}
+		s.Teams = append(s.Teams, RegionSum{Team: t.id, Total: t.total, Lift: t.lift, Active: active})
+	}
+	k.resend = false
+	if len(s.Teams) == 0 {
+		return Sums{}, false
+	}
+	k.sumsSeq = s.Seq
+	slices.SortFunc(s.Teams, func(a, b RegionSum) int { return cmp.Compare(a.Team, b.Team) })
+	return s, true
+}
+
+// ResendAll makes the next RegionSums carry all teams. Call it when another
+// region can be reached again: teams that became idle during the cut would
+// otherwise not be sent.
+func (k *Keeper) ResendAll() {
+	k.resend = true
+}
+
+// MergeRegion takes in the totals of another region's keeper. While a region
+// can't be reached, its last totals stay.
+func (k *Keeper) MergeRegion(s Sums, now time.Time) {
+	if s.Region == k.region {
+		return
+	}
+	at := now.Sub(k.start)
+	k.sweep(at)
+	k.mergeRegionClock(s.Region, s.VirtualTime, at)
+	for _, sum := range s.Teams {
+		t := k.team(sum.Team, at)
+		if !t.mergeRegion(&s, sum, at, k.cfg.ActivityTTL) {
+			continue
+		}
+		t.used = at
+		if sum.Active {
+			t.activeThere.mark(at)
+		}
+	}
+}
+
+// mergeRegion replaces a region's total by a newer one. Of one keeper the
+// highest seq is the newest. Another keeper's total replaces it if it is not
+// smaller or if the former keeper has been silent for the TTL: a keeper that
+// has just started may not be refilled yet.
+func (t *teamState) mergeRegion(s *Sums, sum RegionSum, at, ttl time.Duration) bool {
+	entry := regionTotal{region: s.Region, keeper: s.Keeper, seq: s.Seq, total: sum.Total, seen: at}
+	index := slices.IndexFunc(t.regions, func(r regionTotal) bool { return r.region == s.Region })
+	if index < 0 {
+		before := t.fleetTotal()
+		t.regions = append(t.regions, entry)
+		t.payByLift(t.fleetTotal()-before, sum.Lift)
+		return true
+	}
+	last := &t.regions[index]
+	if last.keeper == s.Keeper && s.Seq <= last.seq {
+		return false
+	}
+	if last.keeper != s.Keeper && sum.Total < last.total && at-last.seen <= ttl {
+		return false
+	}
+	*last = entry
+	t.lift = max(t.lift, sum.Lift)
+	return true
+}
+
+func (k *Keeper) mergeRegionClock(region fleet.RegionID, virtualTime float64, at time.Duration) {
+	for i := range k.regions {
+		c := &k.regions[i]
+		if c.region == region {
+			c.virtualTime = max(c.virtualTime, virtualTime)
+			c.seen = at
+			return
+		}
+	}
+	k.regions = append(k.regions, regionClock{region: region, virtualTime: virtualTime, seen: at})
+}
+
+// leastRegionTime returns the least virtual time of the other regions heard
+// from within the activity TTL.
+func (k *Keeper) leastRegionTime(at time.Duration) (least float64, ok bool) {
+	for _, c := range k.regions {
+		if at-c.seen > k.cfg.ActivityTTL {
+			continue
+		}
+		if !ok || c.virtualTime < least {
+			least = c.virtualTime
+			ok = true
+		}
+	}
+	return least, ok
+}
