--- a/fairness/keeper_test.go
+++ b/fairness/keeper_test.go
@@ -42,13 +42,15 @@
 		})
 	})
 
-	// The bound needs that each reporter was answered since the restart before.
+	// The bound needs that the team is active at each reporter, so that each
+	// reports again, and that each was answered since the restart before.
 	It("is refilled after a restart, to within the charges that were not confirmed", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			k := newKeeper(1)
 			var ledgers [3]*fairness.Ledger
 			for i := range ledgers {
 				ledgers[i] = fairness.NewLedger(fairness.LedgerConfig{})
+				ledgers[i].SetActive("a", true, epoch)
 			}
 			confirmed := make([]float64, len(ledgers))
 			charged := make([]float64, len(ledgers))
