--- a/operator/server.go
+++ b/operator/server.go
@@ -39,14 +39,14 @@
 
 type server struct{ opts Options }
 
-// NewHTTPServer returns the admin API's server. All paths but /livez and
+// NewHTTPServer returns the admin API's server. All paths but /healthz and
 // /readyz need an admin token.
 func NewHTTPServer(opts Options) *http.Server {
 	s := &server{opts: opts}
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = s.handleError
-	e.GET("/livez", s.live)
+	e.GET("/healthz", s.live)
 	e.GET("/readyz", s.ready)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()), s.authenticate)
 	v1 := e.Group("/v1", s.authenticate)
--- a/sidecar/admin.go
+++ b/sidecar/admin.go
@@ -18,7 +18,7 @@
 func (s *Sidecar) serveAdmin(ln net.Listener) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
-	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c echo.Context) error {
 		if !s.scheduler.load().Accepting {
 			return c.String(http.StatusServiceUnavailable, "not accepting\n")
