Bound the credit of teams that ask often, and test what refills a keeper

A team that uses less than its share but asks often is never idle, so it was never lifted and saved up credit without bound. A waiting team's account is now at least the fleet's virtual time of one to two credit windows ago; the least of the regions counts, so that no team that waits in a slower region is touched. A fixed bound in cost units was ruled out: the units differ by service.

A lift that was granted while a part of the total was missing pays for that part when it arrives; an echo of the keeper's own and region sums sent during a refill do not bring it back.

Known limit: a team that waits in one region and comes to another while they are cut is lifted there, which forgives what it was owed.

--- a/fairness/backlog_test.go
+++ b/fairness/backlog_test.go
@@ -188,18 +188,23 @@
 		Expect(width).To(BeNumerically("<=", bound))
 	})
 
-	It("bounds it by weight, with a team that waits at one sidecar of four too", func() {
-		weights := map[fleet.TeamID]float64{"b": 3}
-		b := newBacklog(sidecars, weights, "a", "b", "c")
-		b.waiting = func(s int, team fleet.TeamID) bool { return team != "c" || s == 0 }
-		width := measure(b, 0, 20000, "a", "b")
-		AddReportEntry("gap", fmt.Sprintf("%.0f of at most %.0f", width, bound))
-		Expect(width).To(BeNumerically("<=", bound))
-		Expect(b.served["a"]).To(BeNumerically(">", 20000*rate/6))
+	It("bounds it by weight, also if a team waits at half of the sidecars only", func() {
+		b := newBacklog(sidecars, map[fleet.TeamID]float64{"c": 2}, "a", "b", "c")
+		b.waiting = func(s int, team fleet.TeamID) bool { return team != "b" || s < sidecars/2 }
+		ab, ac := gap{}, gap{}
+		for n := range 20000 {
+			b.step(n)
+			ab.observe(b, "a", "b")
+			ac.observe(b, "a", "c")
+		}
+		AddReportEntry("gap", fmt.Sprintf("%.0f and %.0f of at most %.0f", ab.width(), ac.width(), bound))
+		Expect(ab.width()).To(BeNumerically("<=", bound))
+		Expect(ac.width()).To(BeNumerically("<=", bound))
 	})
 
 	It("bounds it over restarts of the keepers", func() {
 		b := newBacklog(sidecars, nil, "a", "b")
+		b.waiting = func(s int, team fleet.TeamID) bool { return team == "a" || s < sidecars/2 }
 		width := 0.0
 		for n := range 20 {
 			b.restartKeeper(n % 2)
@@ -218,13 +223,30 @@
 		Expect(b.served["a"]).To(BeNumerically("~", 3*b.served["b"], bound))
 		b.cut = false
 		measure(b, 2000, 3000, "a", "b")
-		Expect(math.Abs(b.served["a"]-b.served["b"])).To(BeNumerically(">", bound))
+		Expect(math.Abs(b.served["a"] - b.served["b"])).To(BeNumerically(">", bound))
 		b.waiting = func(int, fleet.TeamID) bool { return true }
 		measure(b, 3000, 8000, "a", "b")
 		Expect(math.Abs(b.served["a"] - b.served["b"])).To(BeNumerically("<=", bound))
 		Expect(measure(b, 8000, 12000, "a", "b")).To(BeNumerically("<=", bound))
 	})
 
+	It("lets no team save up credit that asks often but for little", func() {
+		b := newBacklog(sidecars, nil, "flood", "b")
+		n := 0
+		b.waiting = func(_ int, team fleet.TeamID) bool { return team == "flood" || n%200 < 5 }
+		for n < 20000 {
+			b.step(n)
+			n++
+		}
+		b.waiting = func(int, fleet.TeamID) bool { return true }
+		before := b.served["b"] - b.served["flood"]
+		measure(b, 20000, 40000, "flood", "b")
+		credit := b.served["b"] - b.served["flood"] - before
+		window := 2 * rate * float64(fairness.DefaultCreditWindow/tick)
+		AddReportEntry("credit", fmt.Sprintf("%.0f of at most %.0f", credit, window+bound))
+		Expect(credit).To(BeNumerically("<=", window+bound))
+	})
+
 	It("gives a returning team neither credit nor a wait behind a flood", func() {
 		b := newBacklog(sidecars, nil, "flood", "b")
 		b.waiting = func(_ int, team fleet.TeamID) bool { return team == "flood" }
--- a/fairness/config.go
+++ b/fairness/config.go
@@ -12,6 +12,7 @@
 	DefaultReporterTTL     = 2 * time.Minute
 	DefaultRetention       = 5 * time.Minute
 	DefaultTeamTTL         = 10 * time.Minute
+	DefaultCreditWindow    = 30 * time.Second
 	// DefaultEstimate is the cost charged before any cost is known, in the
 	// service's cost units.
 	DefaultEstimate = 1.0
@@ -54,16 +55,17 @@
 	ReporterTTL time.Duration
 	// TeamTTL is the time after which an idle team is forgotten.
 	TeamTTL time.Duration
-	// MaxCredit bounds how far an account may lie behind the virtual time when
-	// its team has waiting requests, in normalized service. It must exceed the
-	// gap that the fleet's own lag can cause. 0 means no bound.
-	MaxCredit float64
+	// CreditWindow bounds the credit of a team whose requests seldom wait: with
+	// waiting requests its account is at least the fleet's virtual time of one
+	// to two windows ago.
+	CreditWindow time.Duration
 }
 
 func (c KeeperConfig) withDefaults() KeeperConfig {
 	c.ActivityTTL = orDefault(c.ActivityTTL, DefaultActivityTTL)
 	c.ReporterTTL = orDefault(c.ReporterTTL, DefaultReporterTTL)
 	c.TeamTTL = orDefault(c.TeamTTL, DefaultTeamTTL)
+	c.CreditWindow = orDefault(c.CreditWindow, DefaultCreditWindow)
 	return c
 }
 
--- a/fairness/keeper.go
+++ b/fairness/keeper.go
@@ -20,6 +20,10 @@
 // regions may stand far apart while they serve different teams: the largest
 // would lift a returning team over those that it competes with here and starve
 // it, and the least would give it credit over them.
+//
+// While regions are cut from each other, a team that waits in one and comes to
+// another is lifted there, for nothing tells that it was not idle. The lift
+// stays after the cut: what the team was owed by then is forgiven.
 type Keeper struct {
 	cfg         KeeperConfig
 	region      fleet.RegionID
@@ -33,6 +37,7 @@
 	regions      []regionClock
 
 	virtualTime float64
+	credit      creditFloor
 	sumsSeq     uint64
 	resend      bool
 	lastSweep   time.Duration
@@ -113,8 +118,8 @@
 	return answer
 }
 
-// activate marks a team as active in this region and lifts it if it was
-// inactive in the whole fleet. An echo that isn't stale shows that it was
+// activate marks a team as active in this region, bounds its credit, and lifts
+// it if it was inactive in the whole fleet. An echo that isn't stale shows that it was
 // active at its reporter while this keeper did not hear of it. The charge that
 // came with the report was made after the return and counts on top of the
 // lift.
@@ -123,9 +128,7 @@
 	if idle && (entry.Echo.Keeper == 0 || entry.Echo.Stale) {
 		t.raiseTo(k.virtualTime + max(0, delta))
 	}
-	if k.cfg.MaxCredit > 0 {
-		t.raiseTo(k.virtualTime - k.cfg.MaxCredit)
-	}
+	t.raiseTo(k.credit.floor)
 	t.activeHere.mark(at)
 }
 
@@ -162,12 +165,18 @@
 
 func (k *Keeper) advanceVirtualTime(at time.Duration) {
 	least, ok := k.leastReporterTime(at)
+	others, othersOK := k.leastRegionTime(at)
 	if !ok {
-		least, ok = k.leastRegionTime(at)
+		least, ok = others, othersOK
 	}
 	if ok {
 		k.virtualTime = max(k.virtualTime, least)
 	}
+	fleet := k.virtualTime
+	if othersOK {
+		fleet = min(fleet, others)
+	}
+	k.credit.advance(fleet, at, k.cfg.CreditWindow)
 }
 
 func (k *Keeper) leastReporterTime(at time.Duration) (least float64, ok bool) {
--- a/fairness/keeper_team.go
+++ b/fairness/keeper_team.go
@@ -104,12 +104,14 @@
 		included = t.counters[index].charged
 	case entry.Echo.Keeper == 0:
 		included = 0
-	case at <= t.refillUntil:
+	case t.refilling(at):
 		t.refill(&entry.Echo)
 	case entry.Echo.Keeper != self:
 		t.merge(&entry.Echo)
 	}
-	t.lift = max(t.lift, entry.Echo.Lift)
+	if entry.Echo.Keeper != self {
+		t.lift = max(t.lift, entry.Echo.Lift)
+	}
 	delta = entry.Charged - included
 	if delta != 0 {
 		t.total += delta
@@ -179,6 +181,11 @@
 	return false
 }
 
+// refilling reports whether the total may still lack what a former keeper knew.
+func (t *teamState) refilling(at time.Duration) bool {
+	return at <= t.refillUntil
+}
+
 func (t *teamState) find(reporter uint32) (index int, known bool) {
 	return slices.BinarySearchFunc(t.counters, reporter, func(c counter, reporter uint32) int {
 		return cmp.Compare(c.reporter, reporter)
--- a/fairness/keeper_test.go
+++ b/fairness/keeper_test.go
@@ -28,10 +28,21 @@
 				charged[from] = max(0, charged[from]+rapid.Float64Range(-5, 20).Draw(t, "charge"))
 				sent = append(sent, message{from, entry(uint64(seq+1), 0, charged[from])})
 			}
-			for _, m := range rapid.SliceOf(rapid.SampledFrom(sent)).Draw(t, "delivered") {
+			newest := map[string]fairness.Report{}
+			for _, m := range rapid.SliceOfN(rapid.SampledFrom(sent), 1, -1).Draw(t, "delivered") {
 				k.Report(fleet.NodeID(m.from), 1, m.report, epoch)
+				if m.report.Seq > newest[m.from].Seq {
+					newest[m.from] = m.report
+				}
 			}
 			truth := 0.0
+			for _, r := range newest {
+				truth += r.Teams[0].Charged
+			}
+			if got := account(k, "a"); math.Abs(got-truth) > epsilon {
+				t.Fatalf("account %v, charged in the newest reports %v", got, truth)
+			}
+			truth = 0
 			for from, c := range charged {
 				k.Report(fleet.NodeID(from), 1, entry(1000, 0, c), epoch)
 				truth += c
@@ -46,47 +57,61 @@
 	// reports again, and that each was answered since the restart before.
 	It("is refilled after a restart, to within the charges that were not confirmed", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const sidecars = 3
+			var now time.Time
+			var ledgers [sidecars]*fairness.Ledger
+			var incarnations [sidecars]fleet.Incarnation
+			var charged, confirmed [sidecars]float64
+			truth, unconfirmed := 0.0, 0.0
+			answered := map[int]bool{}
 			k := newKeeper(1)
-			var ledgers [3]*fairness.Ledger
-			for i := range ledgers {
+			start := func(i int) {
 				ledgers[i] = fairness.NewLedger(fairness.LedgerConfig{})
 				ledgers[i].SetActive("a", true, epoch)
+				incarnations[i]++
+				unconfirmed += charged[i] - confirmed[i]
+				charged[i], confirmed[i] = 0, 0
+			}
+			report := func(i int, answerArrives bool) {
+				r, ok := ledgers[i].Report(now)
+				if !ok {
+					return
+				}
+				answer := k.Report(fleet.NodeID(fmt.Sprint(i)), incarnations[i], r, now)
+				if answerArrives {
+					ledgers[i].Totals(answer)
+					confirmed[i] = charged[i]
+					answered[i] = true
+				}
+			}
+			for i := range sidecars {
+				start(i)
 			}
-			confirmed := make([]float64, len(ledgers))
-			charged := make([]float64, len(ledgers))
-			unconfirmed := 0.0
-			answered := map[int]bool{}
 			for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-				now := after(time.Duration(step) * 20 * time.Millisecond)
-				i := rapid.IntRange(0, 2).Draw(t, "sidecar")
+				now = after(time.Duration(step) * 20 * time.Millisecond)
+				i := rapid.IntRange(0, sidecars-1).Draw(t, "sidecar")
 				cost := rapid.Float64Range(0, 20).Draw(t, "cost")
+				truth += cost
 				charged[i] += cost
 				ledgers[i].Begin(uint64(step), "a", 0, now)
 				ledgers[i].Settle(uint64(step), cost, now)
-				if len(answered) == len(ledgers) && rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				restart := rapid.IntRange(0, 5).Draw(t, "restart")
+				if restart == 0 && len(answered) == sidecars {
 					k = newKeeper(fleet.Incarnation(step + 2))
 					clear(answered)
 					for j := range charged {
 						unconfirmed += charged[j] - confirmed[j]
 					}
 				}
-				r, ok := ledgers[i].Report(now)
-				if !ok {
-					continue
-				}
-				answer := k.Report(fleet.NodeID(fmt.Sprint(i)), 1, r, now)
-				if rapid.Bool().Draw(t, "answer arrives") {
-					ledgers[i].Totals(answer)
-					confirmed[i] = charged[i]
-					answered[i] = true
+				if restart == 1 && len(answered) == sidecars {
+					start(i)
+					delete(answered, i)
 				}
+				report(i, rapid.Bool().Draw(t, "answer arrives"))
 			}
-			truth := 0.0
-			for i, l := range ledgers {
-				truth += charged[i]
-				if r, ok := l.Report(after(3 * time.Second)); ok {
-					k.Report(fleet.NodeID(fmt.Sprint(i)), 1, r, after(3*time.Second))
-				}
+			now = after(3 * time.Second)
+			for i := range sidecars {
+				report(i, false)
 			}
 			got, _ := k.Account("a")
 			if math.Abs(got-truth) > unconfirmed+epsilon {
@@ -113,20 +138,29 @@
 		Expect(account(k, "a")).To(Equal(507.0))
 		k.Report("s1", 1, echoed(5, 65, foreign(100, 60)), epoch)
 		Expect(account(k, "a")).To(Equal(512.0), "the lift pays for the refilled part")
+		own := fairness.Echo{Keeper: 2, RegionTotal: 7, FleetTotal: 7, ChargedIncluded: 7, Lift: 500}
+		k.Report("s2", 1, echoed(2, 7, own), epoch)
+		Expect(account(k, "a")).To(Equal(512.0), "the larger lift was this keeper's own")
 		sums, _ := k.RegionSums(epoch)
-		Expect(sums.Teams).To(ConsistOf(HaveField("Total", 112.0)))
+		Expect(sums.Teams).To(ConsistOf(fairness.RegionSum{Team: "a", Total: 112, Active: true}))
+		sums, _ = k.RegionSums(after(time.Minute))
+		Expect(sums.Teams).To(BeEmpty())
+		k.ResendAll()
+		sums, _ = k.RegionSums(after(time.Minute))
+		Expect(sums.Teams).To(ConsistOf(fairness.RegionSum{Team: "a", Total: 112, Lift: 400}))
 	})
 
 	It("counts a known reporter once that reported to another keeper meanwhile", func() {
 		k := newKeeper(2)
 		k.Report("s1", 1, entry(1, 0, 10), epoch)
-		k.Report("s2", 1, entry(1, 0, 20), epoch)
+		k.Report("s2", 1, entry(1, 0, 10), epoch)
 		healed := after(time.Minute)
 		By("s1 comes back first: its own counter is exact")
 		k.Report("s1", 1, echoed(9, 55, foreign(70, 50)), healed)
-		Expect(account(k, "a")).To(Equal(75.0))
+		Expect(account(k, "a")).To(Equal(65.0))
 		By("s3 only ever knew the other keeper, which had 50 of s1 and 20 of s2")
 		k.Report("s3", 1, echoed(9, 5, foreign(75, 5)), healed)
+		Expect(account(k, "a")).To(Equal(75.0))
 		By("s2 charged 3 more; its echo is of a source that was merged")
 		k.Report("s2", 1, echoed(9, 23, foreign(70, 20)), healed)
 		k.Report("s2", 1, echoed(10, 24, foreign(70, 20)), healed)
@@ -184,6 +218,23 @@
 		Expect(account(k, "a")).To(Equal(300.0))
 	})
 
+	It("bounds the credit of a team that asks often, by the slowest region", func() {
+		k := newKeeper(1)
+		k.Report("s1", 1, entry(1, 10, 0), epoch)
+		for second := 1; second <= 100; second++ {
+			now := after(time.Duration(second) * time.Second)
+			k.Report("s1", 1, entry(uint64(second+1), float64(1000*second), 0), now)
+		}
+		Expect(account(k, "a")).To(BeNumerically("~", 55000, 15000))
+		k = newKeeper(1)
+		for second := 1; second <= 100; second++ {
+			now := after(time.Duration(second) * time.Second)
+			k.MergeRegion(fairness.Sums{Region: "zuid", Seq: uint64(second), VirtualTime: 50}, now)
+			k.Report("s1", 1, entry(uint64(second+1), float64(1000*second), 0), now)
+		}
+		Expect(account(k, "a")).To(Equal(1000.0), "the lift at its start")
+	})
+
 	It("advances the virtual time to the least of the fresh reporters, and never back", func() {
 		k := newKeeper(1)
 		k.Report("s1", 1, entry(1, 0, 0), epoch)
--- a/fairness/ledger.go
+++ b/fairness/ledger.go
@@ -26,6 +26,8 @@
 	synced bool
 
 	seq uint64
+	// lastTeams is the number of teams in the last report.
+	lastTeams int
 	// live lists the accounts that may have to be reported, in the order in
 	// which they became so. idle lists the others, oldest first.
 	live []*account
--- a/fairness/ledger_report.go
+++ b/fairness/ledger_report.go
@@ -53,7 +53,7 @@
 // and of active or unconfirmed teams that were not reported for the refresh
 // interval. It reports false if there is nothing to send.
 func (l *Ledger) Report(now time.Time) (Report, bool) {
-	r := Report{Seq: l.seq + 1}
+	r := Report{Seq: l.seq + 1, Teams: make([]TeamReport, 0, l.lastTeams)}
 	kept := l.live[:0]
 	for _, a := range l.live {
 		if l.due(a, now) {
@@ -70,6 +70,7 @@
 	clear(l.live[len(kept):])
 	l.live = kept
 	l.forgetIdle(now)
+	l.lastTeams = len(r.Teams)
 	if len(r.Teams) == 0 {
 		return Report{}, false
 	}
--- a/fairness/region.go
+++ b/fairness/region.go
@@ -26,7 +26,9 @@
 
 // RegionSums returns this region's totals of the teams that were active or
 // changed within the activity TTL, so that a few lost messages do no harm. The
-// teams are ordered by id. It reports false if there are none.
+// lift of a team that may still be refilled is left out: a refill lowers it,
+// and other regions would give the larger one back. The teams are ordered by
+// id. It reports false if there are none.
 func (k *Keeper) RegionSums(now time.Time) (Sums, bool) {
 	at := now.Sub(k.start)
 	k.sweep(at)
@@ -42,7 +44,11 @@
 		if !t.reported || (!recent && !k.resend) {
 			continue
 		}
-		s.Teams = append(s.Teams, RegionSum{Team: t.id, Total: t.total, Lift: t.lift, Active: active})
+		sum := RegionSum{Team: t.id, Total: t.total, Active: active}
+		if !t.refilling(at) {
+			sum.Lift = t.lift
+		}
+		s.Teams = append(s.Teams, sum)
 	}
 	k.resend = false
 	if len(s.Teams) == 0 {
@@ -84,7 +90,7 @@
 // mergeRegion replaces a region's total by a newer one. Of one keeper the
 // highest seq is the newest. Another keeper's total replaces it if it is not
 // smaller or if the former keeper has been silent for the TTL: a keeper that
-// has just started may not be refilled yet.
+// has just started may not be refilled yet. It reports false for an old total.
 func (t *teamState) mergeRegion(s *Sums, sum RegionSum, at, ttl time.Duration) bool {
 	entry := regionTotal{region: s.Region, keeper: s.Keeper, seq: s.Seq, total: sum.Total, seen: at}
 	index := slices.IndexFunc(t.regions, func(r regionTotal) bool { return r.region == s.Region })
@@ -98,11 +104,10 @@
 	if last.keeper == s.Keeper && s.Seq <= last.seq {
 		return false
 	}
-	if last.keeper != s.Keeper && sum.Total < last.total && at-last.seen <= ttl {
-		return false
-	}
-	*last = entry
 	t.lift = max(t.lift, sum.Lift)
+	if last.keeper == s.Keeper || sum.Total >= last.total || at-last.seen > ttl {
+		*last = entry
+	}
 	return true
 }
 
