--- a/cmd/fulmarside/main.go
+++ b/cmd/fulmarside/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -38,19 +37,23 @@
 }
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var args arguments
 	arg.MustParse(&args)
 	err := serve(ctx, args.Settings)
 	if err == nil {
-		return
+		return 0
 	}
 	fmt.Fprintln(os.Stderr, "fulmarside:", err)
 	if errors.Is(err, config.ErrInvalid) {
-		os.Exit(exitUsage)
+		return exitUsage
 	}
-	os.Exit(exitFailure)
+	return exitFailure
 }
 
 func serve(ctx context.Context, path string) error {
@@ -76,11 +79,11 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", settings.Listen.Peer)
+	ln, err := node.Listen(settings.Listen.Peer, nil)
 	if err != nil {
 		return err
 	}
-	adminLn, err := net.Listen("tcp", settings.Listen.Admin)
+	adminLn, err := node.Listen(settings.Listen.Admin, nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/fulmarspindle/main.go
+++ b/cmd/fulmarspindle/main.go
@@ -89,12 +89,12 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	os.Exit(run(ctx))
+	os.Exit(run())
 }
 
-func run(ctx context.Context) int {
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	var args arguments
 	parser := arg.MustParse(&args)
 	err := command(ctx, &args)
--- /dev/null
+++ b/node/listen.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrListen reports an address that can't be listened on.
+var ErrListen = eris.New("node: listen failed")
+
+// Listen opens a TCP listener, with TLS unless t is nil.
+func Listen(address string, t *tls.Config) (net.Listener, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	if t != nil {
+		return tls.NewListener(ln, t), nil
+	}
+	return ln, nil
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -35,11 +35,11 @@
 
 // Config returns the inventory in force as YAML, and its generation.
 func (c *Client) Config(ctx context.Context) ([]byte, uint64, error) {
-	resp, body, err := c.do(ctx, http.MethodGet, "/v1/config", nil, nil)
+	header, body, err := c.do(ctx, http.MethodGet, "/v1/config", nil, nil)
 	if err != nil {
 		return nil, 0, err
 	}
-	generation, err := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	generation, err := strconv.ParseUint(strings.Trim(header.Get("ETag"), `"`), 10, 64)
 	if err != nil {
 		return nil, 0, eris.Wrap(ErrUnavailable, "answer without a generation")
 	}
@@ -84,7 +84,7 @@
 
 var errNotFound = eris.New("operator: nothing accepted yet")
 
-func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, []byte, error) {
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (http.Header, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, eris.Wrap(ErrInvalid, err.Error())
@@ -105,7 +105,7 @@
 	if resp.StatusCode/100 != 2 {
 		return nil, nil, answerError(resp.StatusCode, answer)
 	}
-	return resp, answer, nil
+	return resp.Header, answer, nil
 }
 
 // transportError tells a read that failed from a change whose answer was lost.
--- a/router/keeper.go
+++ b/router/keeper.go
@@ -126,6 +126,20 @@
 	return out
 }
 
+// peerUp takes note of a router's new session: it shares the keeping of its
+// own region's accounts, and wants the sums of this region if it is elsewhere.
+func (k *keepers) peerUp(region fleet.RegionID) {
+	if region == k.region {
+		k.retain()
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, keeper := range k.byService {
+		keeper.ResendAll()
+	}
+}
+
 // retain drops the teams of which other routers of this region are keepers.
 func (k *keepers) retain() {
 	routers := append(k.sessions.Routers(k.region), k.self)
--- a/router/listen.go
+++ b/router/listen.go
@@ -4,9 +4,8 @@
 	"crypto/tls"
 	"net"
 
-	"github.com/rotisserie/eris"
-
 	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/node"
 )
 
 // TLS holds the configurations of the router's links; nil ones are plain TCP.
@@ -28,29 +27,18 @@
 func Listen(l config.RouterListen, t TLS) (Listeners, error) {
 	var out Listeners
 	var err error
-	if out.Caller, err = listen(l.Caller, t.Caller); err != nil {
+	if out.Caller, err = node.Listen(l.Caller, t.Caller); err != nil {
 		return out, err
 	}
-	if out.Admin, err = listen(l.Admin, t.Admin); err != nil {
+	if out.Admin, err = node.Listen(l.Admin, t.Admin); err != nil {
 		out.Caller.Close()
 		return out, err
 	}
 	// Peer connections are wrapped in TLS by peer.Network.
-	if out.Peer, err = listen(l.Peer, nil); err != nil {
+	if out.Peer, err = node.Listen(l.Peer, nil); err != nil {
 		out.Caller.Close()
 		out.Admin.Close()
 		return out, err
 	}
 	return out, nil
 }
-
-func listen(address string, t *tls.Config) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrap(ErrListen, err.Error())
-	}
-	if t != nil {
-		return tls.NewListener(ln, t), nil
-	}
-	return ln, nil
-}
--- a/router/once.go
+++ b/router/once.go
@@ -58,7 +58,9 @@
 // heldError carries the record of the attempt that holds a key.
 type heldError struct{ record claim.Record }
 
-func (e *heldError) Error() string { return "router: key is claimed by attempt " + string(e.record.Attempt) }
+func (e *heldError) Error() string {
+	return "router: key is claimed by attempt " + string(e.record.Attempt)
+}
 
 // claimAndStart makes the claim durable and starts the run.
 func (r *Router) claimAndStart(ctx context.Context, req *caller.Request, record claim.Record) error {
--- a/router/serve.go
+++ b/router/serve.go
@@ -177,6 +177,7 @@
 		status = http.StatusGatewayTimeout
 	case dispatch.ReasonStopping, dispatch.ReasonRouterLimit:
 		status = http.StatusServiceUnavailable
+	case dispatch.ReasonTeamLimit:
 	}
 	refusal := caller.NotRun(status, r.Reason.String(), "the request was not run: "+r.Reason.String())
 	refusal.RetryAfter = r.RetryAfter
--- a/router/sessions.go
+++ b/router/sessions.go
@@ -17,13 +17,12 @@
 		return
 	}
 	r.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
-	switch s.Role() {
-	case peerpb.Role_ROLE_SIDECAR:
+	if s.Role() == peerpb.Role_ROLE_SIDECAR {
 		r.membership.up(s)
-	case peerpb.Role_ROLE_ROUTER:
-		r.suspects.greet(s)
-		r.keepers.retain()
+		return
 	}
+	r.suspects.greet(s)
+	r.keepers.peerUp(s.Location().Region)
 }
 
 // SessionDown implements peer.Handler.
