--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,7 @@
 
 clean:
 	rm -rf $(BIN) .tmp
+
+# Runs the example fleet of Warmtekas on stand-ins.
+demo: build
+	$(BIN)/demo examples/warmtekas.yaml
--- /dev/null
+++ b/e2e/cmd/demo/main.go
@@ -0,0 +1,157 @@
+// Command demo runs the fleet of an example inventory on stand-ins, sends a few
+// requests as callers would, and prints what happened.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/e2e/harness"
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+const (
+	timeout = 90 * time.Second
+	// teams is how many teams send requests.
+	teams = 2
+	// requestsPerTeam is how many completions each team sends.
+	requestsPerTeam = 3
+	maxTokens       = 24
+)
+
+var errDemo = eris.New("demo: unexpected answer")
+
+type arguments struct {
+	Inventory string `arg:"positional" default:"examples/warmtekas.yaml" help:"inventory file"`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var args arguments
+	arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := demo(ctx, args.Inventory); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		return 1
+	}
+	return 0
+}
+
+func demo(ctx context.Context, path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	inv, err := config.ParseInventory(data)
+	if err != nil {
+		return err
+	}
+	f, err := harness.NewFleet(ctx, inv, harness.Options{EngineArgs: []string{"--token-interval-ms", "5"}})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	started := time.Now()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("fleet of %s: %d regions, %d routers, %d upstreams, %d teams, ready in %v\n\n", path,
+		len(inv.Regions), len(f.Routers), len(f.Upstreams), len(inv.Teams), time.Since(started).Round(time.Millisecond))
+	if err := completions(ctx, f); err != nil {
+		return err
+	}
+	if err := order(ctx, f); err != nil {
+		return err
+	}
+	if err := status(ctx, f); err != nil {
+		return err
+	}
+	fmt.Println("\nstopping every process")
+	return nil
+}
+
+// completions sends streamed and whole requests through every router.
+func completions(ctx context.Context, f *harness.Fleet) error {
+	model, err := serviceOf(f, config.KindModel)
+	if err != nil {
+		return err
+	}
+	for i, team := range f.Inventory.Teams[:teams] {
+		for n := range requestsPerTeam {
+			router := f.Routers[(i+n)%len(f.Routers)]
+			client := f.Client(router, team.ID)
+			req := standin.CompletionRequest{
+				Model:     model,
+				Prompt:    fmt.Sprintf("question %d of %s", n, team.ID),
+				MaxTokens: maxTokens,
+				Stream:    n%2 == 0,
+			}
+			answer := client.Complete(ctx, req, nil)
+			client.Close()
+			if err := harness.VerifyCompletion(req, answer); err != nil {
+				return err
+			}
+			fmt.Printf("%-12s via %-14s stream=%-5t %d bytes, first byte after %v, whole after %v\n", team.ID, router.ID,
+				req.Stream, len(answer.Body), answer.FirstByte.Round(time.Millisecond), answer.Total.Round(time.Millisecond))
+		}
+	}
+	return nil
+}
+
+// order sends one non-idempotent request twice, through two routers.
+func order(ctx context.Context, f *harness.Fleet) error {
+	rules := f.Inventory.Rules.NonIdempotent
+	if len(rules) == 0 {
+		return eris.Wrap(errDemo, "the inventory has no non-idempotent requests")
+	}
+	service, path := string(rules[0].Service), rules[0].PathPrefix
+	fmt.Println()
+	team := f.Inventory.Teams[0].ID
+	for _, router := range []*harness.Router{f.Routers[0], f.Routers[len(f.Routers)-1]} {
+		client := f.Client(router, team)
+		answer := client.Call(ctx, "POST", service, path, "demo-order-1", []byte(`{"cost_ms":20}`))
+		client.Close()
+		if answer.Err != nil {
+			return answer.Err
+		}
+		if answer.Outcome != harness.OutcomeComplete {
+			return eris.Wrapf(errDemo, "order: status %d, outcome %q: %s", answer.Status, answer.Outcome, answer.Body)
+		}
+		fmt.Printf("order with key demo-order-1 via %-14s status %d, outcome %s, %s\n", router.ID,
+			answer.Status, answer.Outcome, strings.TrimSpace(string(answer.Body)))
+	}
+	return nil
+}
+
+func status(ctx context.Context, f *harness.Fleet) error {
+	out, err := f.Run(ctx, "status", "--admin", f.Routers[0].AdminURL(), "--token", harness.AdminToken)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\nstatus of %s\n%s", f.Routers[0].ID, out)
+	return nil
+}
+
+func serviceOf(f *harness.Fleet, kind config.ServiceKind) (string, error) {
+	for _, service := range f.Inventory.Services {
+		if service.Kind == kind {
+			return string(service.ID), nil
+		}
+	}
+	return "", eris.Wrapf(errDemo, "the inventory has no service of kind %s", kind)
+}
--- a/node/sessions.go
+++ b/node/sessions.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -86,15 +87,19 @@
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b *peer.Session) int {
-		if a.ID() < b.ID() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *peer.Session) int { return cmp.Compare(a.ID(), b.ID()) })
 	return out
 }
 
+// Announce tells every peer this process's generation and whether it drains.
+func (x *Sessions) Announce() {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	for _, s := range x.byID {
+		s.Announce()
+	}
+}
+
 // Routers returns the identifiers of the connected routers of a region, in
 // order.
 func (x *Sessions) Routers(region fleet.RegionID) []fleet.NodeID {
--- a/router/router.go
+++ b/router/router.go
@@ -199,6 +199,7 @@
 func (r *Router) stop(front *http.Server) {
 	r.log.Info("router stopping")
 	r.draining.Store(true)
+	r.sessions.Announce()
 	r.queue.step(dispatch.StopAccepting{})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), r.settings.DrainTimeout.Std())
 	defer cancel()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -173,6 +173,7 @@
 	s.log.Info("sidecar draining")
 	s.draining.Store(true)
 	s.derive()
+	s.sessions.Announce()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), s.settings.DrainTimeout.Std())
 	defer cancel()
 	ticker := time.NewTicker(drainPoll)
