dispatch: bind waiting requests to granted slots

Requests wait at the router and slots pull them, so that nothing is bound before a slot is free and a drain strands no queued work. Pushing into queues at the sidecars and a central queue were ruled out in the design.

Demand is sent on a change between some and none, when it doubles or halves within twice the sidecar's slots, and at each refresh. The sidecar counts a granted request off by itself unless newer demand came since the grant, so a binding costs no demand message.

The random world also found that a sidecar that comes up must be told of all queues, not of as many as it has free slots: the others waited for the next refresh. And a queue whose only request excludes a sidecar must tell it of the next one.

--- /dev/null
+++ b/dispatch/admission.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+const (
+	minRetryAfter = 1 * time.Second
+	maxRetryAfter = 60 * time.Second
+	// unknownRetryAfter is answered while a queue's drain rate is unknown.
+	unknownRetryAfter = 5 * time.Second
+	// maxEvictions bounds the requests evicted to make room for one.
+	maxEvictions = 8
+)
+
+// teamUsage is what a team's waiting requests hold at this router.
+type teamUsage struct {
+	waiting int
+	bytes   int64
+}
+
+// arrive queues a new request or refuses it.
+func (r *Router) arrive(req Request) {
+	if _, known := r.waiting[req.ID]; known {
+		return
+	}
+	if req.Arrived.IsZero() {
+		req.Arrived = r.now
+	}
+	if r.stopping {
+		r.emit(Refuse{Request: req.ID, Reason: ReasonStopping, RetryAfter: minRetryAfter})
+		return
+	}
+	q := r.queue(req.Service, req.Team)
+	if reason, refused := r.refuseReason(q, req); refused {
+		r.refuse(q, req.ID, reason)
+		return
+	}
+	p := r.add(q, req)
+	q.pushBack(p)
+	if q.len == 1 {
+		r.activate(q)
+		return
+	}
+	r.notify(q)
+	r.tellFirst(q, p)
+	if len(q.excluded) > 0 {
+		// A sidecar that nothing else could run on may run this one.
+		r.fill(q)
+	}
+}
+
+// refuseReason tells why a new request can not wait. It makes room for one
+// that can.
+func (r *Router) refuseReason(q *teamQueue, req Request) (RefuseReason, bool) {
+	limits := r.cfg.Limits
+	switch {
+	case r.expired(req):
+		return ReasonDeadline, true
+	case limits.TeamWaiting > 0 && q.len >= limits.TeamWaiting:
+		return ReasonTeamLimit, true
+	case r.waitsTooLong(q, req):
+		return ReasonExpectedWait, true
+	case !r.makeRoom(req):
+		return ReasonRouterLimit, true
+	}
+	return 0, false
+}
+
+// requeue puts a request back before all that arrived after it.
+func (r *Router) requeue(req Request) {
+	if _, known := r.waiting[req.ID]; known {
+		return
+	}
+	if req.Arrived.IsZero() {
+		req.Arrived = r.now
+	}
+	q := r.queue(req.Service, req.Team)
+	if r.expired(req) {
+		r.refuse(q, req.ID, ReasonDeadline)
+		return
+	}
+	q.pushByArrival(r.add(q, req))
+	if q.len == 1 {
+		r.activate(q)
+		return
+	}
+	r.notify(q)
+}
+
+// cancel drops a request that still waits.
+func (r *Router) cancel(id RequestID) {
+	if p, ok := r.waiting[id]; ok {
+		r.remove(p)
+	}
+}
+
+// add counts a request that is about to be queued.
+func (r *Router) add(q *teamQueue, req Request) *pending {
+	p := &pending{Request: req, queue: q}
+	p.deadline.owner = p
+	r.waiting[req.ID] = p
+	r.bytes += req.Bytes
+	usage, ok := r.teams[req.Team]
+	if !ok {
+		usage = &teamUsage{}
+		r.teams[req.Team] = usage
+	}
+	usage.waiting++
+	usage.bytes += req.Bytes
+	if !req.Deadline.IsZero() {
+		r.timers.set(&p.deadline, req.Deadline)
+	}
+	return p
+}
+
+// remove takes a request out of its queue and updates who knows of it.
+func (r *Router) remove(p *pending) {
+	q := p.queue
+	q.unlink(p)
+	delete(r.waiting, p.ID)
+	r.timers.stop(&p.deadline)
+	r.bytes -= p.Bytes
+	usage := r.teams[p.Team]
+	usage.waiting--
+	usage.bytes -= p.Bytes
+	if usage.waiting == 0 {
+		delete(r.teams, p.Team)
+	}
+	if q.len == 0 {
+		r.deactivate(q)
+		return
+	}
+	r.notify(q)
+}
+
+// onTimer refuses the request: its deadline passed.
+func (p *pending) onTimer(r *Router) {
+	q := p.queue
+	r.remove(p)
+	r.refuse(q, p.ID, ReasonDeadline)
+}
+
+func (r *Router) refuse(q *teamQueue, id RequestID, reason RefuseReason) {
+	r.emit(Refuse{Request: id, Reason: reason, RetryAfter: r.retryAfter(q)})
+}
+
+// retryAfter returns when the queue, as it is, will have drained.
+func (r *Router) retryAfter(q *teamQueue) time.Duration {
+	wait, known := r.expectedWait(q)
+	if !known {
+		return unknownRetryAfter
+	}
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+func (r *Router) expired(req Request) bool {
+	return !req.Deadline.IsZero() && !req.Deadline.After(r.now)
+}
+
+// waitsTooLong tells whether the requests ahead take longer than the deadline
+// allows.
+func (r *Router) waitsTooLong(q *teamQueue, req Request) bool {
+	if req.Deadline.IsZero() || q.len == 0 {
+		return false
+	}
+	wait, known := r.expectedWait(q)
+	return known && wait > req.Deadline.Sub(r.now)
+}
+
+// expectedWait returns how long the queue takes to drain; false if its rate is
+// unknown. It is capped at an hour.
+func (r *Router) expectedWait(q *teamQueue) (time.Duration, bool) {
+	perSecond, known := q.drain.perSecond(r.now)
+	if !known {
+		return 0, false
+	}
+	seconds := float64(q.len) / perSecond
+	if !(seconds < time.Hour.Seconds()) {
+		return time.Hour, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// makeRoom tells whether a full router can take the request, and evicts the
+// newest requests of the team that holds the most if the arriving team will
+// still hold less than that.
+func (r *Router) makeRoom(req Request) bool {
+	limits := r.cfg.Limits
+	if limits.RouterBytes > 0 && req.Bytes > limits.RouterBytes {
+		return false
+	}
+	overCount := limits.RouterWaiting > 0 && len(r.waiting)+1 > limits.RouterWaiting
+	overBytes := int64(0)
+	if limits.RouterBytes > 0 {
+		overBytes = max(r.bytes+req.Bytes-limits.RouterBytes, 0)
+	}
+	if !overCount && overBytes == 0 {
+		return true
+	}
+	measure, needed := waitingOf, int64(1)
+	if overBytes > 0 {
+		measure, needed = bytesOf, req.Bytes
+	}
+	victims := r.victims(req.Team, measure, needed, overBytes)
+	for _, p := range victims {
+		q := p.queue
+		r.remove(p)
+		r.refuse(q, p.ID, ReasonRouterLimit)
+	}
+	return len(victims) > 0
+}
+
+// usageMeasure selects the resource that is short.
+type usageMeasure func(*teamUsage) int64
+
+func waitingOf(u *teamUsage) int64 { return int64(u.waiting) }
+func bytesOf(u *teamUsage) int64   { return u.bytes }
+
+// victims returns the requests to evict for one that the team needs room for;
+// none if that one is to be refused itself.
+func (r *Router) victims(team fleet.TeamID, measure usageMeasure, needed, overBytes int64) []*pending {
+	after := needed
+	if usage, ok := r.teams[team]; ok {
+		after += measure(usage)
+	}
+	largest := r.largestQueue(measure)
+	if largest == nil || largest.team == team || measure(r.teams[largest.team]) <= after {
+		return nil
+	}
+	var victims []*pending
+	freed := int64(0)
+	for p := largest.tail; p != nil && len(victims) < maxEvictions; p = p.prev {
+		victims = append(victims, p)
+		freed += p.Bytes
+		if freed >= overBytes {
+			return victims
+		}
+	}
+	return nil
+}
+
+// largestQueue returns the longest queue of the team that holds the most.
+func (r *Router) largestQueue(measure usageMeasure) *teamQueue {
+	var largest *teamQueue
+	for _, s := range r.serviceList {
+		for _, q := range s.active {
+			if largest == nil || r.holdsMore(q, largest, measure) {
+				largest = q
+			}
+		}
+	}
+	return largest
+}
+
+func (r *Router) holdsMore(a, b *teamQueue, measure usageMeasure) bool {
+	usageA, usageB := measure(r.teams[a.team]), measure(r.teams[b.team])
+	if usageA != usageB {
+		return usageA > usageB
+	}
+	return a.team == b.team && a.len > b.len
+}
--- /dev/null
+++ b/dispatch/demand.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// told is what one sidecar was told of a queue.
+type told struct {
+	sidecar *sidecarPeer
+	// waiting is the count that the sidecar holds, less the requests that were
+	// bound to its grants since.
+	waiting int
+	// granted tells whether it granted since the last rotation.
+	granted bool
+}
+
+// activate announces a queue that was empty.
+func (r *Router) activate(q *teamQueue) {
+	q.service.active = append(q.service.active, q)
+	q.drain.start(r.now)
+	q.scope = scopeFirst
+	q.refreshAt = r.now.Add(r.cfg.RefreshInterval)
+	r.tellFirst(q, q.head)
+	if len(q.told) == 0 {
+		r.widen(q)
+	}
+	r.scheduleProbe(q)
+	r.scheduleWake(q)
+}
+
+// deactivate withdraws the demand of a queue that became empty.
+func (r *Router) deactivate(q *teamQueue) {
+	at := slices.Index(q.service.active, q)
+	q.service.active = slices.Delete(q.service.active, at, at+1)
+	q.drain.stop(r.now)
+	for _, t := range q.told {
+		r.withdraw(q, t)
+	}
+	q.told = nil
+	r.timers.set(&q.wake, r.now.Add(queueRetention))
+}
+
+// onTimer probes and refreshes a waiting queue and drops one that stayed empty.
+func (q *teamQueue) onTimer(r *Router) {
+	if q.len == 0 {
+		delete(q.service.queues, q.team)
+		return
+	}
+	if !q.probeAt.IsZero() && !q.probeAt.After(r.now) {
+		if r.waitedForProbe(q) {
+			r.widen(q)
+		}
+		r.scheduleProbe(q)
+	}
+	if !q.refreshAt.After(r.now) {
+		r.narrow(q)
+		r.rotate(q)
+		r.fill(q)
+		r.refresh(q)
+		r.scheduleProbe(q)
+	}
+	r.scheduleWake(q)
+}
+
+// waitedForProbe tells whether the oldest request got no grant for as long as
+// the probe interval.
+func (r *Router) waitedForProbe(q *teamQueue) bool {
+	return r.now.Sub(q.head.Arrived) >= r.cfg.ProbeInterval
+}
+
+// scheduleProbe sets when the queue's scope is looked at next; the zero time if
+// nothing is left to widen.
+func (r *Router) scheduleProbe(q *teamQueue) {
+	q.probeAt = time.Time{}
+	switch {
+	case q.scope < scopeRegion && r.waitedForProbe(q):
+		q.probeAt = r.now.Add(r.cfg.ProbeInterval)
+	case q.scope < scopeRegion:
+		q.probeAt = q.head.Arrived.Add(r.cfg.ProbeInterval)
+	case q.scope == scopeRegion:
+		if at, ok := spillAt(q); ok {
+			q.probeAt = latest(at, r.now.Add(r.cfg.ProbeInterval))
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (r *Router) scheduleWake(q *teamQueue) {
+	at := q.refreshAt
+	if !q.probeAt.IsZero() && q.probeAt.Before(at) {
+		at = q.probeAt
+	}
+	r.timers.set(&q.wake, at)
+}
+
+// tellFirst tells the best sidecars for an arriving request unless those that
+// know of the queue have free slots for all that wait.
+func (r *Router) tellFirst(q *teamQueue, p *pending) {
+	if q.scope != scopeFirst {
+		return
+	}
+	free := 0
+	for _, t := range q.told {
+		free += t.sidecar.free
+	}
+	if free >= q.len {
+		return
+	}
+	room := r.cfg.MaxFanout - len(q.told)
+	targets := r.firstTargets(q, p)
+	for _, sc := range targets[:min(len(targets), room)] {
+		r.tell(q, sc)
+	}
+}
+
+// tell adds a sidecar to those that know of the queue.
+func (r *Router) tell(q *teamQueue, sc *sidecarPeer) {
+	t := &told{sidecar: sc}
+	q.told = append(q.told, t)
+	r.send(q, t)
+}
+
+// notify tells sidecars of a change that matters to them.
+func (r *Router) notify(q *teamQueue) {
+	for _, t := range q.told {
+		if changeMatters(t.waiting, q.waitingFor(t.sidecar.id), t.sidecar.slots) {
+			r.send(q, t)
+		}
+	}
+}
+
+// changeMatters tells whether a sidecar that holds one count must learn another:
+// between some and none always, else when the count doubled or halved within
+// twice the sidecar's slots, for beyond them it could not use more at once.
+func changeMatters(held, waiting, slots int) bool {
+	if held == 0 || waiting == 0 {
+		return held != waiting
+	}
+	if slots > 0 {
+		held = min(held, 2*slots)
+		waiting = min(waiting, 2*slots)
+	}
+	return waiting >= 2*held || 2*waiting <= held
+}
+
+// refresh repeats the demand to all that know of the queue.
+func (r *Router) refresh(q *teamQueue) {
+	q.refreshAt = r.now.Add(r.cfg.RefreshInterval)
+	for _, t := range q.told {
+		if t.waiting > 0 || q.waitingFor(t.sidecar.id) > 0 {
+			r.send(q, t)
+		}
+	}
+}
+
+func (r *Router) send(q *teamQueue, t *told) {
+	r.seq++
+	t.waiting = q.waitingFor(t.sidecar.id)
+	demand := SendDemand{
+		Sidecar: t.sidecar.id,
+		Team:    q.team,
+		Seq:     r.seq,
+		Waiting: t.waiting,
+		Weight:  q.weight,
+	}
+	if oldest := q.oldestFor(t.sidecar.id); oldest != nil {
+		demand.OldestAge = max(r.now.Sub(oldest.Arrived), 0)
+	}
+	r.emit(demand)
+}
+
+// withdraw tells a sidecar that nothing waits, if it believes otherwise.
+func (r *Router) withdraw(q *teamQueue, t *told) {
+	if t.waiting == 0 {
+		return
+	}
+	r.seq++
+	r.emit(SendDemand{Sidecar: t.sidecar.id, Team: q.team, Seq: r.seq, Weight: q.weight})
+}
+
+// forgetSidecar drops a sidecar that is gone or takes no work.
+func (r *Router) forgetSidecar(sc *sidecarPeer) {
+	for _, q := range sc.service.active {
+		q.forget(sc)
+		if len(q.told) > 0 {
+			continue
+		}
+		if r.fill(q) == 0 {
+			r.widen(q)
+		}
+		r.scheduleProbe(q)
+		r.scheduleWake(q)
+	}
+}
+
+// join tells a sidecar that came up or back of every queue that has room for it.
+func (r *Router) join(sc *sidecarPeer) {
+	for _, q := range sc.service.active {
+		if len(q.told) < r.cfg.MaxFanout && r.eligible(q, sc) {
+			r.tell(q, sc)
+		}
+	}
+}
+
+// offer tells a sidecar with free slots of queues that it does not know, until
+// it knows of work for all of them.
+func (r *Router) offer(sc *sidecarPeer, free int) {
+	for _, q := range sc.service.active {
+		if t := q.toldFor(sc); t != nil {
+			free -= t.waiting
+		}
+	}
+	for _, q := range sc.service.active {
+		if free <= 0 {
+			return
+		}
+		if !r.eligible(q, sc) {
+			continue
+		}
+		if len(q.told) >= r.cfg.MaxFanout && r.withdrawIdle(q, 1) == 0 {
+			continue
+		}
+		r.tell(q, sc)
+		free -= q.waitingFor(sc.id)
+	}
+}
--- /dev/null
+++ b/dispatch/queue.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// pending is one waiting request.
+type pending struct {
+	Request
+	queue      *teamQueue
+	prev, next *pending
+	deadline   timer[routerTimer]
+}
+
+// excludes tells whether the sidecar must not run the request.
+func (p *pending) excludes(sidecar fleet.NodeID) bool {
+	return slices.Contains(p.Exclude, sidecar)
+}
+
+// teamQueue holds the waiting requests of one team for one service, oldest
+// first, and what sidecars were told of them.
+//
+// Invariant: an empty queue is not in service.active and no sidecar is told of
+// it.
+type teamQueue struct {
+	service    *service
+	team       fleet.TeamID
+	hash       uint64
+	weight     float64
+	head, tail *pending
+	len        int
+	bytes      int64
+	// excluded counts the waiting requests that exclude a sidecar.
+	excluded map[fleet.NodeID]int
+	drain    rate
+
+	scope scope
+	told  []*told
+	// cursor is the sidecar that a rotation told last.
+	cursor    fleet.NodeID
+	refreshAt time.Time
+	probeAt   time.Time
+	wake      timer[routerTimer]
+}
+
+// newTeamQueue returns an empty queue of a service.
+func newTeamQueue(self fleet.NodeID, s *service, team fleet.TeamID) *teamQueue {
+	q := &teamQueue{
+		service: s,
+		team:    team,
+		hash:    xxhash.Sum64String(string(self) + "/" + string(team)),
+	}
+	q.wake.owner = q
+	return q
+}
+
+// pushBack adds a request as the newest.
+func (q *teamQueue) pushBack(p *pending) {
+	q.insertAfter(p, q.tail)
+}
+
+// pushByArrival adds a request before all that arrived after it.
+func (q *teamQueue) pushByArrival(p *pending) {
+	var before *pending
+	for after := q.head; after != nil && after.Arrived.Before(p.Arrived); after = after.next {
+		before = after
+	}
+	q.insertAfter(p, before)
+}
+
+// insertAfter links a request behind another; nil puts it at the head.
+func (q *teamQueue) insertAfter(p, before *pending) {
+	p.queue = q
+	p.prev = before
+	if before == nil {
+		p.next = q.head
+		q.head = p
+	} else {
+		p.next = before.next
+		before.next = p
+	}
+	if p.next == nil {
+		q.tail = p
+	} else {
+		p.next.prev = p
+	}
+	q.len++
+	q.bytes += p.Bytes
+	q.weight = p.Weight
+	q.countExcluded(p, 1)
+}
+
+// unlink removes a request.
+func (q *teamQueue) unlink(p *pending) {
+	if p.prev == nil {
+		q.head = p.next
+	} else {
+		p.prev.next = p.next
+	}
+	if p.next == nil {
+		q.tail = p.prev
+	} else {
+		p.next.prev = p.prev
+	}
+	p.prev, p.next = nil, nil
+	q.len--
+	q.bytes -= p.Bytes
+	q.countExcluded(p, -1)
+}
+
+// countExcluded adds delta for each distinct sidecar that the request excludes.
+func (q *teamQueue) countExcluded(p *pending, delta int) {
+	for i, id := range p.Exclude {
+		if slices.Contains(p.Exclude[:i], id) {
+			continue
+		}
+		if q.excluded == nil {
+			q.excluded = map[fleet.NodeID]int{}
+		}
+		q.excluded[id] += delta
+		if q.excluded[id] == 0 {
+			delete(q.excluded, id)
+		}
+	}
+}
+
+// waitingFor returns how many requests the sidecar may run.
+func (q *teamQueue) waitingFor(sidecar fleet.NodeID) int {
+	return q.len - q.excluded[sidecar]
+}
+
+// oldestFor returns the oldest request that the sidecar may run, or nil.
+func (q *teamQueue) oldestFor(sidecar fleet.NodeID) *pending {
+	p := q.head
+	for p != nil && p.excludes(sidecar) {
+		p = p.next
+	}
+	return p
+}
+
+// toldFor returns what the sidecar was told, or nil.
+func (q *teamQueue) toldFor(sc *sidecarPeer) *told {
+	for _, t := range q.told {
+		if t.sidecar == sc {
+			return t
+		}
+	}
+	return nil
+}
+
+// forget drops the sidecar from those that know of the queue.
+func (q *teamQueue) forget(sc *sidecarPeer) {
+	q.told = slices.DeleteFunc(q.told, func(t *told) bool { return t.sidecar == sc })
+}
--- a/dispatch/router_api.go
+++ b/dispatch/router_api.go
@@ -147,7 +147,7 @@
 	GrantID uint64
 }
 
-// DeclineGrant returns a grant. It withdraws the team's demand at that sidecar
+// DeclineGrant returns a grant that binds nothing. It withdraws the team's demand at that sidecar
 // until a SendDemand with a higher Seq.
 type DeclineGrant struct {
 	Sidecar fleet.NodeID
--- a/dispatch/sidecar.go
+++ b/dispatch/sidecar.go
@@ -1,18 +1,183 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Defaults of SidecarConfig.
+const (
+	defaultGrantExpiryFloor = 20 * time.Millisecond
+	defaultGrantExpiryRTTs  = 4
+)
+
+// demandRetentionRefreshes is how many refresh intervals demand is believed for.
+const demandRetentionRefreshes = 3
 
 // Sidecar is the sidecar's side of dispatch.
-type Sidecar struct{}
+//
+// Invariants: running <= slots at every start, and at every grant
+// grants + staged + running <= slots + staging.
+type Sidecar struct {
+	cfg       SidecarConfig
+	accounts  Accounts
+	now       time.Time
+	slots     int
+	accepting bool
+	routers   map[fleet.NodeID]*routerPeer
+	teams     map[fleet.TeamID]*teamDemand
+	// open holds the teams with work that can be granted, in no meaningful order.
+	open        []*teamDemand
+	grants      map[uint64]*grant
+	lastGrantID uint64
+	// staged holds the requests that arrived and have no slot yet, oldest first.
+	staged      []stagedRequest
+	running     map[uint64]struct{}
+	soloRunning bool
+	completions rate
+	// roundTrip is the moving average over the routers that were granted slots.
+	roundTrip time.Duration
+	timers    timers[sidecarTimer]
+	actions   []SidecarAction
+}
+
+// sidecarTimer is what a timer of the sidecar belongs to.
+type sidecarTimer interface{ onTimer(s *Sidecar) }
+
+// routerPeer is a router as the sidecar knows it.
+type routerPeer struct {
+	id      fleet.NodeID
+	rtt     time.Duration
+	demands map[fleet.TeamID]*demand
+	// lapsed is set when a grant expired unanswered, until the router is heard
+	// from again.
+	lapsed bool
+	// backoff multiplies the expiry of grants; it doubles when one lapses.
+	backoff int
+	// lastGrant is the id of the newest grant to this router.
+	lastGrant uint64
+}
 
 // NewSidecar returns a sidecar without routers that accepts work.
-func NewSidecar(SidecarConfig, Accounts) *Sidecar { return &Sidecar{} }
+func NewSidecar(cfg SidecarConfig, accounts Accounts) *Sidecar {
+	cfg.GrantExpiryFloor = cmp.Or(cfg.GrantExpiryFloor, defaultGrantExpiryFloor)
+	cfg.GrantExpiryRTTs = cmp.Or(cfg.GrantExpiryRTTs, defaultGrantExpiryRTTs)
+	cfg.RefreshInterval = cmp.Or(cfg.RefreshInterval, defaultRefreshInterval)
+	return &Sidecar{
+		cfg:         cfg,
+		accounts:    accounts,
+		slots:       cfg.Slots,
+		accepting:   true,
+		routers:     map[fleet.NodeID]*routerPeer{},
+		teams:       map[fleet.TeamID]*teamDemand{},
+		grants:      map[uint64]*grant{},
+		lastGrantID: uint64(cfg.Incarnation),
+		running:     map[uint64]struct{}{},
+	}
+}
 
-// Step applies an event and returns what is to be done, in order.
-func (s *Sidecar) Step(time.Time, SidecarEvent) []SidecarAction { return nil }
+// Step applies an event and returns what is to be done, in order. Timers that
+// are due fire first, whatever the event.
+func (s *Sidecar) Step(now time.Time, ev SidecarEvent) []SidecarAction {
+	if now.After(s.now) {
+		s.now = now
+	}
+	s.actions = nil
+	s.fireTimers()
+	switch ev := ev.(type) {
+	case RouterUp:
+		s.routerDown(ev.Router)
+		s.routers[ev.Router] = newRouterPeer(ev.Router)
+	case RouterDown:
+		s.routerDown(ev.Router)
+	case DemandReceived:
+		s.demandReceived(ev)
+	case GrantDeclined:
+		s.grantDeclined(ev)
+	case RequestArrived:
+		s.requestArrived(ev)
+	case RequestFinished:
+		s.requestFinished(ev.RequestID)
+	case SetSlots:
+		s.slots = ev.Slots
+	case SetAccepting:
+		s.setAccepting(ev.Accepting)
+	case RoundTrip:
+		if peer, ok := s.routers[ev.Router]; ok {
+			peer.rtt = ev.RTT
+		}
+	case TickSidecar:
+	}
+	s.startStaged()
+	s.grantFree()
+	return s.actions
+}
 
 // NextWake returns when TickSidecar is due; false if it is not needed.
-func (s *Sidecar) NextWake() (time.Time, bool) { return time.Time{}, false }
+func (s *Sidecar) NextWake() (time.Time, bool) { return s.timers.next() }
 
 // Load returns the state that routers are told.
-func (s *Sidecar) Load() Load { return Load{} }
+func (s *Sidecar) Load() Load {
+	return Load{
+		Slots:     s.slots,
+		FreeSlots: max(s.slots-s.committed(), 0),
+		Accepting: s.accepting,
+	}
+}
+
+// committed counts the work that has a slot or is to get one.
+func (s *Sidecar) committed() int {
+	return len(s.grants) + len(s.staged) + len(s.running)
+}
+
+func (s *Sidecar) emit(a SidecarAction) { s.actions = append(s.actions, a) }
+
+func (s *Sidecar) fireTimers() {
+	for {
+		tm, due := s.timers.popDue(s.now)
+		if !due {
+			return
+		}
+		tm.owner.onTimer(s)
+	}
+}
+
+func newRouterPeer(id fleet.NodeID) *routerPeer {
+	return &routerPeer{id: id, demands: map[fleet.TeamID]*demand{}, backoff: 1}
+}
+
+// routerDown forgets a router's demand and releases its grants. Requests that
+// arrived go on until they are finished.
+func (s *Sidecar) routerDown(id fleet.NodeID) {
+	peer, ok := s.routers[id]
+	if !ok {
+		return
+	}
+	for _, grantID := range slices.Sorted(maps.Keys(s.grants)) {
+		if g := s.grants[grantID]; g.demand.router == peer {
+			s.releaseGrant(g)
+		}
+	}
+	for _, team := range slices.Sorted(maps.Keys(peer.demands)) {
+		s.dropDemand(peer.demands[team])
+	}
+	delete(s.routers, id)
+}
+
+// heardFrom ends a router's lapse.
+func (s *Sidecar) heardFrom(peer *routerPeer) {
+	if peer.lapsed {
+		s.setLapsed(peer, false)
+	}
+}
+
+func (s *Sidecar) setLapsed(peer *routerPeer, lapsed bool) {
+	peer.lapsed = lapsed
+	for _, team := range slices.Sorted(maps.Keys(peer.demands)) {
+		s.updateOpen(peer.demands[team])
+	}
+}
--- a/dispatch/sidecar_api.go
+++ b/dispatch/sidecar_api.go
@@ -69,7 +69,8 @@
 }
 
 // GrantDeclined returns a grant and withdraws the team's demand until a higher
-// Seq.
+// Seq. Seq 0 only returns the grant: its request was bound and given up before
+// it was sent.
 type GrantDeclined struct {
 	Router  fleet.NodeID
 	GrantID uint64
--- /dev/null
+++ b/dispatch/targets.go
@@ -0,0 +1,255 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// distance is how far a sidecar is from the router.
+type distance int
+
+const (
+	sameFailureDomain distance = iota
+	sameRegion
+	otherRegion
+)
+
+func distanceOf(a, b fleet.Location) distance {
+	switch {
+	case a == b:
+		return sameFailureDomain
+	case a.Region == b.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// scope is how far the demand of a queue has been spread.
+type scope int
+
+const (
+	scopeFirst scope = iota
+	scopeFailureDomain
+	scopeRegion
+	scopeFleet
+)
+
+// covers tells whether sidecars at that distance belong to the scope.
+func (s scope) covers(d distance) bool { return s >= scope(d)+scopeFailureDomain }
+
+// loadBound is how far above the mean load a sidecar may be and still be
+// chosen for its affinity.
+const loadBound = 1.25
+
+// rotationDivisor is the part of the subset that is replaced at a refresh.
+const rotationDivisor = 4
+
+// firstTargets returns the best sidecars with a free slot that do not know of
+// the queue yet: near first, then by affinity among those not overloaded, then
+// by free slots.
+func (r *Router) firstTargets(q *teamQueue, p *pending) []*sidecarPeer {
+	found := r.candidates[:0]
+	usedSlots, allSlots := 0, 0
+	for _, sc := range q.service.sidecars {
+		if !sc.accepting || sc.distance == otherRegion {
+			continue
+		}
+		usedSlots += sc.slots - sc.free
+		allSlots += sc.slots
+		if sc.free > 0 && !p.excludes(sc.id) && q.toldFor(sc) == nil {
+			found = append(found, sc)
+		}
+	}
+	r.candidates = found
+	mean := float64(usedSlots+1) / float64(max(allSlots, 1))
+	slices.SortFunc(found, func(a, b *sidecarPeer) int {
+		if c := cmp.Compare(a.distance, b.distance); c != 0 {
+			return c
+		}
+		if p.AffinityKey != 0 {
+			return compareAffinity(a, b, p.AffinityKey, mean)
+		}
+		return compareFree(a, b, q.hash)
+	})
+	return found[:min(len(found), r.cfg.FirstTargets)]
+}
+
+// compareAffinity orders by bounded-load rendezvous hashing.
+func compareAffinity(a, b *sidecarPeer, key uint64, mean float64) int {
+	overA, overB := a.overloaded(mean), b.overloaded(mean)
+	if overA != overB {
+		if overA {
+			return 1
+		}
+		return -1
+	}
+	if c := cmp.Compare(mix(key, b.hash), mix(key, a.hash)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+func compareFree(a, b *sidecarPeer, seed uint64) int {
+	if c := cmp.Compare(b.free, a.free); c != 0 {
+		return c
+	}
+	return compareHash(a, b, seed)
+}
+
+func compareHash(a, b *sidecarPeer, seed uint64) int {
+	if c := cmp.Compare(mix(seed, a.hash), mix(seed, b.hash)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+// overloaded tells whether one more request takes the sidecar past its bound.
+func (sc *sidecarPeer) overloaded(mean float64) bool {
+	used := float64(sc.slots - sc.free)
+	return used+1 > math.Ceil(loadBound*mean*float64(sc.slots))
+}
+
+// mix combines two hashes (the finalizer of splitmix64).
+func mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// widen spreads the demand to the next scope that adds a sidecar.
+func (r *Router) widen(q *teamQueue) {
+	for q.scope < scopeFleet {
+		if q.scope == scopeRegion && !r.spillDue(q) {
+			return
+		}
+		q.scope++
+		if r.fill(q) > 0 {
+			return
+		}
+	}
+}
+
+// spillAt returns when the oldest request may go to other regions.
+func spillAt(q *teamQueue) (time.Time, bool) {
+	if q.head == nil || q.head.SpillAfter < 0 {
+		return time.Time{}, false
+	}
+	return q.head.Arrived.Add(q.head.SpillAfter), true
+}
+
+func (r *Router) spillDue(q *teamQueue) bool {
+	at, ok := spillAt(q)
+	return ok && !at.After(r.now)
+}
+
+// untold returns the sidecars of the queue's scope that do not know of it.
+func (r *Router) untold(q *teamQueue) []*sidecarPeer {
+	found := r.candidates[:0]
+	for _, sc := range q.service.sidecars {
+		if r.eligible(q, sc) {
+			found = append(found, sc)
+		}
+	}
+	r.candidates = found
+	return found
+}
+
+// eligible tells whether the sidecar could be told of the queue and was not.
+func (r *Router) eligible(q *teamQueue, sc *sidecarPeer) bool {
+	return sc.accepting && q.scope.covers(sc.distance) && q.waitingFor(sc.id) > 0 && q.toldFor(sc) == nil
+}
+
+// fill tells the nearest sidecars of the scope, up to MaxFanout, and returns
+// how many.
+func (r *Router) fill(q *teamQueue) int {
+	room := r.cfg.MaxFanout - len(q.told)
+	if room <= 0 {
+		return 0
+	}
+	found := r.untold(q)
+	slices.SortFunc(found, func(a, b *sidecarPeer) int {
+		if c := cmp.Compare(a.distance, b.distance); c != 0 {
+			return c
+		}
+		return compareHash(a, b, q.hash)
+	})
+	found = found[:min(len(found), room)]
+	for _, sc := range found {
+		r.tell(q, sc)
+	}
+	return len(found)
+}
+
+// rotate replaces a part of a full subset that brought no grants since the last
+// refresh, so that a large fleet is reached in turn.
+func (r *Router) rotate(q *teamQueue) {
+	defer func() {
+		for _, t := range q.told {
+			t.granted = false
+		}
+	}()
+	if len(q.told) < r.cfg.MaxFanout {
+		return
+	}
+	found := r.untold(q)
+	if len(found) == 0 {
+		return
+	}
+	replace := min(len(found), max(r.cfg.MaxFanout/rotationDivisor, 1))
+	replace = r.withdrawIdle(q, replace)
+	first := q.rotationStart(found)
+	for i := range replace {
+		sc := found[(first+i)%len(found)]
+		q.cursor = sc.id
+		r.tell(q, sc)
+	}
+}
+
+// rotationStart returns the index of the first sidecar after the last one that
+// a rotation told. Different routers and teams start at different ones.
+func (q *teamQueue) rotationStart(found []*sidecarPeer) int {
+	if q.cursor == "" {
+		return int(q.hash % uint64(len(found)))
+	}
+	next, _ := slices.BinarySearchFunc(found, q.cursor, comparePeerID)
+	return next
+}
+
+// withdrawIdle withdraws from at most n sidecars that granted nothing, those
+// told first before others, and returns how many.
+func (r *Router) withdrawIdle(q *teamQueue, n int) int {
+	kept := q.told[:0]
+	dropped := 0
+	for _, t := range q.told {
+		if dropped < n && !t.granted {
+			r.withdraw(q, t)
+			dropped++
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(q.told[len(kept):])
+	q.told = kept
+	return dropped
+}
+
+// narrow withdraws from other regions when the oldest request no longer waits
+// long enough for them.
+func (r *Router) narrow(q *teamQueue) {
+	if q.scope < scopeFleet || r.spillDue(q) {
+		return
+	}
+	q.scope = scopeRegion
+	q.told = slices.DeleteFunc(q.told, func(t *told) bool {
+		far := t.sidecar.distance == otherRegion
+		if far {
+			r.withdraw(q, t)
+		}
+		return far
+	})
+}
--- /dev/null
+++ b/dispatch/world_spec_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+var _ = Describe("Routers and sidecars together", func() {
+	// flood has a team arrive with n requests at once.
+	flood := func(w *world, r *worldRouter, team fleet.TeamID, n int, work time.Duration) {
+		for range n {
+			w.arrive(r, request(RequestID(len(w.requests)+1), team), work)
+		}
+	}
+
+	It("keeps the gap between backlogged teams bounded beside a flood", func() {
+		const slots, work = 4, 20 * time.Millisecond
+		w := newWorld(GinkgoT(), 2, 1, slots, time.Millisecond, true)
+		served := map[fleet.TeamID]int{}
+		total, worst := 0, 0
+		w.onStart = func(q *worldRequest) {
+			served[q.Team]++
+			total++
+			if total <= 300 { // all ten teams are backlogged until here
+				for i := range 10 {
+					gap := served[q.Team] - served[fleet.TeamID(fmt.Sprint("t", i))]
+					worst = max(worst, gap)
+				}
+			}
+		}
+		flood(w, w.routers[0], "t0", 2000, work)
+		for i := range 9 {
+			flood(w, w.routers[i%2], fleet.TeamID(fmt.Sprint("t", i+1)), 100, work)
+		}
+		w.run(at(20 * time.Second))
+		Expect(w.unfinished()).To(BeEmpty())
+		// A request for each slot and each staged one: the grants that the first
+		// team got before the others were known.
+		Expect(worst).To(BeNumerically("<=", 2*slots))
+	})
+
+	It("does not let a frozen router idle an upstream", func() {
+		const slots, work = 4, 20 * time.Millisecond
+		w := newWorld(GinkgoT(), 2, 1, slots, time.Millisecond, true)
+		flood(w, w.routers[0], "t0", 5000, work)
+		flood(w, w.routers[1], "t1", 5000, work)
+		w.run(at(time.Second))
+		w.freeze(w.routers[0], 10*time.Second)
+		before := w.busyTime
+		w.run(at(6 * time.Second))
+		utilisation := (w.busyTime - before).Seconds() / (5 * slots)
+		Expect(utilisation).To(BeNumerically(">", 0.98))
+	})
+
+	DescribeTable("utilisation", func(staging bool, lo, hi float64) {
+		const slots, work = 4, 20 * time.Millisecond
+		w := newWorld(GinkgoT(), 2, 1, slots, 5*time.Millisecond, staging)
+		flood(w, w.routers[0], "t0", 1000, work)
+		flood(w, w.routers[1], "t1", 1000, work)
+		w.run(at(time.Second))
+		before := w.busyTime
+		w.run(at(6 * time.Second))
+		utilisation := (w.busyTime - before).Seconds() / (5 * slots)
+		GinkgoWriter.Printf("staging %v: utilisation %.3f\n", staging, utilisation)
+		Expect(utilisation).To(And(BeNumerically(">=", lo), BeNumerically("<=", hi)))
+	},
+		Entry("with staging hides the round trip", true, 0.98, 1.01),
+		Entry("without staging waits for each grant", false, 0.6, 0.7),
+	)
+})
