--- a/config/publisher.go
+++ b/config/publisher.go
@@ -263,7 +263,7 @@
 func (p *Publisher) writeShard(ctx context.Context, shard Shard) error {
 	_, err := p.store.Put(ctx, shardKey(shard.Hash), shard.Data, platform.IfAbsent())
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
-		_, err = p.store.Put(ctx, shardKey(shard.Hash), shard.Data, platform.Condition{})
+		err = p.renewShard(ctx, shard)
 	}
 	if err == nil {
 		return nil
@@ -271,6 +271,20 @@
 	return eris.Wrapf(ErrNotAccepted, "shard %s: %v", shard.Hash, err)
 }
 
+// renewShard writes a shard that is there already. Another renewal that comes
+// first serves as well.
+func (p *Publisher) renewShard(ctx context.Context, shard Shard) error {
+	held, err := p.store.Get(ctx, shardKey(shard.Hash))
+	if err != nil {
+		return err
+	}
+	_, err = p.store.Put(ctx, shardKey(shard.Hash), shard.Data, platform.IfVersion(held.Version))
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 func sleep(ctx context.Context, delay time.Duration) bool {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
--- /dev/null
+++ b/e2e/harness/load.go
@@ -0,0 +1,91 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Load sends completions in a closed loop and checks every answer.
+type Load struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	whole    int
+	failures []string
+}
+
+// LoadOptions describes a load.
+type LoadOptions struct {
+	Routers []*Router
+	Teams   []fleet.TeamID
+	// Workers is the count of requests in progress for each router and team.
+	Workers   int
+	MaxTokens int
+	Stream    bool
+}
+
+// StartLoad starts a load that ends with Stop or ctx.
+func (f *Fleet) StartLoad(ctx context.Context, o LoadOptions) *Load {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &Load{cancel: cancel}
+	for _, router := range o.Routers {
+		for _, team := range o.Teams {
+			client := f.Client(router, team)
+			for worker := range o.Workers {
+				name := fmt.Sprintf("%s %s %d", router.ID, team, worker)
+				l.wg.Go(func() { l.run(ctx, client, name, o) })
+			}
+		}
+	}
+	return l
+}
+
+func (l *Load) run(ctx context.Context, client *Client, name string, o LoadOptions) {
+	defer client.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		req := standin.CompletionRequest{
+			Model:     string(ModelService),
+			Prompt:    fmt.Sprintf("%s request %d", name, n),
+			MaxTokens: o.MaxTokens,
+			Stream:    o.Stream,
+		}
+		// A request is never cut by the end of the load.
+		answer := client.Complete(context.WithoutCancel(ctx), req, nil)
+		l.record(name, VerifyCompletion(req, answer))
+	}
+}
+
+func (l *Load) record(name string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failures = append(l.failures, name+": "+err.Error())
+		return
+	}
+	l.whole++
+}
+
+// Whole returns the count of whole answers so far.
+func (l *Load) Whole() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.whole
+}
+
+// Failures returns what went wrong so far.
+func (l *Load) Failures() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.failures...)
+}
+
+// Stop ends the load once every request in progress has its answer.
+func (l *Load) Stop() {
+	l.cancel()
+	l.wg.Wait()
+}
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -59,10 +59,11 @@
 		return nil, eris.Wrap(ErrHandshake, err.Error())
 	}
 	reader := bufio.NewReader(control)
-	remote, err := exchangeHello(control, reader, local)
+	first, err := exchangeHello(control, reader, local)
 	if err != nil {
 		return nil, err
 	}
+	remote := first.GetHello()
 	if err := checkHello(remote, local, want); err != nil {
 		return nil, err
 	}
@@ -75,6 +76,7 @@
 		reader:  reader,
 		local:   local,
 		remote:  remote,
+		first:   first,
 		pair:    regionPair(fleet.RegionID(local.Hello.GetRegion()), fleet.RegionID(remote.GetRegion())),
 		queue:   make(chan *peerpb.Envelope, sendQueueLength),
 		done:    make(chan struct{}),
@@ -83,7 +85,7 @@
 	return s, nil
 }
 
-func exchangeHello(control net.Conn, reader *bufio.Reader, local *Local) (*peerpb.Hello, error) {
+func exchangeHello(control net.Conn, reader *bufio.Reader, local *Local) (*peerpb.Envelope, error) {
 	out := &peerpb.Envelope{
 		Generation: local.Generation(),
 		Body:       &peerpb.Envelope_Hello{Hello: local.Hello},
@@ -95,11 +97,10 @@
 	if err := readMessage(reader, in, MaxFrameBytes); err != nil {
 		return nil, eris.Wrap(ErrHandshake, err.Error())
 	}
-	hello := in.GetHello()
-	if hello == nil {
+	if in.GetHello() == nil {
 		return nil, eris.Wrap(ErrHandshake, "first message is not a hello")
 	}
-	return hello, nil
+	return in, nil
 }
 
 func checkHello(remote *peerpb.Hello, local *Local, want fleet.NodeID) error {
--- a/peer/session.go
+++ b/peer/session.go
@@ -56,7 +56,9 @@
 	reader  *bufio.Reader
 	local   *Local
 	remote  *peerpb.Hello
-	pair    string
+	// first is the message that carried remote.
+	first *peerpb.Envelope
+	pair  string
 	// dialed is set if this process opened the connection.
 	dialed bool
 
@@ -145,6 +147,8 @@
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
 	h.SessionUp(s)
+	// The hello carries the peer's generation.
+	h.Message(s, s.first)
 	var wg sync.WaitGroup
 	wg.Go(s.writeLoop)
 	wg.Go(s.heartbeatLoop)
