--- a/node/listen.go
+++ b/node/listen.go
@@ -23,3 +23,17 @@
 	}
 	return ln, nil
 }
+
+// DialSource returns the address to dial from so that peers see the address
+// that this process listens on, nil if it listens on all addresses.
+func DialSource(listen string) net.Addr {
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
--- a/peer/network.go
+++ b/peer/network.go
@@ -144,7 +144,7 @@
 }
 
 func (n *Network) dialOnce(ctx context.Context, t Target) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: n.local.Source}
 	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return eris.Wrap(ErrClosed, err.Error())
--- a/peer/session.go
+++ b/peer/session.go
@@ -34,6 +34,8 @@
 // Local describes this process to its peers.
 type Local struct {
 	Hello *peerpb.Hello
+	// Source is the address that sessions are dialed from; nil for any.
+	Source net.Addr
 	// Generation returns the highest configuration generation held.
 	Generation func() uint64
 	// Draining reports whether this process takes no new work.
--- a/router/router.go
+++ b/router/router.go
@@ -92,7 +92,12 @@
 		OnBehind: r.behind.Store,
 	})
 	r.membership = newMembership(r.queue, r.adoption.Index, log)
-	local := &peer.Local{Hello: r.hello(), Generation: r.adoption.Generation, Draining: r.draining.Load}
+	local := &peer.Local{
+		Hello:      r.hello(),
+		Source:     node.DialSource(settings.Listen.Peer),
+		Generation: r.adoption.Generation,
+		Draining:   r.draining.Load,
+	}
 	r.network = peer.NewNetwork(local, r, log, tls.PeerServer, tls.PeerClient)
 	return r
 }
