Test configurations under failure and mend what the tests showed

Cause: routers that all restarted empty during an outage of the platform knew no sidecars, and sidecars dialed no one, so the configuration that the sidecars held reached nobody. A sidecar without any router now dials the routers of its configuration. A router without configuration panicked on the load message of such a session; it now leaves unknown sidecars out.

--- a/cmd/fulmarside/main.go
+++ b/cmd/fulmarside/main.go
@@ -75,7 +75,8 @@
 		return err
 	}
 	defer func() { _ = flush(background) }()
-	server, _, err := node.PeerTLS(settings.TLS.Peer)
+	var links sidecar.TLS
+	links.PeerServer, links.PeerClient, err = node.PeerTLS(settings.TLS.Peer)
 	if err != nil {
 		return err
 	}
@@ -87,5 +88,5 @@
 	if err != nil {
 		return err
 	}
-	return sidecar.New(background, settings, server, log).Run(ctx, ln, adminLn)
+	return sidecar.New(background, settings, links, log).Run(ctx, ln, adminLn)
 }
--- /dev/null
+++ b/e2e/configuration/doc.go
@@ -0,0 +1,2 @@
+// Package configuration tests how configurations are accepted and adopted.
+package configuration
--- a/node/adoption.go
+++ b/node/adoption.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,9 @@
 	"fulmarspindle.example/fulmarspindle/platform"
 )
 
+// generationInForce is the generation of the configuration in force.
+var generationInForce = expvar.NewInt("config_generation")
+
 // platformRetry is the pause after a failed read from the platform.
 const platformRetry = 500 * time.Millisecond
 
@@ -167,6 +171,7 @@
 	case config.Adopt:
 		snapshot := act.Snapshot
 		a.snapshot.Store(&snapshot)
+		generationInForce.Set(int64(snapshot.Generation))
 		a.opts.Log.Info("configuration adopted", zap.Uint64("generation", snapshot.Generation))
 		a.opts.OnAdopt(snapshot)
 		a.opts.Sessions.Announce()
--- a/peer/session.go
+++ b/peer/session.go
@@ -96,13 +96,20 @@
 func (s *Session) VMIncarnation() uint64 { return s.remote.GetVmIncarnation() }
 
 // Preferred reports whether this session outranks another one to the same
-// incarnation of the peer: the one that the lower identifier dialed does, so
-// that both sides keep the same.
+// incarnation of the peer. Between a router and a sidecar the one that the
+// router dialed does, between routers the one that the lower identifier dialed,
+// so that both sides keep the same.
 func (s *Session) Preferred() bool {
+	if s.local.Hello.GetRole() != s.remote.GetRole() {
+		return s.dialed == (s.local.Hello.GetRole() == peerpb.Role_ROLE_ROUTER)
+	}
 	lower := s.local.Hello.GetId() < s.remote.GetId()
 	return s.dialed == lower
 }
 
+// Dialed reports whether this process opened the connection.
+func (s *Session) Dialed() bool { return s.dialed }
+
 // RTT returns the last measured round trip time, zero before the first.
 func (s *Session) RTT() time.Duration { return time.Duration(s.rtt.Load()) }
 
--- a/router/membership.go
+++ b/router/membership.go
@@ -120,8 +120,12 @@
 	}
 }
 
-// refresh tells the queue whether a sidecar takes work. The lock is held.
+// refresh tells the queue whether a sidecar takes work. One that the
+// configuration does not name is left out. The lock is held.
 func (m *membership) refresh(id fleet.NodeID) {
+	if _, ok := m.serviceOf(id); !ok {
+		return
+	}
 	state := m.sidecars[id]
 	eligible, reason := fleet.Eligible(m.inputs(id, state))
 	if reason != state.reason {
@@ -187,9 +191,7 @@
 	defer m.mu.Unlock()
 	m.vms = vms
 	for id := range m.sidecars {
-		if _, ok := m.serviceOf(id); ok {
-			m.refresh(id)
-		}
+		m.refresh(id)
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -60,9 +60,14 @@
 	active atomic.Int64
 }
 
-// New returns a sidecar. Its background work ends with ctx. The TLS
-// configuration is nil for plain TCP.
-func New(ctx context.Context, settings config.SidecarSettings, server *tls.Config, log *zap.Logger) *Sidecar {
+// TLS holds the configurations of the peer links; nil ones are plain TCP.
+type TLS struct {
+	PeerServer *tls.Config
+	PeerClient *tls.Config
+}
+
+// New returns a sidecar. Its background work ends with ctx.
+func New(ctx context.Context, settings config.SidecarSettings, tls TLS, log *zap.Logger) *Sidecar {
 	s := &Sidecar{
 		settings:    settings,
 		incarnation: fleet.Incarnation(time.Now().UnixNano()),
@@ -83,8 +88,13 @@
 		OnAdopt:  func(config.Snapshot) { s.derive() },
 		OnBehind: func(bool) {},
 	})
-	local := &peer.Local{Hello: s.hello(), Generation: s.adoption.Generation, Draining: s.draining.Load}
-	s.network = peer.NewNetwork(local, s, log, server, nil)
+	local := &peer.Local{
+		Hello:      s.hello(),
+		Source:     node.DialSource(settings.Listen.Peer),
+		Generation: s.adoption.Generation,
+		Draining:   s.draining.Load,
+	}
+	s.network = peer.NewNetwork(local, s, log, tls.PeerServer, tls.PeerClient)
 	return s
 }
 
@@ -158,6 +168,7 @@
 	go func() { failed <- s.network.Serve(background, ln) }()
 	go s.health.run(background)
 	go s.reportLoop(background)
+	go s.seekRouters(background)
 	s.log.Info("sidecar started", zap.Stringer("peer", ln.Addr()))
 	select {
 	case <-ctx.Done():
