--- a/e2e/harness/load.go
+++ b/e2e/harness/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -16,6 +17,8 @@
 
 	mu       sync.Mutex
 	whole    int
+	refused  int
+	broken   int
 	failures []string
 }
 
@@ -56,18 +59,40 @@
 		}
 		// A request is never cut by the end of the load.
 		answer := client.Complete(context.WithoutCancel(ctx), req, nil)
-		l.record(name, VerifyCompletion(req, answer))
+		l.record(name, answer, VerifyCompletion(req, answer))
 	}
 }
 
-func (l *Load) record(name string, err error) {
+// record counts an answer. A refusal that says "not run" and an answer that
+// visibly broke off are told apart from every other failure.
+func (l *Load) record(name string, answer Answer, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.whole++
+	case errors.Is(err, ErrRefused) && answer.Outcome == OutcomeNotRun:
+		l.refused++
+	case errors.Is(err, ErrBroken):
+		l.broken++
+	}
 	if err != nil {
 		l.failures = append(l.failures, name+": "+err.Error())
-		return
 	}
-	l.whole++
+}
+
+// Refused returns the count of refusals that said "not run" so far.
+func (l *Load) Refused() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused
+}
+
+// Broken returns the count of answers that broke off or never began so far.
+func (l *Load) Broken() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broken
 }
 
 // Whole returns the count of whole answers so far.
@@ -77,7 +102,7 @@
 	return l.whole
 }
 
-// Failures returns what went wrong so far.
+// Failures describes every answer that was not whole so far.
 func (l *Load) Failures() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/e2e/partition/doc.go
@@ -0,0 +1,2 @@
+// Package partition tests routers that are cut off, frozen, killed or stopped.
+package partition
--- a/router/router.go
+++ b/router/router.go
@@ -38,7 +38,9 @@
 	requests  = expvar.NewInt("router_requests")
 	completed = expvar.NewInt("router_completed")
 	retries   = expvar.NewInt("router_retries")
-	refused   = expvar.NewMap("router_refused")
+	// dispatched is the count of requests that are at a sidecar now.
+	dispatched = expvar.NewInt("router_dispatched")
+	refused    = expvar.NewMap("router_refused")
 )
 
 // Router is a router process.
--- a/router/serve.go
+++ b/router/serve.go
@@ -146,7 +146,9 @@
 		return result{outcome: peerpb.Outcome_OUTCOME_NOT_RUN, reason: "session closed"}, nil
 	}
 	a := &attempt{id: attemptID, job: j, bind: bind, w: w, session: session}
+	dispatched.Add(1)
 	res := a.run(ctx)
+	dispatched.Add(-1)
 	res.sidecar = bind.Sidecar
 	if res.crashID != "" {
 		r.suspects.crashed(j.req, res.crashID)
