--- a/config/adopter.go
+++ b/config/adopter.go
@@ -176,7 +176,7 @@
 }
 
 // candidate returns the candidate of a head. A new one starts with the shards
-// that are held already. The lowest gives way when there are too many.
+// that are held already.
 func (a *Adopter) candidate(head Head, raw []byte) *candidate {
 	for _, c := range a.candidates {
 		if c.head.Generation == head.Generation {
--- /dev/null
+++ b/fleet/health_test.go
@@ -0,0 +1,110 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+var _ = Describe("Health", func() {
+	var (
+		now    time.Time
+		health *fleet.Health
+	)
+
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		health = fleet.NewHealth(fleet.HealthOptions{})
+	})
+
+	// probe runs the next probe and returns how long it was waited for.
+	probe := func(ok bool) (time.Duration, []fleet.HealthAction) {
+		wake, _ := health.NextWake()
+		wait := max(0, wake.Sub(now))
+		now = now.Add(wait)
+		actions := health.Step(now, fleet.HealthTick{})
+		Expect(actions).To(HaveLen(1))
+		return wait, health.Step(now, fleet.ProbeDone{Seq: actions[0].(fleet.Probe).Seq, OK: ok})
+	}
+
+	It("starts down and comes up at the first success", func() {
+		Expect(health.Up()).To(BeFalse())
+		wait, actions := probe(true)
+		Expect(wait).To(BeZero())
+		Expect(actions).To(ConsistOf(fleet.BecameUp{}))
+	})
+
+	It("goes down after consecutive failures only, then backs off, and is up at once", func() {
+		probe(true)
+		for range 2 {
+			probe(false)
+			probe(false)
+			_, actions := probe(true)
+			Expect(actions).To(BeEmpty())
+		}
+		probe(false)
+		probe(false)
+		_, actions := probe(false)
+		Expect(actions).To(ConsistOf(fleet.BecameDown{}))
+		var waits []time.Duration
+		for range 5 {
+			wait, _ := probe(false)
+			waits = append(waits, wait)
+		}
+		second := time.Second
+		Expect(waits).To(Equal([]time.Duration{second, 2 * second, 4 * second, 5 * second, 5 * second}))
+		_, actions = probe(true)
+		Expect(actions).To(ConsistOf(fleet.BecameUp{}))
+	})
+
+	It("counts requests and overdue probes, and ignores late results", func() {
+		probe(true)
+		now = now.Add(time.Second)
+		late := health.Step(now, fleet.HealthTick{})[0].(fleet.Probe)
+		now = now.Add(fleet.DefaultProbeTimeout)
+		Expect(health.Step(now, fleet.HealthTick{})).To(BeEmpty())
+		Expect(health.Step(now, fleet.ProbeDone{Seq: late.Seq, OK: true})).To(BeEmpty())
+		Expect(health.Step(now, fleet.RequestDone{})).To(BeEmpty())
+		Expect(health.Step(now, fleet.RequestDone{})).To(ConsistOf(fleet.BecameDown{}))
+	})
+})
+
+var _ = Describe("Ramp", func() {
+	It("offers a share at first and one more slot for each completion", func() {
+		ramp := fleet.NewRamp(8)
+		Expect(ramp.Offered(0)).To(Equal(8))
+		ramp.Returned()
+		Expect(ramp.Offered(0)).To(Equal(2))
+		Expect(ramp.Offered(2)).To(BeZero())
+		for range 20 {
+			ramp.Completed()
+		}
+		Expect(ramp.Offered(0)).To(Equal(8))
+	})
+
+	It("offers at least one slot", func() {
+		ramp := fleet.NewRamp(1)
+		ramp.Returned()
+		Expect(ramp.Offered(0)).To(Equal(1))
+	})
+
+	It("never withholds a free slot from waiting work", func() {
+		ramp := fleet.NewRamp(8)
+		ramp.Returned()
+		for busy := range 9 {
+			Expect(ramp.Grantable(busy)).To(Equal(8 - busy))
+		}
+	})
+
+	It("follows the configured slots", func() {
+		ramp := fleet.NewRamp(8)
+		ramp.Resize(16)
+		Expect(ramp.Offered(0)).To(Equal(16))
+		ramp.Returned()
+		ramp.Resize(2)
+		Expect(ramp.Offered(0)).To(Equal(2))
+	})
+})
