--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,155 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// document is a parsed YAML document, kept to find the lines of keys.
+type document struct {
+	name string
+	file *ast.File
+}
+
+// decodeError turns an error of the YAML library into an *InvalidError.
+func decodeError(name string, file *ast.File, err error) error {
+	found := Issue{Expected: err.Error()}
+	var detail yaml.Error
+	if errors.As(err, &detail) && detail.GetToken() != nil {
+		found.Expected = expectation(detail)
+		found.Line = detail.GetToken().Position.Line
+		found.Key = keyAt(file, detail.GetToken())
+	}
+	return newInvalidError(name, found)
+}
+
+// expectation tells in words what the YAML library expected.
+func expectation(err yaml.Error) string {
+	var wrongType *yaml.TypeError
+	var unknown *yaml.UnknownFieldError
+	var malformed *yaml.SyntaxError
+	switch {
+	case errors.As(err, &wrongType):
+		return kindName(wrongType.DstType.Kind())
+	case errors.As(err, &unknown):
+		return "a known key"
+	case errors.As(err, &malformed):
+		return fmt.Sprintf("well-formed YAML (%s)", malformed.Message)
+	}
+	return err.GetMessage()
+}
+
+func kindName(kind reflect.Kind) string {
+	switch kind {
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		return "an integer"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct:
+		return "a mapping"
+	default:
+		return "a text"
+	}
+}
+
+// invalid adds the lines of the keys to the issues.
+func (d *document) invalid(issues []issue) error {
+	found := make([]Issue, len(issues))
+	for i, is := range issues {
+		found[i] = Issue{Line: d.line(is.key), Key: is.key, Expected: is.expected, Got: is.got}
+	}
+	return newInvalidError(d.name, found...)
+}
+
+// line returns the line of a key, or of its nearest parent that is present.
+func (d *document) line(key string) int {
+	for key != "" {
+		if line, ok := d.exactLine(key); ok {
+			return line
+		}
+		key = parentKey(key)
+	}
+	return 1
+}
+
+func (d *document) exactLine(key string) (int, bool) {
+	path, err := yaml.PathString("$." + key)
+	if err != nil {
+		return 0, false
+	}
+	node, err := path.FilterFile(d.file)
+	if err != nil || node == nil || node.GetToken() == nil {
+		return 0, false
+	}
+	return node.GetToken().Position.Line, true
+}
+
+func parentKey(key string) string {
+	for i := len(key) - 1; i > 0; i-- {
+		if key[i] == '.' || key[i] == '[' {
+			return key[:i]
+		}
+	}
+	return ""
+}
+
+// keyAt returns the path of the value or key that a token belongs to.
+func keyAt(file *ast.File, tok *token.Token) string {
+	finder := &tokenFinder{offset: tok.Position.Offset}
+	walkFile(file, finder)
+	return finder.key
+}
+
+// firstReference returns the token of the first anchor or alias, or nil.
+func firstReference(file *ast.File) *token.Token {
+	finder := &referenceFinder{}
+	walkFile(file, finder)
+	return finder.token
+}
+
+func walkFile(file *ast.File, visitor ast.Visitor) {
+	if file == nil {
+		return
+	}
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			ast.Walk(visitor, doc.Body)
+		}
+	}
+}
+
+type tokenFinder struct {
+	offset int
+	key    string
+}
+
+// Visit implements ast.Visitor.
+func (f *tokenFinder) Visit(node ast.Node) ast.Visitor {
+	tok := node.GetToken()
+	if tok != nil && tok.Position.Offset == f.offset && len(node.GetPath()) > 2 {
+		f.key = node.GetPath()[2:]
+	}
+	return f
+}
+
+type referenceFinder struct {
+	token *token.Token
+}
+
+// Visit implements ast.Visitor.
+func (f *referenceFinder) Visit(node ast.Node) ast.Visitor {
+	kind := node.Type()
+	if f.token == nil && (kind == ast.AnchorType || kind == ast.AliasType) {
+		f.token = node.GetToken()
+	}
+	return f
+}
--- a/config/duration.go
+++ b/config/duration.go
@@ -42,7 +42,12 @@
 // UnmarshalYAML reads a span and keeps the place of a malformed one.
 func (d *Duration) UnmarshalYAML(node ast.Node) error {
 	if d.UnmarshalText([]byte(node.GetToken().Value)) != nil {
-		return &yaml.SyntaxError{Message: durationExpected, Token: node.GetToken()}
+		return expectedError{&yaml.SyntaxError{Message: durationExpected, Token: node.GetToken()}}
 	}
 	return nil
 }
+
+// expectedError is a yaml.Error whose message tells what was expected.
+type expectedError struct {
+	*yaml.SyntaxError
+}
--- a/config/head.go
+++ b/config/head.go
@@ -64,6 +64,15 @@
 	return Encoded{Head: e.Head, Shards: missing}
 }
 
+// Hashes returns the hashes of the shards.
+func (e Encoded) Hashes() []Hash {
+	out := make([]Hash, len(e.Shards))
+	for i, shard := range e.Shards {
+		out[i] = shard.Hash
+	}
+	return out
+}
+
 // ParseHead decodes a head object's value. It returns ErrCorrupt.
 func ParseHead(data []byte) (Head, error) {
 	var head Head
