Decode only the shards that changed at adoption

Keeping the decoded shards of the configuration in force brought it to 57 ms, 0.6%. What is left is sorting and indexing.

--- a/config/adopter.go
+++ b/config/adopter.go
@@ -42,8 +42,9 @@
 	options    AdopterOptions
 	snapshot   Snapshot
 	encoded    Encoded
-	candidates []*candidate // by generation, ascending; all above the snapshot's
-	refused    uint64       // highest generation that could not be decoded
+	decoded    map[Hash]shardContent // of the snapshot
+	candidates []*candidate          // by generation, ascending; all above the snapshot's
+	refused    uint64                // highest generation that could not be decoded
 	peers      map[fleet.NodeID]uint64
 	sightings  []sighting
 	behind     bool
@@ -235,13 +236,14 @@
 		if len(c.missing()) > 0 {
 			continue
 		}
-		snapshot, err := c.decode()
+		snapshot, decoded, err := c.decode(a.decoded)
 		if err != nil {
 			a.refused = max(a.refused, c.head.Generation)
 			a.candidates = slices.Delete(a.candidates, i, i+1)
 			return append([]Action{Reject{Err: err}}, a.adopt()...)
 		}
 		a.snapshot = snapshot
+		a.decoded = decoded
 		a.encoded = c.encoded()
 		a.candidates = slices.Clone(a.candidates[i+1:])
 		a.forgetSightings()
@@ -260,16 +262,18 @@
 	return out
 }
 
-func (c *candidate) decode() (Snapshot, error) {
-	inv, err := Join(c.head, c.shards)
+// decode takes the shards that were decoded before from the cache.
+func (c *candidate) decode(cache map[Hash]shardContent) (Snapshot, map[Hash]shardContent, error) {
+	inv, decoded, err := joinCached(c.head, c.shards, cache)
 	if err != nil {
-		return Snapshot{}, err
+		return Snapshot{}, nil, err
 	}
 	index, err := NewIndex(inv)
 	if err != nil {
-		return Snapshot{}, err
+		return Snapshot{}, nil, err
 	}
-	return Snapshot{Generation: c.head.Generation, Head: c.head, Inventory: inv, Index: index}, nil
+	snapshot := Snapshot{Generation: c.head.Generation, Head: c.head, Inventory: inv, Index: index}
+	return snapshot, decoded, nil
 }
 
 func (c *candidate) encoded() Encoded {
--- a/config/adopter_test.go
+++ b/config/adopter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -224,4 +225,16 @@
 		adopter.Step(time.Unix(1000, 0), config.HeadSeen{Head: e.Head, Shards: e.Shards, From: "a"})
 	}
 	b.ReportMetric(float64(bytes), "wire-B/change")
+	held := heapBytes()
+	runtime.KeepAlive(adopter)
+	adopter = nil
+	b.ReportMetric(float64(held-heapBytes()), "held-B")
+	runtime.KeepAlive(inv)
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
 }
--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -109,8 +110,7 @@
 		_, err := publisher.Apply(ctx, proposal(9, "mine"))
 		var conflict *config.ConflictError
 		Expect(err).To(MatchError(config.ErrConflict))
-		Expect(err).To(BeAssignableToTypeOf(conflict))
-		conflict = err.(*config.ConflictError)
+		Expect(errors.As(err, &conflict)).To(BeTrue())
 		Expect(conflict.Current).To(BeEquivalentTo(2))
 		Expect(conflict.Changes).To(ConsistOf(config.Change{Section: config.SectionUpstreams, ID: "up-1", Kind: config.Modified}))
 		Expect(slotsInForce()).To(Equal(5))
--- a/config/shard.go
+++ b/config/shard.go
@@ -38,13 +38,15 @@
 // of their identifier, so that a change of one item alters one shard.
 func Split(inv Inventory) (Head, []Shard, error) {
 	s := &splitter{}
+	inv.Rules.Shares = slices.Clone(inv.Rules.Shares)
+	sortShares(inv.Rules.Shares)
 	splitSection(s, inv.Regions, regionID, func(c *shardContent, items []Region) { c.Regions = items })
 	splitSection(s, inv.VMs, vmID, func(c *shardContent, items []VM) { c.VMs = items })
 	splitSection(s, inv.Routers, routerID, func(c *shardContent, items []Router) { c.Routers = items })
 	splitSection(s, inv.Services, serviceID, func(c *shardContent, items []Service) { c.Services = items })
 	splitSection(s, inv.Upstreams, upstreamID, func(c *shardContent, items []Upstream) { c.Upstreams = items })
 	splitSection(s, inv.Teams, teamID, func(c *shardContent, items []Team) { c.Teams = items })
-	splitSection(s, inv.Rules.Shares, shareID, func(c *shardContent, items []Share) { c.Shares = items })
+	splitSection(s, inv.Rules.Shares, shareTeam, func(c *shardContent, items []Share) { c.Shares = items })
 	rules := inv.Rules
 	rules.Shares = nil
 	s.add(shardContent{Rules: &rules})
@@ -128,43 +130,61 @@
 // shard is missing, has another hash or cannot be decoded. Lists come sorted
 // by identifier.
 func Join(head Head, shards map[Hash][]byte) (Inventory, error) {
+	inv, _, err := joinCached(head, shards, nil)
+	return inv, err
+}
+
+// joinCached is Join for a process that has decoded most shards before. It
+// returns the decoded shards of this head.
+func joinCached(head Head, shards map[Hash][]byte, cache map[Hash]shardContent) (Inventory, map[Hash]shardContent, error) {
 	var inv Inventory
+	contents := make(map[Hash]shardContent, len(head.Shards))
 	for _, hash := range head.Shards {
-		data, ok := shards[hash]
+		content, ok := cache[hash]
 		if !ok {
-			return Inventory{}, eris.Wrapf(ErrCorrupt, "shard %s is missing", hash)
-		}
-		if HashOf(data) != hash {
-			return Inventory{}, eris.Wrapf(ErrCorrupt, "shard %s has other content", hash)
-		}
-		if err := joinShard(&inv, data); err != nil {
-			return Inventory{}, eris.Wrapf(ErrCorrupt, "shard %s: %v", hash, err)
+			decoded, err := decodeShard(hash, shards)
+			if err != nil {
+				return Inventory{}, nil, err
+			}
+			content = decoded
 		}
+		contents[hash] = content
+		content.appendTo(&inv)
 	}
 	sortInventory(&inv)
-	return inv, nil
+	return inv, contents, nil
 }
 
-func joinShard(inv *Inventory, data []byte) error {
+func decodeShard(hash Hash, shards map[Hash][]byte) (shardContent, error) {
 	var content shardContent
+	data, ok := shards[hash]
+	if !ok {
+		return content, eris.Wrapf(ErrCorrupt, "shard %s is missing", hash)
+	}
+	if HashOf(data) != hash {
+		return content, eris.Wrapf(ErrCorrupt, "shard %s has other content", hash)
+	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&content); err != nil {
-		return err
+		return content, eris.Wrapf(ErrCorrupt, "shard %s: %v", hash, err)
 	}
-	inv.Regions = append(inv.Regions, content.Regions...)
-	inv.VMs = append(inv.VMs, content.VMs...)
-	inv.Routers = append(inv.Routers, content.Routers...)
-	inv.Services = append(inv.Services, content.Services...)
-	inv.Upstreams = append(inv.Upstreams, content.Upstreams...)
-	inv.Teams = append(inv.Teams, content.Teams...)
-	if content.Rules != nil {
+	return content, nil
+}
+
+func (c shardContent) appendTo(inv *Inventory) {
+	inv.Regions = append(inv.Regions, c.Regions...)
+	inv.VMs = append(inv.VMs, c.VMs...)
+	inv.Routers = append(inv.Routers, c.Routers...)
+	inv.Services = append(inv.Services, c.Services...)
+	inv.Upstreams = append(inv.Upstreams, c.Upstreams...)
+	inv.Teams = append(inv.Teams, c.Teams...)
+	if c.Rules != nil {
 		shares := inv.Rules.Shares
-		inv.Rules = *content.Rules
+		inv.Rules = *c.Rules
 		inv.Rules.Shares = shares
 	}
-	inv.Rules.Shares = append(inv.Rules.Shares, content.Shares...)
-	return nil
+	inv.Rules.Shares = append(inv.Rules.Shares, c.Shares...)
 }
 
 func sortInventory(inv *Inventory) {
@@ -174,13 +194,19 @@
 	sortByID(inv.Services, serviceID)
 	sortByID(inv.Upstreams, upstreamID)
 	sortByID(inv.Teams, teamID)
-	sortByID(inv.Rules.Shares, shareID)
+	sortShares(inv.Rules.Shares)
 }
 
 func sortByID[T any](items []T, id func(T) string) {
 	slices.SortStableFunc(items, func(a, b T) int { return cmp.Compare(id(a), id(b)) })
 }
 
+func sortShares(shares []Share) {
+	slices.SortFunc(shares, func(a, b Share) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Service, b.Service))
+	})
+}
+
 // HashOf returns the hash of a shard's data.
 func HashOf(data []byte) Hash {
 	sum := sha256.Sum256(data)
@@ -193,4 +219,5 @@
 func serviceID(s Service) string   { return string(s.ID) }
 func upstreamID(u Upstream) string { return string(u.ID) }
 func teamID(t Team) string         { return string(t.ID) }
+func shareTeam(s Share) string     { return string(s.Team) }
 func shareID(s Share) string       { return string(s.Team) + "/" + string(s.Service) }
