--- a/config/helpers_test.go
+++ b/config/helpers_test.go
@@ -74,6 +74,8 @@
 // memoryStore is a Store in memory. beforePut and afterPut may fail a write
 // unapplied and applied.
 type memoryStore struct {
+	platform.Store // Watch and VMs are not used.
+
 	mu        sync.Mutex
 	version   platform.Version
 	now       time.Time
@@ -142,14 +144,6 @@
 	return entries, nil
 }
 
-func (s *memoryStore) Watch(context.Context, string, platform.Version) ([]platform.Entry, platform.Version, error) {
-	return nil, 0, platform.ErrUnavailable
-}
-
-func (s *memoryStore) VMs(context.Context) ([]platform.VMStatus, error) {
-	return nil, platform.ErrUnavailable
-}
-
 // encode returns an inventory as a head of the given generation and shards.
 func encode(inv config.Inventory, generation uint64) config.Encoded {
 	head, shards, err := config.Split(inv)
--- a/config/inventory.go
+++ b/config/inventory.go
@@ -125,7 +125,7 @@
 	Incarnation uint64 `json:"incarnation,omitempty" yaml:"incarnation,omitempty"`
 }
 
-// Limits bound the waiting requests.
+// Limits bound the waiting requests. Zero stands for the default.
 type Limits struct {
 	// TeamWaiting is the count of requests of one team that wait at a router.
 	TeamWaiting int `json:"team_waiting,omitempty" yaml:"team_waiting,omitempty" validate:"gt=0"`
--- a/config/parse.go
+++ b/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"os"
@@ -39,6 +40,37 @@
 	return inv, nil
 }
 
+// EncodeInventory writes an inventory as JSON. Between processes it takes the
+// place of the document, whose parsing needs a hundred times its size in
+// memory.
+func EncodeInventory(inv Inventory) ([]byte, error) {
+	data, err := json.Marshal(inv)
+	return data, eris.Wrap(err, "config: cannot encode the inventory")
+}
+
+// DecodeInventory reads what EncodeInventory wrote, checks it like
+// ParseInventory and fills in the defaults of absent fields. Its *InvalidError
+// has no lines.
+func DecodeInventory(data []byte) (Inventory, error) {
+	if len(data) > MaxInventoryBytes {
+		return Inventory{}, eris.Wrapf(ErrTooLarge, "%s: expected at most %d bytes", inventoryName, MaxInventoryBytes)
+	}
+	var inv Inventory
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&inv); err != nil {
+		return Inventory{}, eris.Wrapf(ErrInvalid, "%s: %v", inventoryName, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Inventory{}, eris.Wrapf(ErrInvalid, "%s: expected a single document", inventoryName)
+	}
+	inv = withDefaults(inv)
+	if err := Validate(inv); err != nil {
+		return Inventory{}, err
+	}
+	return inv, nil
+}
+
 // FormatInventory writes an inventory as a document.
 func FormatInventory(inv Inventory) ([]byte, error) {
 	data, err := yaml.Marshal(inv)
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -32,6 +32,16 @@
 		Expect(again).To(Equal(sampleInventory()))
 	})
 
+	It("reads its JSON form as strictly", func() {
+		data, err := config.EncodeInventory(sampleInventory())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(config.DecodeInventory(data)).To(Equal(sampleInventory()))
+		for _, bad := range []string{`{"colour":1}`, `{} {}`, `{"teams":[{"id":""}]}`, `[`} {
+			_, err = config.DecodeInventory([]byte(bad))
+			Expect(err).To(MatchError(config.ErrInvalid))
+		}
+	})
+
 	DescribeTable("names the line, the key and what was expected", func(old, replacement, want string) {
 		text := sampleText()
 		Expect(text).To(ContainSubstring(old))
