dispatch: widen in doubling steps and count ended requests as free slots

Telling the whole failure domain whenever no free slot was known cost most of the control messages of a busy fleet, and the router's count of free slots only fell until the next load report. Widening now tells as many sidecars more as know already (4, 8, 16), and RequestEnded gives a slot back at the router. Reporting every change of load to every router was ruled out: it costs a message for each router and request.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -48,7 +48,7 @@
 	r.tellFirst(q, p)
 	if len(q.excluded) > 0 {
 		// A sidecar that nothing else could run on may run this one.
-		r.fill(q)
+		r.fill(q, r.cfg.MaxFanout)
 	}
 }
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -21,13 +21,7 @@
 			s.Step(start, DemandReceived{Router: router, Team: team, Seq: uint64(t + 1), Waiting: 1 << 40})
 		}
 	}
-	grants := collect[SendGrant](s.Step(start, SetSlots{65}))
-	grants = append(grants[:0], SendGrant{Router: "r0"})
-	for id, g := range s.grants {
-		grants[0] = SendGrant{Router: g.demand.router.id, GrantID: id, Team: g.demand.team.team}
-		break
-	}
-	next := grants[0]
+	next := s.Step(start, SetSlots{65})[0].(SendGrant)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		l.charged[next.Team]++
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -56,7 +56,7 @@
 	if !q.refreshAt.After(r.now) {
 		r.narrow(q)
 		r.rotate(q)
-		r.fill(q)
+		r.fill(q, r.cfg.MaxFanout)
 		r.refresh(q)
 		r.scheduleProbe(q)
 	}
@@ -74,9 +74,9 @@
 func (r *Router) scheduleProbe(q *teamQueue) {
 	q.probeAt = time.Time{}
 	switch {
-	case q.scope < scopeRegion && r.waitedForProbe(q):
+	case (q.more || q.scope < scopeRegion) && r.waitedForProbe(q):
 		q.probeAt = r.now.Add(r.cfg.ProbeInterval)
-	case q.scope < scopeRegion:
+	case q.more || q.scope < scopeRegion:
 		q.probeAt = q.head.Arrived.Add(r.cfg.ProbeInterval)
 	case q.scope == scopeRegion:
 		if at, ok := spillAt(q); ok {
@@ -192,9 +192,7 @@
 		if len(q.told) > 0 {
 			continue
 		}
-		if r.fill(q) == 0 {
-			r.widen(q)
-		}
+		r.widen(q)
 		r.scheduleProbe(q)
 		r.scheduleWake(q)
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -40,7 +40,9 @@
 	drain    rate
 
 	scope scope
-	told  []*told
+	// more tells whether the scope has sidecars left that were not told.
+	more bool
+	told []*told
 	// cursor is the sidecar that a rotation told last.
 	cursor    fleet.NodeID
 	refreshAt time.Time
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -96,6 +96,8 @@
 		r.cancel(ev.ID)
 	case GrantReceived:
 		r.grant(ev)
+	case RequestEnded:
+		r.requestEnded(ev.Sidecar)
 	case SidecarUp:
 		r.sidecarUp(ev)
 	case SidecarDown:
@@ -187,6 +189,13 @@
 	r.emit(DeclineGrant{Sidecar: ev.Sidecar, GrantID: ev.GrantID, Team: ev.Team, Seq: r.seq})
 }
 
+// requestEnded counts the slot of a bound request as free.
+func (r *Router) requestEnded(id fleet.NodeID) {
+	if sc, ok := r.sidecars[id]; ok {
+		sc.free = min(sc.free+1, sc.slots)
+	}
+}
+
 func (r *Router) sidecarUp(ev SidecarUp) {
 	r.sidecarDown(ev.Sidecar)
 	s := r.service(ev.Service)
--- a/dispatch/router_api.go
+++ b/dispatch/router_api.go
@@ -85,6 +85,10 @@
 	Expires time.Time
 }
 
+// RequestEnded tells that a bound request has left its sidecar, whatever its
+// outcome. The slot counts as free until the sidecar's load says otherwise.
+type RequestEnded struct{ Sidecar fleet.NodeID }
+
 // SidecarUp starts a session with a sidecar. It counts as accepting, with
 // unknown slots, until its first SidecarLoad.
 type SidecarUp struct {
@@ -118,6 +122,7 @@
 func (Requeue) routerEvent()       {}
 func (CancelRequest) routerEvent() {}
 func (GrantReceived) routerEvent() {}
+func (RequestEnded) routerEvent()  {}
 func (SidecarUp) routerEvent()     {}
 func (SidecarDown) routerEvent()   {}
 func (SidecarLoad) routerEvent()   {}
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -212,6 +212,7 @@
 		}
 		holding, seen := map[fleet.NodeID]bool{}, map[fleet.NodeID]bool{}
 		actions := r.Step(start, Arrive{request(1, "a")})
+		Expect(toldBy(actions)).To(HaveLen(4), "in steps that double")
 		actions = append(actions, tickUntil(r, at(15*time.Second))...)
 		for _, d := range collect[SendDemand](actions) {
 			delete(holding, d.Sidecar)
--- a/dispatch/sidecar_test.go
+++ b/dispatch/sidecar_test.go
@@ -103,6 +103,10 @@
 	})
 
 	It("forgets demand with its router, its incarnation or after three refreshes", func() {
+		Expect(grants(0, demandOf("r0", "a", 1, 1, 0))).To(HaveLen(1))
+		s.Step(start, RouterDown{"r0"})
+		Expect(s.Load()).To(Equal(Load{Slots: 1, FreeSlots: 1, Accepting: true}))
+		Expect(l.reserved["a"]).To(BeZero())
 		s.Step(start, SetSlots{0})
 		for _, ev := range []SidecarEvent{RouterDown{"r0"}, RouterUp{Router: "r0", Incarnation: 2}} {
 			s.Step(start, RouterUp{Router: "r0"})
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -121,16 +121,15 @@
 	return x ^ (x >> 31)
 }
 
-// widen spreads the demand to the next scope that adds a sidecar.
+// widen tells as many sidecars more as know of the queue already, the nearest
+// first, going on to the next scope when one is used up.
 func (r *Router) widen(q *teamQueue) {
-	for q.scope < scopeFleet {
-		if q.scope == scopeRegion && !r.spillDue(q) {
+	step := max(len(q.told), 2*r.cfg.FirstTargets)
+	for r.fill(q, step) == 0 {
+		if q.scope == scopeFleet || (q.scope == scopeRegion && !r.spillDue(q)) {
 			return
 		}
 		q.scope++
-		if r.fill(q) > 0 {
-			return
-		}
 	}
 }
 
@@ -164,10 +163,11 @@
 	return sc.accepting && q.scope.covers(sc.distance) && q.waitingFor(sc.id) > 0 && q.toldFor(sc) == nil
 }
 
-// fill tells the nearest sidecars of the scope, up to MaxFanout, and returns
-// how many.
-func (r *Router) fill(q *teamQueue) int {
-	room := r.cfg.MaxFanout - len(q.told)
+// fill tells the nearest sidecars of the scope, up to limit and MaxFanout, and
+// returns how many.
+func (r *Router) fill(q *teamQueue, limit int) int {
+	q.more = false
+	room := min(r.cfg.MaxFanout-len(q.told), limit)
 	if room <= 0 {
 		return 0
 	}
@@ -178,6 +178,7 @@
 		}
 		return compareHash(a, b, q.hash)
 	})
+	q.more = len(found) > room
 	found = found[:min(len(found), room)]
 	for _, sc := range found {
 		r.tell(q, sc)
--- a/dispatch/world_spec_test.go
+++ b/dispatch/world_spec_test.go
@@ -18,6 +18,15 @@
 		}
 	}
 
+	// utilisation runs the world from 1 s to 6 s.
+	utilisation := func(w *world, slots float64, fault func()) float64 {
+		w.run(at(time.Second))
+		fault()
+		before := w.busyTime
+		w.run(at(6 * time.Second))
+		return (w.busyTime - before).Seconds() / (5 * slots)
+	}
+
 	It("keeps the gap between backlogged teams bounded beside a flood", func() {
 		const slots, work = 4, 20 * time.Millisecond
 		w := newWorld(GinkgoT(), 2, 1, slots, time.Millisecond, true)
@@ -49,12 +58,8 @@
 		w := newWorld(GinkgoT(), 2, 1, slots, time.Millisecond, true)
 		flood(w, w.routers[0], "t0", 5000, work)
 		flood(w, w.routers[1], "t1", 5000, work)
-		w.run(at(time.Second))
-		w.freeze(w.routers[0], 10*time.Second)
-		before := w.busyTime
-		w.run(at(6 * time.Second))
-		utilisation := (w.busyTime - before).Seconds() / (5 * slots)
-		Expect(utilisation).To(BeNumerically(">", 0.98))
+		busy := utilisation(w, slots, func() { w.freeze(w.routers[0], 10*time.Second) })
+		Expect(busy).To(BeNumerically(">", 0.98))
 	})
 
 	DescribeTable("utilisation", func(staging bool, lo, hi float64) {
@@ -62,12 +67,9 @@
 		w := newWorld(GinkgoT(), 2, 1, slots, 5*time.Millisecond, staging)
 		flood(w, w.routers[0], "t0", 1000, work)
 		flood(w, w.routers[1], "t1", 1000, work)
-		w.run(at(time.Second))
-		before := w.busyTime
-		w.run(at(6 * time.Second))
-		utilisation := (w.busyTime - before).Seconds() / (5 * slots)
-		GinkgoWriter.Printf("staging %v: utilisation %.3f\n", staging, utilisation)
-		Expect(utilisation).To(And(BeNumerically(">=", lo), BeNumerically("<=", hi)))
+		busy := utilisation(w, slots, func() {})
+		GinkgoWriter.Printf("staging %v: utilisation %.3f\n", staging, busy)
+		Expect(busy).To(And(BeNumerically(">=", lo), BeNumerically("<=", hi)))
 	},
 		Entry("with staging hides the round trip", true, 0.98, 1.01),
 		Entry("without staging waits for each grant", false, 0.6, 0.7),
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -1,8 +1,8 @@
 package dispatch
 
 import (
-	"container/heap"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,41 +68,19 @@
 type world struct {
 	t        fatalf
 	now      time.Time
-	events   worldEvents
-	order    uint64
+	events   timers[func()]
 	routers  []*worldRouter
 	sidecars []*worldSidecar
 	links    map[fleet.NodeID]map[fleet.NodeID]*link
 	requests map[RequestID]*worldRequest
 	jitter   func() time.Duration
 	onStart  func(*worldRequest)
+	// messages counts control messages and request streams.
 	messages int
+	// busyTime is the work that was started.
 	busyTime time.Duration
 }
 
-type worldEvent struct {
-	at    time.Time
-	order uint64
-	run   func()
-}
-
-type worldEvents []worldEvent
-
-func (e worldEvents) Len() int { return len(e) }
-func (e worldEvents) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].order < e[j].order
-}
-func (e worldEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *worldEvents) Push(x any)   { *e = append(*e, x.(worldEvent)) }
-func (e *worldEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // newWorld connects every router with every sidecar. Router i and sidecar i
 // stand in failure domain i mod 2 of one region.
 func newWorld(t fatalf, routers, sidecars, slots int, delay time.Duration, staging bool) *world {
@@ -136,16 +114,18 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.events, worldEvent{at: w.now.Add(d), order: w.order, run: run})
+	w.events.set(&timer[func()]{owner: run}, w.now.Add(d))
 }
 
-// run plays events until the time or until none is left.
+// run plays events until the time.
 func (w *world) run(until time.Time) {
-	for len(w.events) > 0 && !w.events[0].at.After(until) {
-		e := heap.Pop(&w.events).(worldEvent)
-		w.now = e.at
-		e.run()
+	for {
+		event, due := w.events.popDue(until)
+		if !due {
+			break
+		}
+		w.now = event.at
+		event.owner()
 	}
 	w.now = until
 }
@@ -167,12 +147,15 @@
 	}
 	l.up = false
 	l.epoch++
-	for id := range l.streams {
+	w.stepRouter(l.router, SidecarDown{Sidecar: l.sidecar.id})
+	w.stepSidecar(l.sidecar, RouterDown{Router: l.router.id})
+	for _, id := range slices.Sorted(maps.Keys(l.streams)) {
 		w.requests[id].state = stateEnded
+		if !w.requests[id].started {
+			w.stepSidecar(l.sidecar, RequestFinished{RequestID: uint64(id)})
+		}
 	}
 	clear(l.streams)
-	w.stepRouter(l.router, SidecarDown{Sidecar: l.sidecar.id})
-	w.stepSidecar(l.sidecar, RouterDown{Router: l.router.id})
 }
 
 // send delivers a control message in order, unless the session breaks first.
@@ -299,96 +282,7 @@
 	})
 }
 
-func (w *world) stepSidecar(s *worldSidecar, ev SidecarEvent) {
-	for _, action := range s.machine.Step(w.now, ev) {
-		w.sidecarAction(s, action)
-	}
-	w.checkSidecar(s)
-	if wake, ok := s.machine.NextWake(); ok && !wake.Equal(s.wakeAt) {
-		s.wakeAt = wake
-		w.after(wake.Sub(w.now), func() {
-			if s.wakeAt.Equal(wake) {
-				s.wakeAt = time.Time{}
-				w.stepSidecar(s, TickSidecar{})
-			}
-		})
-	}
-}
-
-func (w *world) sidecarAction(s *worldSidecar, action SidecarAction) {
-	switch a := action.(type) {
-	case SendGrant:
-		l := w.links[a.Router][s.id]
-		w.send(l, 1, func() {
-			w.stepRouter(l.router, GrantReceived{
-				Sidecar: s.id, GrantID: a.GrantID, Team: a.Team, Expires: w.now.Add(a.Expires),
-			})
-		})
-	case StartRequest:
-		w.startRequest(s, w.requests[RequestID(a.RequestID)])
-	case RejectRequest:
-		q := w.requests[RequestID(a.RequestID)]
-		s.ledger.charged[q.Team] -= q.work.Seconds()
-		w.notRun(s, q)
-	}
-}
-
-func (w *world) startRequest(s *worldSidecar, q *worldRequest) {
-	if q.started {
-		w.t.Fatalf("request %d started twice", q.ID)
-	}
-	q.started = true
-	if q.state == stateBound {
-		q.state = stateRunning
-	}
-	s.running++
-	w.busyTime += q.work
-	w.onStart(q)
-	l := w.links[q.router.id][s.id]
-	w.after(q.work, func() {
-		s.running--
-		delete(l.streams, q.ID)
-		q.state = stateEnded
-		w.stepSidecar(s, RequestFinished{RequestID: uint64(q.ID)})
-	})
-}
-
-// notRun tells the router, which queues the request again.
-func (w *world) notRun(s *worldSidecar, q *worldRequest) {
-	l := w.links[q.router.id][s.id]
-	if _, sent := l.streams[q.ID]; !sent {
-		return // the session broke; the request has ended
-	}
-	w.deliver(l, l.delay+w.jitter(), func() {
-		delete(l.streams, q.ID)
-		q.state = stateWaiting
-		w.stepRouter(q.router, Requeue{Request: q.Request})
-	})
-}
-
-func (w *world) checkSidecar(s *worldSidecar) {
-	m := s.machine
-	if s.running > m.slots {
-		w.t.Fatalf("%s runs %d requests on %d slots", s.id, s.running, m.slots)
-	}
-	for team, n := range s.ledger.reserved {
-		if n < 0 {
-			w.t.Fatalf("%s released a charge of %s that was not reserved", s.id, team)
-		}
-	}
-	if !s.accepting || m.soloPending() || m.committed() >= m.slots+m.staging() {
-		return
-	}
-	for _, peer := range m.routers {
-		for team, d := range peer.demands {
-			if d.waiting > d.outstanding && !peer.lapsed {
-				w.t.Fatalf("%s has free capacity while %s waits at %s", s.id, team, peer.id)
-			}
-		}
-	}
-}
-
-// waiting returns the requests that did not end, in order.
+// unfinished returns the requests that did not end, in order.
 func (w *world) unfinished() []RequestID {
 	var ids []RequestID
 	for id, q := range w.requests {
