dispatch: put one router and sidecar of the random world in another region

The random world had one region, so spilling and narrowing were only in table tests. Regions can now change with a session, and each request draws its SpillAfter.

--- a/dispatch/world_prop_test.go
+++ b/dispatch/world_prop_test.go
@@ -36,7 +36,7 @@
 				w.disconnect(l)
 			case 1, 2:
 				if !l.up {
-					w.connect(l, fleet.Location{Region: "noord"})
+					w.connect(l, fleet.Location{Region: fleet.RegionID(rapid.SampledFrom([]string{"noord", "zuid"}).Draw(t, "region"))})
 				}
 			case 3:
 				w.freeze(router, ms("freeze", 1, 700))
@@ -60,6 +60,7 @@
 				if rapid.IntRange(0, 4).Draw(t, "excludes") == 0 && len(w.sidecars) > 1 {
 					req.Exclude = []fleet.NodeID{sidecar.id}
 				}
+				req.SpillAfter = ms("spill", 0, 100)
 				w.arrive(router, req, ms("work", 1, 200))
 			}
 		}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -82,7 +82,7 @@
 }
 
 // newWorld connects every router with every sidecar. Router i and sidecar i
-// stand in failure domain i mod 2 of one region.
+// stand in failure domain i mod 2 of one region, but for the third of each kind.
 func newWorld(t fatalf, routers, sidecars, slots int, delay time.Duration, staging bool) *world {
 	w := &world{
 		t: t, now: start, links: map[fleet.NodeID]map[fleet.NodeID]*link{},
@@ -90,6 +90,9 @@
 		onStart: func(*worldRequest) {},
 	}
 	place := func(i int) fleet.Location {
+		if i == 2 {
+			return fleet.Location{Region: "zuid", FailureDomain: "fd2"}
+		}
 		return fleet.Location{Region: "noord", FailureDomain: fleet.FailureDomainID(fmt.Sprint("fd", i%2))}
 	}
 	for i := range sidecars {
