Test partitions, frozen routers and graceful stops

Its first version hung: requests of the load had no time bound, and its traffic was too low to spill into other regions (4 slots a region served 6 requests within spill_after).

--- a/e2e/harness/load.go
+++ b/e2e/harness/load.go
@@ -5,11 +5,16 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"fulmarspindle.example/fulmarspindle/e2e/standin"
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
+// requestTimeout bounds one request of a load. No fault that the tests make
+// lasts as long.
+const requestTimeout = 30 * time.Second
+
 // Load sends completions in a closed loop and checks every answer.
 type Load struct {
 	cancel context.CancelFunc
@@ -58,7 +63,9 @@
 			Stream:    o.Stream,
 		}
 		// A request is never cut by the end of the load.
-		answer := client.Complete(context.WithoutCancel(ctx), req, nil)
+		requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+		answer := client.Complete(requestCtx, req, nil)
+		cancel()
 		l.record(name, answer, VerifyCompletion(req, answer))
 	}
 }
--- a/e2e/partition/partition_test.go
+++ b/e2e/partition/partition_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/e2e/harness"
 	"fulmarspindle.example/fulmarspindle/e2e/standin"
 	"fulmarspindle.example/fulmarspindle/fleet"
@@ -19,7 +20,10 @@
 	progressBound = 10 * time.Second
 	// progress is the count of whole answers that shows that traffic goes on.
 	progress = 50
-	workers  = 3
+	// workers is enough for every router to need the slots of all regions.
+	workers = 6
+	// spillAfter lets demand reach the other regions soon.
+	spillAfter = 20 * time.Millisecond
 )
 
 func TestPartition(t *testing.T) {
@@ -39,8 +43,10 @@
 		ctx, cancel = context.WithTimeout(context.Background(), specTimeout)
 		DeferCleanup(cancel)
 		shape := harness.Shape{Regions: 3, Routers: 1, Engines: 2, Slots: 2, Teams: 2}
+		inv := shape.Inventory()
+		inv.Rules.SpillAfter = config.Duration(spillAfter)
 		var err error
-		f, err = harness.NewFleet(ctx, shape.Inventory(), harness.Options{
+		f, err = harness.NewFleet(ctx, inv, harness.Options{
 			Proxied:    true,
 			EngineArgs: []string{"--token-interval-ms", "2"},
 		})
