Add the benchmarks

The bench runs each scenario on a fleet of stand-ins behind fault proxies, with a baseline of first in, first out selection and early binding beside it under the same load. The baseline is a stand-in, so that the product gets no option for it.

Busy slot-time is the engines' own integral and the slot-time wanted is that of the callers, so that nothing is missed between samples.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MODULES := . ./e2e
 GO := go
 
-.PHONY: build test unit e2e lint format vet race demo bench generate tools spin clean
+.PHONY: build test unit e2e lint format vet race demo bench measurements generate tools spin clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
@@ -41,5 +41,15 @@
 e2e: build
 	$(GO) test -count=1 ./e2e/... ./spec/...
 
+# Measures the fleet: a line of JSON for each figure, and the same in .tmp/bench.jsonl.
+# Further options by BENCH_ARGS, as BENCH_ARGS="--scenario steady".
+bench: build
+	@mkdir -p .tmp
+	$(BIN)/bench --baseline --out .tmp/bench.jsonl $(BENCH_ARGS)
+
+# Renders the figures of the last bench.
+measurements:
+	@$(BIN)/bench --markdown .tmp/bench.jsonl --commit "$$(git rev-parse --short HEAD)"
+
 clean:
 	rm -rf $(BIN) .tmp
--- /dev/null
+++ b/e2e/bench/figure.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Names of the figures.
+const (
+	FairnessGap           = "fairness_gap"
+	FairnessGapAfterHeal  = "fairness_gap_after_heal"
+	FairnessGapDuring     = "fairness_gap_during_fault"
+	Utilisation           = "utilisation"
+	JainIndex             = "jain_index"
+	ControlPerRequest     = "control_bytes_per_request"
+	ControlPerNode        = "control_bytes_per_node_second"
+	ControlPerNodeMean    = "control_bytes_per_node_second_mean"
+	CrossRegionPerRequest = "cross_region_bytes_per_request"
+	CrossRegionControl    = "cross_region_control_bytes_per_request"
+	CrossRegionData       = "cross_region_data_bytes_per_request"
+	FirstTokenAddedP95    = "first_token_added_p95_ms"
+	LightTeamWait         = "light_team_wait_max_ms"
+	RequestsPerSecond     = "requests_per_second"
+	RequestsFailed        = "requests_failed"
+	RouterCapacity        = "router_capacity_rps"
+	RouterCapacityErrors  = "router_capacity_errors"
+)
+
+// atLeast holds the figures whose target is a lower bound; those of all others
+// are upper bounds.
+var atLeast = map[string]bool{Utilisation: true, JainIndex: true, RouterCapacity: true}
+
+// Figure is one measured figure.
+type Figure struct {
+	Name     string  `json:"name"`
+	Scenario string  `json:"scenario"`
+	Value    float64 `json:"value"`
+	Unit     string  `json:"unit"`
+	// Target is nil where none is set.
+	Target *float64 `json:"target"`
+	// Baseline is nil where the baseline was not run or has no such figure.
+	Baseline *float64 `json:"baseline"`
+	// Note says how the run differs from the scenario's definition.
+	Note string `json:"note,omitempty"`
+}
+
+// Met reports whether the figure meets its target; a figure without a target
+// does.
+func (f Figure) Met() bool {
+	if f.Target == nil {
+		return true
+	}
+	if atLeast[f.Name] {
+		return f.Value >= *f.Target
+	}
+	return f.Value <= *f.Target
+}
+
+// Write writes a figure as one line of JSON.
+func (f Figure) Write(w io.Writer) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return eris.Wrap(ErrFigures, err.Error())
+	}
+	if _, err := w.Write(append(data, '\n')); err != nil {
+		return eris.Wrap(ErrFigures, err.Error())
+	}
+	return nil
+}
+
+// ReadFigures reads lines of JSON.
+func ReadFigures(r io.Reader) ([]Figure, error) {
+	var figures []Figure
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		var figure Figure
+		if err := json.Unmarshal(scanner.Bytes(), &figure); err != nil {
+			return nil, eris.Wrap(ErrFigures, err.Error())
+		}
+		figures = append(figures, figure)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, eris.Wrap(ErrFigures, err.Error())
+	}
+	return figures, nil
+}
+
+// Markdown renders figures as a table.
+func Markdown(figures []Figure) string {
+	var b strings.Builder
+	b.WriteString("| Scenario | Figure | Value | Unit | Target | Met | Baseline |\n")
+	b.WriteString("|---|---|---:|---|---:|---|---:|\n")
+	for _, f := range figures {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s |\n",
+			f.Scenario, f.Name, number(&f.Value), f.Unit, f.bound(), f.verdict(), number(f.Baseline))
+	}
+	return b.String()
+}
+
+func (f Figure) bound() string {
+	if f.Target == nil {
+		return ""
+	}
+	if atLeast[f.Name] {
+		return "≥ " + number(f.Target)
+	}
+	return "≤ " + number(f.Target)
+}
+
+func (f Figure) verdict() string {
+	switch {
+	case f.Target == nil:
+		return ""
+	case f.Met():
+		return "yes"
+	default:
+		return "**no**"
+	}
+}
+
+func number(v *float64) string {
+	if v == nil {
+		return ""
+	}
+	return fmt.Sprintf("%.4g", *v)
+}
--- /dev/null
+++ b/e2e/bench/meter.go
@@ -0,0 +1,130 @@
+package bench
+
+import (
+	"sync"
+	"time"
+)
+
+// meter counts what the callers of each team ask for and receive.
+type meter struct {
+	slots int
+
+	mu          sync.Mutex
+	teams       []teamMeter
+	outstanding int
+	observed    time.Time
+	// wanted is the integral over time of the slots that could have been busy:
+	// the least of the fleet's slots and the outstanding requests.
+	wanted    time.Duration
+	completed int
+	failed    int
+	failures  map[string]int
+}
+
+// teamMeter is the state of one team.
+type teamMeter struct {
+	served  float64
+	waiting int
+	// longestWait is the longest time to a first token.
+	longestWait time.Duration
+}
+
+func newMeter(teams, slots int) *meter {
+	return &meter{slots: slots, teams: make([]teamMeter, teams), observed: time.Now(), failures: map[string]int{}}
+}
+
+func (m *meter) accrueLocked(now time.Time) {
+	m.wanted += time.Duration(min(m.slots, m.outstanding)) * now.Sub(m.observed)
+	m.observed = now
+}
+
+// begin counts a request that a caller sends.
+func (m *meter) begin(team int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	m.outstanding++
+	m.teams[team].waiting++
+}
+
+// first counts the first token of an answer with the cost of its prompt.
+func (m *meter) first(team int, cost float64, wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &m.teams[team]
+	t.waiting--
+	t.served += cost
+	t.longestWait = max(t.longestWait, wait)
+}
+
+// serve counts service that a caller received.
+func (m *meter) serve(team int, cost float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.teams[team].served += cost
+}
+
+// end counts the end of a request.
+func (m *meter) end(team int, started bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	m.outstanding--
+	if !started {
+		m.teams[team].waiting--
+	}
+	if err != nil {
+		m.failed++
+		m.failures[err.Error()]++
+		return
+	}
+	m.completed++
+}
+
+// resetWaits forgets the longest waits so far.
+func (m *meter) resetWaits() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range m.teams {
+		m.teams[i].longestWait = 0
+	}
+}
+
+// setSlots changes the slots that could be busy.
+func (m *meter) setSlots(slots int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	m.slots = slots
+}
+
+// samples returns the state of each team.
+func (m *meter) samples() []TeamSample {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	samples := make([]TeamSample, len(m.teams))
+	for i, t := range m.teams {
+		samples[i] = TeamSample{Served: t.served, Backlogged: t.waiting > 0}
+	}
+	return samples
+}
+
+// totals are the sums of a meter so far.
+type totals struct {
+	wanted    time.Duration
+	completed int
+	failed    int
+}
+
+func (m *meter) totals() totals {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	return totals{wanted: m.wanted, completed: m.completed, failed: m.failed}
+}
+
+func (m *meter) longestWait(team int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.teams[team].longestWait
+}
--- /dev/null
+++ b/e2e/bench/probe.go
@@ -0,0 +1,230 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/e2e/harness"
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+// Benchmark is something that can be run by its name.
+type Benchmark struct {
+	Name string
+	Run  func(ctx context.Context, options Options) ([]Figure, error)
+}
+
+// Benchmarks returns all benchmarks in their order. Cut is the length of the cut
+// of region_cut.
+func Benchmarks(cut time.Duration) []Benchmark {
+	var out []Benchmark
+	for _, s := range Scenarios(cut) {
+		out = append(out, Benchmark{Name: s.Name, Run: func(ctx context.Context, options Options) ([]Figure, error) {
+			return Run(ctx, s, options)
+		}})
+	}
+	return append(out,
+		Benchmark{Name: "first_token", Run: firstToken},
+		Benchmark{Name: "capacity", Run: capacity})
+}
+
+const (
+	// probeCallers is how many callers probe each path.
+	probeCallers = 6
+	probeTokens  = 5
+	// probeSlots leaves a free slot for every probe.
+	probeSlots = 2 * probeCallers
+
+	// capacityRate is the rate of tiny requests to one router, each second.
+	capacityRate   = 8 * 200
+	capacityLength = 5 * time.Second
+	capacitySlots  = 256
+	// capacityOutstanding bounds the requests that are outstanding.
+	capacityOutstanding = 4000
+	// capacityTimeout bounds one request.
+	capacityTimeout = 10 * time.Second
+	// percentile is that of the time to the first token.
+	percentile = 0.95
+)
+
+func startProbeFleet(ctx context.Context, shape harness.Shape, tokenMs int) (*harness.Fleet, error) {
+	f, err := harness.NewFleet(ctx, shape.Inventory(), harness.Options{
+		Proxied:    true,
+		EngineArgs: []string{"--token-interval-ms", strconv.Itoa(tokenMs)},
+		LogLevel:   "warn",
+	})
+	if err != nil {
+		return nil, eris.Wrap(ErrRun, err.Error())
+	}
+	if err := f.Links.DelayRegions(regionDelay); err != nil {
+		f.Close()
+		return nil, eris.Wrap(ErrRun, err.Error())
+	}
+	if err := f.Start(ctx); err != nil {
+		defer f.Close()
+		return nil, eris.Wrapf(ErrRun, "%s\n%s", err, f.LogTails())
+	}
+	return f, nil
+}
+
+// firstToken compares the time to the first token through the routers with that
+// of direct calls to the engines, at the same time and the same load.
+func firstToken(ctx context.Context, options Options) ([]Figure, error) {
+	shape := harness.Shape{Regions: regions, Routers: 1, Engines: enginesRegion, Slots: probeSlots, Teams: teams}
+	f, err := startProbeFleet(ctx, shape, tokenIntervalMs)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(ctx, warmup+options.Window/2)
+	defer cancel()
+	p := &probe{fleet: f, client: newHTTPClient(2 * probeCallers), begin: time.Now().Add(warmup)}
+	for n := range probeCallers {
+		p.wg.Go(func() { p.run(ctx, f.Routers[n%len(f.Routers)].URL(), n, &p.routed) })
+		p.wg.Go(func() { p.run(ctx, f.Upstreams[n%len(f.Upstreams)].URL(), n, &p.direct) })
+	}
+	p.wg.Wait()
+	p.client.CloseIdleConnections()
+	if len(p.routed) == 0 || len(p.direct) == 0 {
+		return nil, eris.Wrapf(ErrRun, "no first token: %s", f.LogTails())
+	}
+	routed, direct := quantile(p.routed), quantile(p.direct)
+	w := figureWriter{scenario: "first_token", note: fmt.Sprintf("p95 direct %.2f ms, routed %.2f ms", direct, routed)}
+	w.add(FirstTokenAddedP95, routed-direct, "ms", targetAddedMs)
+	w.add(RequestsFailed, float64(p.failed.Load()), "count", 0)
+	return w.figures, nil
+}
+
+// probe measures times to the first token.
+type probe struct {
+	fleet  *harness.Fleet
+	client *http.Client
+	// begin is when the window starts.
+	begin  time.Time
+	wg     sync.WaitGroup
+	failed atomic.Int64
+
+	mu             sync.Mutex
+	routed, direct []float64
+}
+
+func (p *probe) run(ctx context.Context, url string, n int, times *[]float64) {
+	team := p.fleet.Inventory.Teams[n%teams].ID
+	for i := 0; ctx.Err() == nil; i++ {
+		sent := time.Now()
+		var first time.Duration
+		request := streamRequest{
+			url: url,
+			key: harness.TeamKey(team),
+			body: standin.CompletionRequest{
+				Model:     string(harness.ModelService),
+				Prompt:    fmt.Sprintf("%s probe %d of %d", team, i, n),
+				MaxTokens: probeTokens,
+				Stream:    true,
+			},
+			token: func() {
+				if first == 0 {
+					first = time.Since(sent)
+				}
+			},
+		}
+		err := request.send(ctx, p.client)
+		if ctx.Err() != nil || sent.Before(p.begin) {
+			continue
+		}
+		if err != nil {
+			p.failed.Add(1)
+			continue
+		}
+		p.mu.Lock()
+		*times = append(*times, milliseconds(first))
+		p.mu.Unlock()
+	}
+}
+
+func quantile(values []float64) float64 {
+	slices.Sort(values)
+	return values[int(percentile*float64(len(values)-1))]
+}
+
+// capacity sends tiny requests to one router at a steady rate.
+func capacity(ctx context.Context, _ Options) ([]Figure, error) {
+	shape := harness.Shape{Regions: 1, Routers: 1, Engines: enginesRegion, Slots: capacitySlots, Teams: teams}
+	f, err := startProbeFleet(ctx, shape, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	c := &capacityRun{fleet: f, client: newHTTPClient(capacityOutstanding), errors: map[string]int{}}
+	begin := time.Now()
+	c.send(ctx, begin)
+	c.wg.Wait()
+	elapsed := time.Since(begin).Seconds()
+	c.client.CloseIdleConnections()
+	logFailures("capacity", measurement{failures: c.errors})
+	w := figureWriter{scenario: "capacity", note: fmt.Sprintf("offered %d/s for %s", capacityRate, capacityLength)}
+	w.add(RouterCapacity, float64(c.ok)/elapsed, "1/s", 0)
+	w.add(RouterCapacityErrors, float64(c.failed), "count", 0)
+	zero := 0.0
+	w.figures[1].Target = &zero
+	return w.figures, nil
+}
+
+type capacityRun struct {
+	fleet  *harness.Fleet
+	client *http.Client
+	wg     sync.WaitGroup
+
+	mu         sync.Mutex
+	ok, failed int
+	errors     map[string]int
+}
+
+// send starts every request when it is due, whatever became of earlier ones.
+func (c *capacityRun) send(ctx context.Context, begin time.Time) {
+	total := int(capacityRate * capacityLength / time.Second)
+	for i := range total {
+		due := begin.Add(time.Duration(i) * time.Second / capacityRate)
+		if d := time.Until(due); d > 0 {
+			pause(ctx, d)
+		}
+		c.wg.Go(func() { c.count(c.one(ctx, i)) })
+	}
+}
+
+func (c *capacityRun) one(ctx context.Context, i int) error {
+	ctx, cancel := context.WithTimeout(ctx, capacityTimeout)
+	defer cancel()
+	team := c.fleet.Inventory.Teams[i%teams].ID
+	request := streamRequest{
+		url: c.fleet.Routers[0].URL(),
+		key: harness.TeamKey(team),
+		body: standin.CompletionRequest{
+			Model:     string(harness.ModelService),
+			Prompt:    fmt.Sprintf("%s request %d", team, i),
+			MaxTokens: 1,
+			Stream:    true,
+		},
+		token: func() {},
+	}
+	return request.send(ctx, c.client)
+}
+
+func (c *capacityRun) count(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.failed++
+		c.errors[err.Error()]++
+		return
+	}
+	c.ok++
+}
--- /dev/null
+++ b/e2e/bench/report.go
@@ -0,0 +1,133 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Run runs a scenario, on the baseline too if the options say so, and returns
+// its figures.
+func Run(ctx context.Context, s Scenario, options Options) ([]Figure, error) {
+	var product, baseline measurement
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		var err error
+		product, err = measure(ctx, s, false, options.Window)
+		return err
+	})
+	if options.Baseline {
+		group.Go(func() error {
+			var err error
+			baseline, err = measure(ctx, s, true, options.Window)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	logFailures(s.Name, product)
+	figures := figuresOf(s, product)
+	if options.Baseline {
+		addBaseline(figures, figuresOf(s, baseline))
+	}
+	return figures, nil
+}
+
+// logFailures says on standard error why requests failed.
+func logFailures(scenario string, m measurement) {
+	for reason, count := range m.failures {
+		fmt.Fprintf(os.Stderr, "%s: %d requests failed: %s\n", scenario, count, reason)
+	}
+}
+
+func addBaseline(figures, baseline []Figure) {
+	for i := range figures {
+		for _, b := range baseline {
+			if b.Name == figures[i].Name && b.measuredByBaseline() {
+				figures[i].Baseline = &b.Value
+			}
+		}
+	}
+}
+
+// measuredByBaseline reports whether the figure means something without the
+// product's control traffic.
+func (f Figure) measuredByBaseline() bool {
+	switch f.Name {
+	case FairnessGap, FairnessGapDuring, FairnessGapAfterHeal, Utilisation, JainIndex,
+		LightTeamWait, RequestsPerSecond, RequestsFailed:
+		return true
+	}
+	return false
+}
+
+func figuresOf(s Scenario, m measurement) []Figure {
+	w := figureWriter{scenario: s.Name, note: s.note()}
+	if m.backlogged > 1 {
+		w.add(FairnessGap, m.gap, "largest requests per slot", s.GapTarget)
+		w.add(JainIndex, m.jain, "ratio", 0)
+	}
+	if s.Fault != nil && s.Fault.Heal != nil {
+		w.add(FairnessGapDuring, m.gapDuring, "largest requests per slot", 0)
+		w.add(FairnessGapAfterHeal, m.gapAfter, "largest requests per slot", s.GapTarget)
+	}
+	w.add(Utilisation, m.utilisation, "ratio", s.UtilisationTarget)
+	if s.Light != noTeam {
+		w.add(LightTeamWait, milliseconds(m.lightWait), "ms", s.lightTarget())
+	}
+	w.add(RequestsPerSecond, float64(m.totals.completed)/m.seconds, "1/s", 0)
+	w.add(RequestsFailed, float64(m.totals.failed), "count", 0)
+	if m.nodes == 0 || m.totals.completed == 0 {
+		return w.figures
+	}
+	requests := float64(m.totals.completed)
+	w.add(ControlPerRequest, float64(m.traffic.control)/requests, "B", 0)
+	w.add(ControlPerNode, m.controlMax, "B/s", targetControl)
+	w.add(ControlPerNodeMean, float64(m.traffic.control)/m.seconds/float64(m.nodes), "B/s", 0)
+	w.add(CrossRegionPerRequest, float64(m.traffic.crossAll)/requests, "B", 0)
+	w.add(CrossRegionControl, float64(m.traffic.crossControl)/requests, "B", 0)
+	w.add(CrossRegionData, float64(m.traffic.crossData)/requests, "B", 0)
+	return w.figures
+}
+
+// lightTarget is the time of one largest request for each slot that the light
+// team is owed, in milliseconds.
+func (s Scenario) lightTarget() float64 {
+	sum := 0.0
+	for _, w := range s.Weights {
+		sum += w
+	}
+	owed := totalSlots * s.Weights[s.Light] / sum
+	return float64(s.Largest) * tokenIntervalMs / max(owed, 1)
+}
+
+func (s Scenario) note() string {
+	if s.Fault == nil || s.Fault.Heal == nil {
+		return ""
+	}
+	return fmt.Sprintf("fault lasts %s", s.Fault.Lasts)
+}
+
+// figureWriter collects the figures of one scenario.
+type figureWriter struct {
+	scenario string
+	note     string
+	figures  []Figure
+}
+
+// add adds a figure; a target of 0 is none.
+func (w *figureWriter) add(name string, value float64, unit string, target float64) {
+	f := Figure{Name: name, Scenario: w.scenario, Value: value, Unit: unit, Note: w.note}
+	if target != 0 {
+		f.Target = &target
+	}
+	w.figures = append(w.figures, f)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/e2e/bench/stream.go
@@ -0,0 +1,86 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+// ErrAnswer reports an answer that was refused or broke off.
+var ErrAnswer = eris.New("bench: no whole answer")
+
+var (
+	tokenMark = []byte(`"finish_reason":null`)
+	endMark   = []byte("[DONE]")
+)
+
+// streamRequest is one streamed completion.
+type streamRequest struct {
+	url  string
+	key  string
+	body standin.CompletionRequest
+	// token is called for each token of the answer, as it comes.
+	token func()
+}
+
+// send sends the request and reads its answer to the end.
+func (r streamRequest) send(ctx context.Context, client *http.Client) error {
+	data, err := json.Marshal(r.body)
+	if err != nil {
+		return eris.Wrap(ErrAnswer, err.Error())
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/v1/completions", bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(ErrAnswer, err.Error())
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if r.key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Wrap(ErrAnswer, fmt.Sprintf("status %d", resp.StatusCode))
+	}
+	return r.read(resp)
+}
+
+func (r streamRequest) read(resp *http.Response) error {
+	scanner := bufio.NewScanner(resp.Body)
+	whole := false
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		if bytes.Contains(line, tokenMark) {
+			r.token()
+		}
+		whole = whole || bytes.Contains(line, endMark)
+	}
+	if err := scanner.Err(); err != nil {
+		return err
+	}
+	if !whole {
+		return eris.Wrap(ErrAnswer, "broke off")
+	}
+	return nil
+}
+
+// newHTTPClient returns a client that keeps a connection for each caller.
+func newHTTPClient(callers int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: callers,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}
+}
--- a/e2e/cmd/standin/main.go
+++ b/e2e/cmd/standin/main.go
@@ -29,10 +29,16 @@
 	CostMs float64 `arg:"--cost-ms" default:"5" help:"service time of a request that names none"`
 }
 
+type baselineCommand struct {
+	Targets []string `arg:"--targets,required" help:"upstreams, host:port"`
+	Source  string   `arg:"--source,required" help:"IP address to connect from"`
+}
+
 type arguments struct {
 	Platform *platformCommand `arg:"subcommand:platform" help:"object API and VM list"`
 	Engine   *engineCommand   `arg:"subcommand:engine" help:"model engine"`
 	Service  *serviceCommand  `arg:"subcommand:service" help:"plain service"`
+	Baseline *baselineCommand `arg:"subcommand:baseline" help:"router that benchmarks compare with"`
 	Listen   string           `arg:"--listen,required" help:"address to serve on, host:port"`
 	Control  string           `arg:"--control,required" help:"address of the control port, host:port"`
 }
@@ -47,7 +53,7 @@
 	parser := arg.MustParse(&args)
 	standIn := build(args)
 	if standIn == nil {
-		parser.Fail("want a subcommand: platform, engine or service")
+		parser.Fail("want a subcommand: platform, engine, service or baseline")
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	err := standin.Serve(ctx, standIn, args.Listen, args.Control)
@@ -66,6 +72,8 @@
 		return buildEngine(args.Engine)
 	case args.Service != nil:
 		return standin.NewService(args.Service.Slots, standin.ServiceSwitches{CostMs: args.Service.CostMs})
+	case args.Baseline != nil:
+		return standin.NewBaseline(args.Baseline.Targets, args.Baseline.Source)
 	default:
 		return nil
 	}
--- a/e2e/harness/fleet.go
+++ b/e2e/harness/fleet.go
@@ -33,6 +33,9 @@
 	// Proxied puts a fault proxy in front of each peer listener and of the
 	// platform, one for each router.
 	Proxied bool
+	// Baseline runs the stand-in's baseline routers in the product's place,
+	// without sidecars and platform.
+	Baseline bool
 	// EngineArgs and ServiceArgs are further arguments of the stand-ins.
 	EngineArgs  []string
 	ServiceArgs []string
@@ -138,6 +141,9 @@
 // Start starts every process, applies the inventory and waits until all
 // routers are ready.
 func (f *Fleet) Start(ctx context.Context) error {
+	if f.options.Baseline {
+		return f.startBaseline(ctx)
+	}
 	if err := f.StartPlatform(ctx); err != nil {
 		return err
 	}
@@ -226,6 +232,9 @@
 // StartRouter starts a router and waits until it is live. It is ready only
 // once it has a configuration.
 func (f *Fleet) StartRouter(ctx context.Context, r *Router) error {
+	if f.options.Baseline {
+		return f.startBaselineRouter(ctx, r)
+	}
 	var err error
 	r.process, err = f.runner.Start(string(r.ID), routerBinary, "serve", "--settings", r.settings)
 	if err != nil {
@@ -247,6 +256,9 @@
 
 // AwaitReady waits until every running router is ready.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
+	if f.options.Baseline {
+		return nil
+	}
 	for _, router := range f.Routers {
 		if router.process == nil || !router.process.Running() {
 			continue
--- a/e2e/harness/prepare.go
+++ b/e2e/harness/prepare.go
@@ -84,7 +84,7 @@
 			return err
 		}
 		if f.options.Proxied {
-			if err := f.Links.addPeer(vm, upstream.SidecarAddress, vm.Address+peerPort); err != nil {
+			if err := f.Links.addPeer(vm, upstream.SidecarAddress, vm.Address+f.upstreamPort()); err != nil {
 				return err
 			}
 		}
@@ -100,6 +100,14 @@
 	return nil
 }
 
+// upstreamPort is the port of an upstream's VM that routers connect to.
+func (f *Fleet) upstreamPort() string {
+	if f.options.Baseline {
+		return servePort
+	}
+	return peerPort
+}
+
 func (f *Fleet) vm(id fleet.VMID) (config.VM, error) {
 	for _, vm := range f.Inventory.VMs {
 		if vm.ID == id {
--- a/e2e/standin/completion.go
+++ b/e2e/standin/completion.go
@@ -39,6 +39,9 @@
 	Messages  []Message `json:"messages,omitempty"`
 	MaxTokens int       `json:"max_tokens,omitempty"`
 	Stream    bool      `json:"stream,omitempty"`
+	// OutputTokens is how many tokens the engine really generates, so that
+	// max_tokens can be a wrong hint. Zero means MaxTokens.
+	OutputTokens int `json:"output_tokens,omitempty"`
 }
 
 // Usage counts the tokens of one request.
@@ -77,6 +80,9 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return req, eris.Wrap(ErrBadRequest, err.Error())
 	}
+	if req.OutputTokens > 0 {
+		req.MaxTokens = req.OutputTokens
+	}
 	if req.MaxTokens < 0 || req.MaxTokens > maxTokens {
 		return req, eris.Wrap(ErrBadRequest, "max_tokens")
 	}
