--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 
 clean:
 	rm -rf $(BIN) .tmp
+
+# Runs the example fleet of Warmtekas on stand-ins.
+demo: build
+	$(BIN)/demo examples/warmtekas.yaml
--- a/peer/session.go
+++ b/peer/session.go
@@ -34,6 +34,8 @@
 // Local describes this process to its peers.
 type Local struct {
 	Hello *peerpb.Hello
+	// Source is the address that sessions are dialed from; nil for any.
+	Source net.Addr
 	// Generation returns the highest configuration generation held.
 	Generation func() uint64
 	// Draining reports whether this process takes no new work.
@@ -56,7 +58,9 @@
 	reader  *bufio.Reader
 	local   *Local
 	remote  *peerpb.Hello
-	pair    string
+	// first is the message that carried remote.
+	first *peerpb.Envelope
+	pair  string
 	// dialed is set if this process opened the connection.
 	dialed bool
 
@@ -116,6 +120,10 @@
 	}
 }
 
+// Announce sends a heartbeat at once: the peer learns this process's
+// generation and whether it drains.
+func (s *Session) Announce() { s.Send(s.heartbeat()) }
+
 // OpenStream opens a request stream.
 func (s *Session) OpenStream() (*Stream, error) {
 	conn, err := s.mux.Open()
@@ -141,6 +149,8 @@
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
 	h.SessionUp(s)
+	// The hello carries the peer's generation.
+	h.Message(s, s.first)
 	var wg sync.WaitGroup
 	wg.Go(s.writeLoop)
 	wg.Go(s.heartbeatLoop)
--- a/router/router.go
+++ b/router/router.go
@@ -92,7 +92,12 @@
 		OnBehind: r.behind.Store,
 	})
 	r.membership = newMembership(r.queue, r.adoption.Index, log)
-	local := &peer.Local{Hello: r.hello(), Generation: r.adoption.Generation, Draining: r.draining.Load}
+	local := &peer.Local{
+		Hello:      r.hello(),
+		Source:     node.DialSource(settings.Listen.Peer),
+		Generation: r.adoption.Generation,
+		Draining:   r.draining.Load,
+	}
 	r.network = peer.NewNetwork(local, r, log, tls.PeerServer, tls.PeerClient)
 	return r
 }
@@ -199,6 +204,7 @@
 func (r *Router) stop(front *http.Server) {
 	r.log.Info("router stopping")
 	r.draining.Store(true)
+	r.sessions.Announce()
 	r.queue.step(dispatch.StopAccepting{})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), r.settings.DrainTimeout.Std())
 	defer cancel()
