--- a/e2e/bench/counters.go
+++ b/e2e/bench/counters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -18,32 +19,42 @@
 
 // traffic are the bytes that one process has sent to others so far.
 type traffic struct {
-	control      int64
+	control int64
+	// kinds are the control bytes of each kind of message.
+	kinds        map[string]int64
 	crossControl int64
 	crossData    int64
 	// crossAll includes the multiplexer's own bytes.
 	crossAll int64
 }
 
+// sub returns what was sent since an earlier count.
 func (t traffic) sub(o traffic) traffic {
 	if t.control < o.control {
 		// The process was restarted meanwhile.
 		return t
 	}
-	return traffic{
-		control:      t.control - o.control,
-		crossControl: t.crossControl - o.crossControl,
-		crossData:    t.crossData - o.crossData,
-		crossAll:     t.crossAll - o.crossAll,
-	}
+	return t.plus(o, -1)
 }
 
 func (t traffic) add(o traffic) traffic {
+	return t.plus(o, 1)
+}
+
+func (t traffic) plus(o traffic, sign int64) traffic {
+	kinds := maps.Clone(t.kinds)
+	if kinds == nil {
+		kinds = map[string]int64{}
+	}
+	for kind, n := range o.kinds {
+		kinds[kind] += sign * n
+	}
 	return traffic{
-		control:      t.control + o.control,
-		crossControl: t.crossControl + o.crossControl,
-		crossData:    t.crossData + o.crossData,
-		crossAll:     t.crossAll + o.crossAll,
+		control:      t.control + sign*o.control,
+		kinds:        kinds,
+		crossControl: t.crossControl + sign*o.crossControl,
+		crossData:    t.crossData + sign*o.crossData,
+		crossAll:     t.crossAll + sign*o.crossAll,
 	}
 }
 
@@ -55,16 +66,18 @@
 }
 
 func (v vars) traffic() traffic {
-	var t traffic
+	t := traffic{kinds: map[string]int64{}}
+	// The keys of control and data are kind/from/to.
 	for key, n := range v.Control {
+		kind, pair, _ := strings.Cut(key, "/")
 		t.control += n
-		// The key is kind/from/to.
-		_, pair, _ := strings.Cut(key, "/")
+		t.kinds[kind] += n
 		if crossesRegions(pair) {
 			t.crossControl += n
 		}
 	}
-	for pair, n := range v.Data {
+	for key, n := range v.Data {
+		_, pair, _ := strings.Cut(key, "/")
 		if crossesRegions(pair) {
 			t.crossData += n
 		}
--- a/e2e/bench/meter.go
+++ b/e2e/bench/meter.go
@@ -1,6 +1,8 @@
 package bench
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -73,6 +75,10 @@
 	if !started {
 		m.teams[team].waiting--
 	}
+	if errors.Is(err, context.Canceled) {
+		// The run is over.
+		return
+	}
 	if err != nil {
 		m.failed++
 		m.failures[err.Error()]++
--- a/e2e/bench/probe.go
+++ b/e2e/bench/probe.go
@@ -169,7 +169,7 @@
 	c.wg.Wait()
 	elapsed := time.Since(begin).Seconds()
 	c.client.CloseIdleConnections()
-	logFailures("capacity", measurement{failures: c.errors})
+	logFailures("capacity", c.errors)
 	w := figureWriter{scenario: "capacity", note: fmt.Sprintf("offered %d/s for %s", capacityRate, capacityLength)}
 	w.add(RouterCapacity, float64(c.ok)/elapsed, "1/s", 0)
 	w.add(RouterCapacityErrors, float64(c.failed), "count", 0)
--- a/e2e/bench/report.go
+++ b/e2e/bench/report.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,7 +31,8 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	logFailures(s.Name, product)
+	logFailures(s.Name, product.failures)
+	logKinds(s.Name, product)
 	figures := figuresOf(s, product)
 	if options.Baseline {
 		addBaseline(figures, figuresOf(s, baseline))
@@ -38,12 +41,20 @@
 }
 
 // logFailures says on standard error why requests failed.
-func logFailures(scenario string, m measurement) {
-	for reason, count := range m.failures {
+func logFailures(scenario string, failures map[string]int) {
+	for reason, count := range failures {
 		fmt.Fprintf(os.Stderr, "%s: %d requests failed: %s\n", scenario, count, reason)
 	}
 }
 
+// logKinds says on standard error what the control traffic consists of.
+func logKinds(scenario string, m measurement) {
+	for _, kind := range slices.Sorted(maps.Keys(m.traffic.kinds)) {
+		perRequest := float64(m.traffic.kinds[kind]) / float64(max(m.totals.completed, 1))
+		fmt.Fprintf(os.Stderr, "%s: %s: %.0f control bytes per request\n", scenario, kind, perRequest)
+	}
+}
+
 func addBaseline(figures, baseline []Figure) {
 	for i := range figures {
 		for _, b := range baseline {
