Repeat unchanged demand every 2 s

Control traffic was 21 KB/s at a router with 8 requests/s, over the 11 KB/s that a node may spend; demand was 1,951 of 3,698 B per request, most of it the repetition of unchanged demand every 500 ms to each sidecar. Sessions are ordered and resend all demand when they are new, so that the repetition heals nothing but stale ages; a router that is frozen is passed over by its lapsed grants, one that is cut by its heartbeats. Fewer targets were ruled out: they are what keeps slots busy.

--- a/router/router.go
+++ b/router/router.go
@@ -81,7 +81,11 @@
 		refusals:    newRefusalTable(),
 	}
 	location := fleet.Location{Region: settings.Region, FailureDomain: settings.FailureDomain}
-	r.queue = newQueue(r.sessions, dispatch.RouterConfig{Self: settings.ID, Location: location})
+	r.queue = newQueue(r.sessions, dispatch.RouterConfig{
+		Self:            settings.ID,
+		Location:        location,
+		RefreshInterval: node.DemandRefreshInterval,
+	})
 	r.keepers = newKeepers(r.sessions, settings.ID, settings.Region, r.incarnation)
 	r.suspects = newSuspects(r.sessions)
 	r.adoption = node.NewAdoption(ctx, node.AdoptionOptions{
--- a/sidecar/demand.go
+++ b/sidecar/demand.go
@@ -4,10 +4,11 @@
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
 )
 
 // demandTTL is how long demand counts without a refresh.
-const demandTTL = 1500 * time.Millisecond
+const demandTTL = 3 * node.DemandRefreshInterval
 
 // demandTable knows which routers have waiting requests of which team.
 type demandTable struct {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -79,6 +79,7 @@
 	s.scheduler = newScheduler(s.sessions, dispatch.SidecarConfig{
 		Incarnation:     s.incarnation,
 		StagingDisabled: !settings.Staging,
+		RefreshInterval: node.DemandRefreshInterval,
 	}, fairness.LedgerConfig{})
 	s.scheduler.step(dispatch.SetAccepting{Accepting: false})
 	s.health = newHealth(string(settings.ID), s.client, log, func(bool) { s.derive() })
