--- a/e2e/bench/load.go
+++ b/e2e/bench/load.go
@@ -109,19 +109,18 @@
 func (c *caller) send(ctx context.Context) error {
 	body := c.request()
 	m := c.load.meter
-	m.begin(c.team)
-	begin := time.Now()
+	id := m.begin(c.team)
 	started := false
 	prompt := float64(standin.PromptTokens(body.Prompt)) * promptTokenPrice
 	token := func() {
 		if !started {
 			started = true
-			m.first(c.team, prompt, time.Since(begin))
+			m.first(c.team, id, prompt)
 		}
 		m.serve(c.team, generatedTokenPrice)
 	}
 	err := c.try(ctx, body, token, &started)
-	m.end(c.team, started, err)
+	m.end(c.team, id, err)
 	return err
 }
 
--- a/e2e/bench/meter.go
+++ b/e2e/bench/meter.go
@@ -13,6 +13,7 @@
 
 	mu          sync.Mutex
 	teams       []teamMeter
+	lastID      uint64
 	outstanding int
 	observed    time.Time
 	// wanted is the integral over time of the slots that could have been busy:
@@ -25,14 +26,19 @@
 
 // teamMeter is the state of one team.
 type teamMeter struct {
-	served  float64
-	waiting int
+	served float64
+	// waiting holds the requests without a first token, and when each was sent.
+	waiting map[uint64]time.Time
 	// longestWait is the longest time to a first token.
 	longestWait time.Duration
 }
 
 func newMeter(teams, slots int) *meter {
-	return &meter{slots: slots, teams: make([]teamMeter, teams), observed: time.Now(), failures: map[string]int{}}
+	m := &meter{slots: slots, teams: make([]teamMeter, teams), observed: time.Now(), failures: map[string]int{}}
+	for i := range m.teams {
+		m.teams[i].waiting = map[uint64]time.Time{}
+	}
+	return m
 }
 
 func (m *meter) accrueLocked(now time.Time) {
@@ -40,23 +46,26 @@
 	m.observed = now
 }
 
-// begin counts a request that a caller sends.
-func (m *meter) begin(team int) {
+// begin counts a request that a caller sends, and returns its id.
+func (m *meter) begin(team int) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.accrueLocked(time.Now())
+	now := time.Now()
+	m.accrueLocked(now)
 	m.outstanding++
-	m.teams[team].waiting++
+	m.lastID++
+	m.teams[team].waiting[m.lastID] = now
+	return m.lastID
 }
 
 // first counts the first token of an answer with the cost of its prompt.
-func (m *meter) first(team int, cost float64, wait time.Duration) {
+func (m *meter) first(team int, id uint64, cost float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := &m.teams[team]
-	t.waiting--
+	t.longestWait = max(t.longestWait, time.Since(t.waiting[id]))
+	delete(t.waiting, id)
 	t.served += cost
-	t.longestWait = max(t.longestWait, wait)
 }
 
 // serve counts service that a caller received.
@@ -67,14 +76,12 @@
 }
 
 // end counts the end of a request.
-func (m *meter) end(team int, started bool, err error) {
+func (m *meter) end(team int, id uint64, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.accrueLocked(time.Now())
 	m.outstanding--
-	if !started {
-		m.teams[team].waiting--
-	}
+	delete(m.teams[team].waiting, id)
 	if errors.Is(err, context.Canceled) {
 		// The run is over.
 		return
@@ -110,7 +117,7 @@
 	defer m.mu.Unlock()
 	samples := make([]TeamSample, len(m.teams))
 	for i, t := range m.teams {
-		samples[i] = TeamSample{Served: t.served, Backlogged: t.waiting > 0}
+		samples[i] = TeamSample{Served: t.served, Backlogged: len(t.waiting) > 0}
 	}
 	return samples
 }
@@ -129,8 +136,15 @@
 	return totals{wanted: m.wanted, completed: m.completed, failed: m.failed}
 }
 
+// longestWait returns the longest time to a first token, also of requests that
+// still wait.
 func (m *meter) longestWait(team int) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.teams[team].longestWait
+	t := &m.teams[team]
+	longest := t.longestWait
+	for _, sent := range t.waiting {
+		longest = max(longest, time.Since(sent))
+	}
+	return longest
 }
--- a/e2e/bench/probe.go
+++ b/e2e/bench/probe.go
@@ -84,9 +84,9 @@
 		return nil, err
 	}
 	defer f.Close()
-	ctx, cancel := context.WithTimeout(ctx, warmup+options.Window/2)
+	ctx, cancel := context.WithTimeout(ctx, options.Warmup+options.Window/2)
 	defer cancel()
-	p := &probe{fleet: f, client: newHTTPClient(2 * probeCallers), begin: time.Now().Add(warmup)}
+	p := &probe{fleet: f, client: newHTTPClient(2 * probeCallers), begin: time.Now().Add(options.Warmup)}
 	for n := range probeCallers {
 		p.wg.Go(func() { p.run(ctx, f.Routers[n%len(f.Routers)].URL(), n, &p.routed) })
 		p.wg.Go(func() { p.run(ctx, f.Upstreams[n%len(f.Upstreams)].URL(), n, &p.direct) })
--- a/e2e/bench/report.go
+++ b/e2e/bench/report.go
@@ -18,13 +18,13 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		var err error
-		product, err = measure(ctx, s, false, options.Window)
+		product, err = measure(ctx, s, false, options)
 		return err
 	})
 	if options.Baseline {
 		group.Go(func() error {
 			var err error
-			baseline, err = measure(ctx, s, true, options.Window)
+			baseline, err = measure(ctx, s, true, options)
 			return err
 		})
 	}
--- a/e2e/bench/run.go
+++ b/e2e/bench/run.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// warmup is the time from the callers' start to the window's.
-	warmup = 3 * time.Second
 	// sampleInterval is the time between two samples of the teams' service.
 	sampleInterval = 100 * time.Millisecond
 )
@@ -23,6 +21,8 @@
 type Options struct {
 	// Window is the length of the measured window. A fault adds to it.
 	Window time.Duration
+	// Warmup is the time from the callers' start to the window's.
+	Warmup time.Duration
 	// Baseline runs the baseline beside the product.
 	Baseline bool
 }
@@ -67,7 +67,7 @@
 }
 
 // measure runs a scenario on a fresh fleet.
-func measure(ctx context.Context, s Scenario, baseline bool, window time.Duration) (measurement, error) {
+func measure(ctx context.Context, s Scenario, baseline bool, o Options) (measurement, error) {
 	options := harness.Options{
 		Proxied:    true,
 		Baseline:   baseline,
@@ -86,7 +86,7 @@
 		return measurement{}, eris.Wrapf(ErrRun, "%s\n%s", err, f.LogTails())
 	}
 	r := newRun(s, baseline, f)
-	if err := r.measure(ctx, window); err != nil {
+	if err := r.measure(ctx, o); err != nil {
 		return measurement{}, eris.Wrapf(err, "%s\n%s", s.Name, f.LogTails())
 	}
 	return r.measured, nil
@@ -115,12 +115,12 @@
 }
 
 // measure runs the callers and takes all figures of the window.
-func (r *run) measure(ctx context.Context, window time.Duration) error {
+func (r *run) measure(ctx context.Context, o Options) error {
 	loadCtx, stop := context.WithCancel(ctx)
 	defer r.load.wait()
 	defer stop()
 	r.load.start(loadCtx)
-	pause(ctx, warmup)
+	pause(ctx, o.Warmup)
 
 	before, err := r.counters(ctx)
 	if err != nil {
@@ -128,7 +128,7 @@
 	}
 	r.meter.resetWaits()
 	r.start = time.Now()
-	if err := r.window(ctx, window, &before); err != nil {
+	if err := r.window(ctx, o.Window, &before); err != nil {
 		return err
 	}
 	r.end = time.Now()
--- a/e2e/cmd/bench/main.go
+++ b/e2e/cmd/bench/main.go
@@ -20,6 +20,7 @@
 type arguments struct {
 	Scenario []string `arg:"--scenario" help:"scenarios to run; all by default"`
 	Seconds  float64  `arg:"--seconds" default:"12" help:"length of the measured window"`
+	Warmup   float64  `arg:"--warmup" default:"3" help:"seconds from the callers' start to the window"`
 	Cut      float64  `arg:"--cut" default:"8" help:"seconds of the cut in region_cut"`
 	Baseline bool     `arg:"--baseline" help:"run the baseline beside each scenario"`
 	Out      string   `arg:"--out" help:"file that gets the figures too"`
@@ -61,7 +62,7 @@
 }
 
 func runAll(ctx context.Context, args arguments, out io.Writer) error {
-	options := bench.Options{Window: seconds(args.Seconds), Baseline: args.Baseline}
+	options := bench.Options{Window: seconds(args.Seconds), Warmup: seconds(args.Warmup), Baseline: args.Baseline}
 	for _, b := range bench.Benchmarks(seconds(args.Cut)) {
 		if len(args.Scenario) > 0 && !slices.Contains(args.Scenario, b.Name) {
 			continue
