Judge callers' requests by their decoded path and close four smaller gaps

The path that goes to the upstream stays as the caller wrote it. Ruled out: decoding in config, whose contract is right as it stands.

--- a/caller/parse.go
+++ b/caller/parse.go
@@ -22,6 +22,7 @@
 // Limits of what callers send.
 const (
 	maxIdempotencyKeyBytes = 256
+	minTimeout             = time.Millisecond
 	maxTimeout             = 24 * time.Hour
 	// affinityPrefixBytes is how much of a prompt decides its affinity.
 	affinityPrefixBytes = 256
@@ -33,12 +34,16 @@
 	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Accept-Encoding",
 	HeaderRequestTimeout, "Traceparent", "Tracestate",
+	// Offsets are the router's, which resumes broken streams.
+	"X-Resume-Offset",
 }
 
 func forwardHeader(in http.Header) http.Header {
 	out := in.Clone()
-	for _, name := range strings.Split(in.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(name))
+	for _, line := range in.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopHeaders {
 		out.Del(name)
@@ -127,10 +132,11 @@
 		return 0, nil
 	}
 	seconds, err := strconv.ParseFloat(value, 64)
-	valid := err == nil && seconds > 0 && seconds <= maxTimeout.Seconds()
+	valid := err == nil && seconds >= minTimeout.Seconds() && seconds <= maxTimeout.Seconds()
 	if !valid {
 		return 0, NotRun(http.StatusBadRequest, "invalid_timeout",
-			fmt.Sprintf("Request-Timeout must be seconds above 0 and at most %.0f, got %q", maxTimeout.Seconds(), value))
+			fmt.Sprintf("Request-Timeout must be %g to %.0f seconds, got %q",
+				minTimeout.Seconds(), maxTimeout.Seconds(), value))
 	}
 	return time.Duration(seconds * float64(time.Second)), nil
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -78,7 +80,7 @@
 		Body:        body,
 		AffinityKey: completion.affinityKey(),
 	}
-	return s.serve(c, index, req, config.KindModel)
+	return s.serve(c, index, req, config.KindModel, c.Request().URL.Path)
 }
 
 func (s *Server) plain(c echo.Context) error {
@@ -98,10 +100,11 @@
 		Path:    upstreamPath(c.Request().URL.RequestURI(), service),
 		Body:    body,
 	}
-	return s.serve(c, index, req, config.KindPlain)
+	return s.serve(c, index, req, config.KindPlain, upstreamPath(c.Request().URL.Path, service))
 }
 
-// upstreamPath strips the /services/{service} prefix of a request URI.
+// upstreamPath strips the /services/{service} prefix of a request URI or a
+// decoded path.
 func upstreamPath(uri, service string) string {
 	path := strings.TrimPrefix(uri, "/services/"+service)
 	if !strings.HasPrefix(path, "/") {
@@ -110,10 +113,18 @@
 	return path
 }
 
-func (s *Server) serve(c echo.Context, index *config.Index, req *Request, kind config.ServiceKind) error {
+// serve runs a request. The rules of the configuration apply to its decoded
+// path at the upstream.
+func (s *Server) serve(c echo.Context, index *config.Index, req *Request, kind config.ServiceKind, decoded string) error {
 	if err := s.complete(c, index, req, kind); err != nil {
 		return err
 	}
+	req.NonIdempotent = index.NonIdempotent(req.Service, req.Method, decoded)
+	key, err := idempotencyKey(c.Request().Header, req.NonIdempotent)
+	if err != nil {
+		return err
+	}
+	req.IdempotencyKey = key
 	ctx := telemetry.WithTraceparent(c.Request().Context(), c.Request().Header.Get("traceparent"))
 	ctx, span := telemetry.StartSpan(ctx, "router.receive",
 		attribute.String("team", string(req.Team)), attribute.String("service", string(req.Service)))
@@ -125,19 +136,40 @@
 	}
 	w := newResponder(c.Response())
 	if err := s.opts.Backend.Serve(ctx, req, w); err != nil {
-		return s.fail(w, err)
+		return s.fail(c, w, err)
 	}
 	return w.finish()
 }
 
 // fail turns a backend's error into a refusal, or breaks the answer off when
 // part of it was sent: a caller must never take it for whole.
-func (s *Server) fail(w *responder, err error) error {
-	if w.Started() {
-		s.opts.Log.Info("answer broken off", zap.Error(err))
-		panic(http.ErrAbortHandler)
+func (s *Server) fail(c echo.Context, w *responder, err error) error {
+	if !w.Started() {
+		return err
+	}
+	s.opts.Log.Info("answer broken off", zap.Error(err))
+	if !c.Request().ProtoAtLeast(1, 1) {
+		s.reset(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes the connection by RST: the end of an HTTP/1.0 answer of no
+// stated length is the end of the connection.
+func (s *Server) reset(w *responder) {
+	conn, _, err := http.NewResponseController(w.w).Hijack()
+	if err != nil {
+		s.opts.Log.Warn("connection not reset", zap.Error(err))
+		return
+	}
+	defer conn.Close()
+	raw := conn
+	if secure, ok := conn.(*tls.Conn); ok {
+		raw = secure.NetConn()
+	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
-	return err
 }
 
 // complete fills in what the configuration and the headers say.
@@ -151,13 +183,7 @@
 	}
 	req.Weight = index.Weight(req.Service, req.Team)
 	req.Header = forwardHeader(c.Request().Header)
-	req.NonIdempotent = index.NonIdempotent(req.Service, req.Method, req.Path)
 	req.Digest = digest(req)
-	key, err := idempotencyKey(c.Request().Header, req.NonIdempotent)
-	if err != nil {
-		return err
-	}
-	req.IdempotencyKey = key
 	timeout, err := requestTimeout(c.Request().Header)
 	if err != nil {
 		return err
--- a/e2e/once/once_test.go
+++ b/e2e/once/once_test.go
@@ -247,7 +247,7 @@
 		router := f.Routers[1]
 		router.Process().Stop()
 		// The other routers close their sessions to the silent one.
-		awaitLost(ctx, f, f.Routers[0], router)
+		awaitLost(ctx, f.Routers[0], router)
 		router.Process().Cont()
 		Expect(b.finish(ctx, f)).To(BeNumerically(">", 0))
 		awaitRouters(ctx, f)
@@ -370,7 +370,7 @@
 }
 
 // awaitLost waits until a router has no session to another one.
-func awaitLost(ctx context.Context, f *harness.Fleet, r, lost *harness.Router) {
+func awaitLost(ctx context.Context, r, lost *harness.Router) {
 	GinkgoHelper()
 	Eventually(func(g Gomega) {
 		status, err := statusOf(ctx, r)
