Start an answer anew when the next attempt begins

An answer that is not streamed is held back up to 256 KB. When its upstream died after a part of it and the retry succeeded, the second answer was appended to the part of the first and delivered as complete. Start now drops what was held back; TestAnswerThatWasHeldBackIsReplacedByTheNextAttempt got "half of the firsecond" before. Also bounds how long a caller may take to accept a part of a stream, since the upstream's idle timeout is about to stop counting that time.

--- a/caller/responder.go
+++ b/caller/responder.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -14,6 +15,10 @@
 // that its outcome can be sent as a header.
 const bufferBytes = 256 << 10
 
+// stallTimeout bounds how long a caller may take to accept a part of its
+// answer: beyond it the upstream's slot is given to others.
+const stallTimeout = 30 * time.Second
+
 // responder writes one answer. Whole answers up to bufferBytes carry their
 // outcome as a header; streams and longer answers carry it as a trailer.
 type responder struct {
@@ -28,10 +33,11 @@
 	return &responder{w: w}
 }
 
-// Start implements Responder.
+// Start implements Responder. An answer that was held back is replaced.
 func (r *responder) Start(status int, header http.Header) error {
 	r.status = status
 	r.header = header
+	r.buf = nil
 	if strings.HasPrefix(header.Get("Content-Type"), "text/event-stream") {
 		return r.beginStream()
 	}
@@ -73,6 +79,12 @@
 	return nil
 }
 
+// setDeadline bounds the writes to the caller. A writer without deadlines is
+// not bounded.
+func (r *responder) setDeadline(t time.Time) {
+	_ = http.NewResponseController(r.w).SetWriteDeadline(t)
+}
+
 func (r *responder) beginStream() error {
 	r.streamed = true
 	r.copyHeader()
@@ -83,6 +95,9 @@
 }
 
 func (r *responder) flush(p []byte) error {
+	r.setDeadline(time.Now().Add(stallTimeout))
+	// The wait for the next part is the upstream's.
+	defer r.setDeadline(time.Time{})
 	if len(p) > 0 {
 		if _, err := r.w.Write(p); err != nil {
 			return eris.Wrap(ErrCallerGone, err.Error())
