Confirm suspects between routers before a crash is answered

Cause: the router whose request crashed an upstream answered its caller as soon as it had sent the suspect to the other routers; a caller that turned to the next router over an open connection got there first, and a third engine went down. Ruled out: the crash detection (each crash had its own identifier). Other routers now confirm the suspect, and the answer waits for them, at most 1 s. The admin API takes and gives JSON, which the commands use.

--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/config"
 )
 
 // clientTimeout bounds one call of the admin API.
@@ -33,17 +35,22 @@
 	}
 }
 
-// Config returns the inventory in force as YAML, and its generation.
-func (c *Client) Config(ctx context.Context) ([]byte, uint64, error) {
-	header, body, err := c.do(ctx, http.MethodGet, "/v1/config", nil, nil)
+// Config returns the inventory in force and its generation.
+func (c *Client) Config(ctx context.Context) (config.Inventory, uint64, error) {
+	accept := http.Header{"Accept": {mimeJSON}}
+	header, body, err := c.do(ctx, http.MethodGet, "/v1/config", accept, nil)
+	if err != nil {
+		return config.Inventory{}, 0, err
+	}
+	inv, err := config.DecodeInventory(body)
 	if err != nil {
-		return nil, 0, err
+		return config.Inventory{}, 0, eris.Wrap(ErrInvalid, err.Error())
 	}
 	generation, err := strconv.ParseUint(strings.Trim(header.Get("ETag"), `"`), 10, 64)
 	if err != nil {
-		return nil, 0, eris.Wrap(ErrUnavailable, "answer without a generation")
+		return config.Inventory{}, 0, eris.Wrap(ErrUnavailable, "answer without a generation")
 	}
-	return body, generation, nil
+	return inv, generation, nil
 }
 
 // Generation returns the generation in force, zero before the first.
@@ -56,16 +63,21 @@
 }
 
 // Apply proposes an inventory that was edited from generation base.
-func (c *Client) Apply(ctx context.Context, inventory []byte, base uint64, dryRun bool) (Accepted, error) {
+func (c *Client) Apply(ctx context.Context, inv config.Inventory, base uint64, dryRun bool) (Accepted, error) {
+	encoded, err := config.EncodeInventory(inv)
+	if err != nil {
+		return Accepted{}, eris.Wrap(ErrInvalid, err.Error())
+	}
 	path := "/v1/config"
 	if dryRun {
 		path += "?dry_run=true"
 	}
 	header := http.Header{
 		"If-Match":     {etag(base)},
+		"Content-Type": {mimeJSON},
 		headerChangeID: {uuid.NewString()},
 	}
-	_, body, err := c.do(ctx, http.MethodPut, path, header, inventory)
+	_, body, err := c.do(ctx, http.MethodPut, path, header, encoded)
 	if err != nil {
 		return Accepted{}, err
 	}
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -10,7 +10,6 @@
 	"os"
 	"slices"
 
-	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
 
 	"fulmarspindle.example/fulmarspindle/config"
@@ -47,12 +46,9 @@
 // Apply proposes the inventory of a file. A negative base stands for the
 // generation in force.
 func Apply(ctx context.Context, c *Client, path string, base int64, dryRun bool, out io.Writer) error {
-	if err := Check(path, io.Discard); err != nil {
-		return err
-	}
-	data, err := os.ReadFile(path)
+	inv, err := readInventory(path)
 	if err != nil {
-		return eris.Wrap(ErrInvalid, err.Error())
+		return err
 	}
 	generation := uint64(max(base, 0))
 	if base < 0 {
@@ -60,7 +56,7 @@
 			return err
 		}
 	}
-	accepted, err := c.Apply(ctx, data, generation, dryRun)
+	accepted, err := c.Apply(ctx, inv, generation, dryRun)
 	if err != nil {
 		return err
 	}
@@ -86,10 +82,14 @@
 
 // Get prints the inventory in force.
 func Get(ctx context.Context, c *Client, out io.Writer) error {
-	data, generation, err := c.Config(ctx)
+	inv, generation, err := c.Config(ctx)
 	if err != nil {
 		return err
 	}
+	data, err := config.FormatInventory(inv)
+	if err != nil {
+		return eris.Wrap(ErrInvalid, err.Error())
+	}
 	_, err = fmt.Fprintf(out, "# generation %d\n%s", generation, data)
 	return err
 }
@@ -100,14 +100,10 @@
 	if err != nil {
 		return err
 	}
-	data, _, err := c.Config(ctx)
+	current, _, err := c.Config(ctx)
 	if err != nil {
 		return err
 	}
-	current, err := config.ParseInventory(data)
-	if err != nil {
-		return eris.Wrap(ErrInvalid, err.Error())
-	}
 	return printChanges(out, config.Diff(current, proposed))
 }
 
@@ -171,22 +167,14 @@
 }
 
 func tryEditLeaving(ctx context.Context, c *Client, id fleet.UpstreamID, edit leavingEdit) (Accepted, error) {
-	data, generation, err := c.Config(ctx)
+	inv, generation, err := c.Config(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
-	inv, err := config.ParseInventory(data)
-	if err != nil {
-		return Accepted{}, eris.Wrap(ErrInvalid, err.Error())
-	}
 	at := slices.IndexFunc(inv.Upstreams, func(u config.Upstream) bool { return u.ID == id })
 	if at < 0 {
 		return Accepted{}, eris.Wrapf(ErrInvalid, "no upstream %q in the inventory", id)
 	}
 	inv.Rules.LeavingVMs = edit(inv.Rules.LeavingVMs, inv.Upstreams[at].VM)
-	edited, err := yaml.Marshal(inv)
-	if err != nil {
-		return Accepted{}, eris.Wrap(ErrInvalid, err.Error())
-	}
-	return c.Apply(ctx, edited, generation, false)
+	return c.Apply(ctx, inv, generation, false)
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -12,7 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
@@ -21,7 +20,7 @@
 
 // Limits of the admin API.
 const (
-	maxInventoryBytes = 4 << 20
+	maxInventoryBytes = 16 << 20
 	readTimeout       = 30 * time.Second
 	headerTimeout     = 5 * time.Second
 )
@@ -110,14 +109,24 @@
 	if err != nil {
 		return err
 	}
-	body, err := yaml.Marshal(inv)
+	format, contentType := config.FormatInventory, mimeYAML
+	if strings.HasPrefix(c.Request().Header.Get("Accept"), mimeJSON) {
+		format, contentType = config.EncodeInventory, mimeJSON
+	}
+	body, err := format(inv)
 	if err != nil {
 		return errors.Join(ErrInvalid, err)
 	}
 	c.Response().Header().Set("ETag", etag(head.Generation))
-	return c.Blob(http.StatusOK, "application/yaml", body)
+	return c.Blob(http.StatusOK, contentType, body)
 }
 
+// Media types of an inventory. JSON costs a router far less to read.
+const (
+	mimeYAML = "application/yaml"
+	mimeJSON = "application/json"
+)
+
 func (s *server) putConfig(c echo.Context) error {
 	proposal, err := s.proposal(c)
 	if err != nil {
@@ -154,7 +163,11 @@
 	if err != nil {
 		return config.Proposal{}, errors.Join(config.ErrTooLarge, err)
 	}
-	inv, err := config.ParseInventory(body)
+	parse := config.ParseInventory
+	if strings.HasPrefix(c.Request().Header.Get("Content-Type"), mimeJSON) {
+		parse = config.DecodeInventory
+	}
+	inv, err := parse(body)
 	if err != nil {
 		return config.Proposal{}, err
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -149,6 +149,7 @@
 	dispatched.Add(1)
 	res := a.run(ctx)
 	dispatched.Add(-1)
+	r.queue.step(dispatch.RequestEnded{Sidecar: bind.Sidecar})
 	res.sidecar = bind.Sidecar
 	if res.crashID != "" {
 		r.suspects.crashed(j.req, res.crashID)
--- a/router/sessions.go
+++ b/router/sessions.go
@@ -55,7 +55,9 @@
 	case *peerpb.Envelope_ConfigSnapshot:
 		r.adoption.Receive(s, b.ConfigSnapshot)
 	case *peerpb.Envelope_Suspects:
-		r.suspects.learn(suspectsFromWire(b.Suspects))
+		r.suspects.receive(s, b.Suspects)
+	case *peerpb.Envelope_SuspectAck:
+		r.suspects.acknowledged(s.ID(), b.SuspectAck.GetSeq())
 	}
 }
 
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -173,20 +173,20 @@
 	elapsed := time.Since(x.started)
 	if errors.Is(err, upstream.ErrNotSent) {
 		x.sidecar.scheduler.finish(x.id, 0)
-		x.sidecar.health.failed(err)
+		x.sidecar.health.observe(x.sidecar.ctx, false)
 		x.end(notRun("upstream refused the connection"))
 		return
 	}
 	cost := x.meter.Final(elapsed)
 	x.sidecar.scheduler.finish(x.id, cost)
 	if err == nil {
-		x.sidecar.health.succeeded()
+		x.sidecar.health.observe(x.sidecar.ctx, true)
 		x.end(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE, BodyBytes: x.sent, Cost: cost})
 		return
 	}
 	crashID := ""
 	if ctx.Err() == nil {
-		crashID = x.sidecar.health.broken(err)
+		crashID = x.sidecar.health.broken(x.sidecar.ctx)
 	}
 	x.end(&peerpb.End{
 		Outcome:   peerpb.Outcome_OUTCOME_UNKNOWN,
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -7,121 +7,118 @@
 
 	"go.uber.org/zap"
 
+	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
-// Health check intervals.
-const (
-	healthInterval     = time.Second
-	downHealthInterval = 100 * time.Millisecond
-	// failuresToDown is the count of consecutive failed checks, without an
-	// answered request between them, after which the upstream is down.
-	failuresToDown = 3
-)
-
-// health follows whether the upstream answers.
+// health binds fleet.Health to the upstream and names its crashes.
 type health struct {
 	id      string
 	client  *upstream.Client
 	log     *zap.Logger
-	changed func(up bool)
+	changed func()
 
-	mu       sync.Mutex
-	up       bool
-	failures int
-	// crashID names the crash that took the upstream down.
+	mu      sync.Mutex
+	machine *fleet.Health
+	// crashID names the crash that the upstream has not come back from.
 	crashID string
 }
 
-func newHealth(id string, client *upstream.Client, log *zap.Logger, changed func(up bool)) *health {
-	return &health{id: id, client: client, log: log, changed: changed}
+func newHealth(id string, client *upstream.Client, log *zap.Logger, changed func()) *health {
+	return &health{
+		id:      id,
+		client:  client,
+		log:     log,
+		changed: changed,
+		machine: fleet.NewHealth(fleet.HealthOptions{
+			FailureThreshold: failureThreshold,
+			MaxProbeInterval: maxProbeInterval,
+		}),
+	}
 }
 
-// run checks the upstream until ctx ends.
+const (
+	// failureThreshold is the count of consecutive failures that takes the
+	// upstream down: a call that breaks off and a probe that fails after it.
+	failureThreshold = 2
+	// maxProbeInterval bounds the time between probes of an upstream that is
+	// down, and so how late its return is seen.
+	maxProbeInterval = time.Second
+)
+
+// run probes the upstream until ctx ends.
 func (h *health) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := h.client.Healthy(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		h.observe(err)
-		interval := healthInterval
-		if !h.isUp() {
-			interval = downHealthInterval
-		}
+	for {
+		h.step(ctx, fleet.HealthTick{})
+		h.mu.Lock()
+		at, _ := h.machine.NextWake()
+		h.mu.Unlock()
 		select {
 		case <-ctx.Done():
-		case <-time.After(interval):
+			return
+		case <-time.After(time.Until(at)):
 		}
 	}
 }
 
-func (h *health) observe(err error) {
-	if err == nil {
-		h.set(true, nil)
-		return
-	}
+// step feeds one event to the machine and performs its actions.
+func (h *health) step(ctx context.Context, ev fleet.HealthEvent) {
 	h.mu.Lock()
-	h.failures++
-	down := h.failures >= failuresToDown
+	actions := h.machine.Step(time.Now(), ev)
 	h.mu.Unlock()
-	if down {
-		h.set(false, err)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case fleet.Probe:
+			go h.probe(ctx, a.Seq)
+		case fleet.BecameUp:
+			h.log.Info("upstream is up")
+			h.changed()
+		case fleet.BecameDown:
+			h.log.Warn("upstream is down")
+			h.changed()
+		}
 	}
 }
 
-func (h *health) isUp() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.up
+func (h *health) probe(ctx context.Context, seq uint64) {
+	err := h.client.Healthy(ctx)
+	if err == nil {
+		h.recovered()
+	}
+	h.step(ctx, fleet.ProbeDone{Seq: seq, OK: err == nil})
 }
 
-// set records a change and announces it.
-func (h *health) set(up bool, cause error) {
+// recovered ends the crash that broken calls are counted to.
+func (h *health) recovered() {
 	h.mu.Lock()
-	if up {
-		h.failures = 0
-	}
-	was := h.up
-	h.up = up
-	if was && !up {
-		h.crashID = h.id + "/" + time.Now().UTC().Format(time.RFC3339Nano)
-	}
+	h.crashID = ""
 	h.mu.Unlock()
-	if was == up {
-		return
-	}
-	h.log.Warn("upstream health changed", zap.Bool("up", up), zap.Error(cause))
-	h.changed(up)
 }
 
-// succeeded records an answered request.
-func (h *health) succeeded() {
+func (h *health) isUp() bool {
 	h.mu.Lock()
-	h.failures = 0
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	return h.machine.Up()
 }
 
-// failed records that the upstream refused a connection.
-func (h *health) failed(err error) { h.set(false, err) }
+// observe records whether a request reached the upstream and was answered.
+func (h *health) observe(ctx context.Context, ok bool) {
+	h.step(ctx, fleet.RequestDone{OK: ok})
+}
 
-// broken records a call that broke off. If the upstream does not answer its
-// health check either, it crashed: all calls that broke off with it get the
-// same identifier. Otherwise the result is empty.
-func (h *health) broken(cause error) string {
-	ctx, cancel := context.WithTimeout(context.Background(), healthInterval)
-	defer cancel()
-	err := h.client.Healthy(ctx)
-	h.mu.Lock()
-	up := h.up
-	h.mu.Unlock()
-	if err == nil && up {
+// broken records a call that broke off. If the upstream does not answer a
+// probe either, it crashed: all calls that break off with it get the same
+// identifier of the crash. Otherwise the result is empty.
+func (h *health) broken(ctx context.Context) string {
+	h.observe(ctx, false)
+	if h.client.Healthy(ctx) == nil {
 		return ""
 	}
-	if err != nil {
-		h.set(false, cause)
-	}
+	h.observe(ctx, false)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.crashID == "" {
+		h.crashID = h.id + "/" + time.Now().UTC().Format(time.RFC3339Nano)
+	}
 	return h.crashID
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,7 +82,7 @@
 		RefreshInterval: node.DemandRefreshInterval,
 	}, fairness.LedgerConfig{})
 	s.scheduler.step(dispatch.SetAccepting{Accepting: false})
-	s.health = newHealth(string(settings.ID), s.client, log, func(bool) { s.derive() })
+	s.health = newHealth(string(settings.ID), s.client, log, s.derive)
 	s.adoption = node.NewAdoption(ctx, node.AdoptionOptions{
 		Sessions: s.sessions,
 		Log:      log,
