--- a/claim/committer.go
+++ b/claim/committer.go
@@ -60,7 +60,8 @@
 // holds the key, and StatusUnavailable with ErrUnavailable. The errors are
 // ErrKeyReused, ErrUnavailable, ErrInvalidRecord, ErrClosed and the context's
 // error. After any error the attempt must not be dispatched and its ID must not
-// be used again; if it was recorded all the same, it is released later.
+// be used again; if it was recorded all the same, it is released later, unless
+// the Committer was closed: then the key stays claimed by a lost attempt.
 func (c *Committer) Claim(ctx context.Context, r Record) (Result, error) {
 	if err := r.Validate(); err != nil {
 		return Result{}, err
