--- a/cmd/fulmarside/main.go
+++ b/cmd/fulmarside/main.go
@@ -1,4 +1,92 @@
 // Command fulmarside runs the sidecar beside one upstream.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/sidecar"
+	"fulmarspindle.example/fulmarspindle/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	// exitUsage is for bad arguments and settings.
+	exitUsage = 2
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"YAML file with the sidecar's settings"`
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "fulmarside " + telemetry.Version }
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "fulmarside runs beside one upstream and grants its slots to waiting requests."
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var args arguments
+	arg.MustParse(&args)
+	err := serve(ctx, args.Settings)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "fulmarside:", err)
+	if errors.Is(err, config.ErrInvalid) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func serve(ctx context.Context, path string) error {
+	settings, err := config.LoadSidecarSettings(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(settings.Log.Level, string(settings.ID))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	background := context.WithoutCancel(ctx)
+	flush, err := telemetry.StartTraces(background, telemetry.TraceOptions{
+		Endpoint: settings.Traces.OTLPEndpoint,
+		Stdout:   settings.Traces.Stdout,
+	}, string(settings.ID))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(background) }()
+	var links sidecar.TLS
+	links.PeerServer, links.PeerClient, err = node.PeerTLS(settings.TLS.Peer)
+	if err != nil {
+		return err
+	}
+	ln, err := node.Listen(settings.Listen.Peer, nil)
+	if err != nil {
+		return err
+	}
+	adminLn, err := node.Listen(settings.Listen.Admin, nil)
+	if err != nil {
+		return err
+	}
+	return sidecar.New(background, settings, links, log).Run(ctx, ln, adminLn)
+}
--- /dev/null
+++ b/e2e/bench/meter.go
@@ -0,0 +1,150 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// meter counts what the callers of each team ask for and receive.
+type meter struct {
+	slots int
+
+	mu          sync.Mutex
+	teams       []teamMeter
+	lastID      uint64
+	outstanding int
+	observed    time.Time
+	// wanted is the integral over time of the slots that could have been busy:
+	// the least of the fleet's slots and the outstanding requests.
+	wanted    time.Duration
+	completed int
+	failed    int
+	failures  map[string]int
+}
+
+// teamMeter is the state of one team.
+type teamMeter struct {
+	served float64
+	// waiting holds the requests without a first token, and when each was sent.
+	waiting map[uint64]time.Time
+	// longestWait is the longest time to a first token.
+	longestWait time.Duration
+}
+
+func newMeter(teams, slots int) *meter {
+	m := &meter{slots: slots, teams: make([]teamMeter, teams), observed: time.Now(), failures: map[string]int{}}
+	for i := range m.teams {
+		m.teams[i].waiting = map[uint64]time.Time{}
+	}
+	return m
+}
+
+func (m *meter) accrueLocked(now time.Time) {
+	m.wanted += time.Duration(min(m.slots, m.outstanding)) * now.Sub(m.observed)
+	m.observed = now
+}
+
+// begin counts a request that a caller sends, and returns its id.
+func (m *meter) begin(team int) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.accrueLocked(now)
+	m.outstanding++
+	m.lastID++
+	m.teams[team].waiting[m.lastID] = now
+	return m.lastID
+}
+
+// first counts the first token of an answer with the cost of its prompt.
+func (m *meter) first(team int, id uint64, cost float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &m.teams[team]
+	t.longestWait = max(t.longestWait, time.Since(t.waiting[id]))
+	delete(t.waiting, id)
+	t.served += cost
+}
+
+// serve counts service that a caller received.
+func (m *meter) serve(team int, cost float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.teams[team].served += cost
+}
+
+// end counts the end of a request.
+func (m *meter) end(team int, id uint64, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	m.outstanding--
+	delete(m.teams[team].waiting, id)
+	if errors.Is(err, context.Canceled) {
+		// The run is over.
+		return
+	}
+	if err != nil {
+		m.failed++
+		m.failures[err.Error()]++
+		return
+	}
+	m.completed++
+}
+
+// resetWaits forgets the longest waits so far.
+func (m *meter) resetWaits() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range m.teams {
+		m.teams[i].longestWait = 0
+	}
+}
+
+// setSlots changes the slots that could be busy.
+func (m *meter) setSlots(slots int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	m.slots = slots
+}
+
+// samples returns the state of each team.
+func (m *meter) samples() []TeamSample {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	samples := make([]TeamSample, len(m.teams))
+	for i, t := range m.teams {
+		samples[i] = TeamSample{Served: t.served, Backlogged: len(t.waiting) > 0}
+	}
+	return samples
+}
+
+// totals are the sums of a meter so far.
+type totals struct {
+	wanted    time.Duration
+	completed int
+	failed    int
+}
+
+func (m *meter) totals() totals {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accrueLocked(time.Now())
+	return totals{wanted: m.wanted, completed: m.completed, failed: m.failed}
+}
+
+// longestWait returns the longest time to a first token, also of requests that
+// still wait.
+func (m *meter) longestWait(team int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &m.teams[team]
+	longest := t.longestWait
+	for _, sent := range t.waiting {
+		longest = max(longest, time.Since(sent))
+	}
+	return longest
+}
