--- a/e2e/bench/counters.go
+++ b/e2e/bench/counters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"strings"
@@ -30,10 +31,6 @@
 
 // sub returns what was sent since an earlier count.
 func (t traffic) sub(o traffic) traffic {
-	if t.control < o.control {
-		// The process was restarted meanwhile.
-		return t
-	}
 	return t.plus(o, -1)
 }
 
@@ -97,17 +94,18 @@
 	return from != "" && to != "" && from != to
 }
 
-// scrape reads the counters of every running process of the product.
+// scrape reads the counters of every running process of the product. A process
+// that was started again counts as another one.
 func scrape(ctx context.Context, f *harness.Fleet) (map[string]traffic, error) {
 	urls := map[string]string{}
 	for _, r := range f.Routers {
 		if r.Process().Running() {
-			urls[string(r.ID)] = r.AdminURL()
+			urls[instance(string(r.ID), r.Process())] = r.AdminURL()
 		}
 	}
 	for _, u := range f.Upstreams {
 		if u.Sidecar().Running() {
-			urls[string(u.ID)] = u.SidecarAdminURL()
+			urls[instance(string(u.ID), u.Sidecar())] = u.SidecarAdminURL()
 		}
 	}
 	out := map[string]traffic{}
@@ -121,6 +119,10 @@
 	return out, nil
 }
 
+func instance(id string, p *harness.Process) string {
+	return fmt.Sprintf("%s/%d", id, p.PID())
+}
+
 func readVars(ctx context.Context, url string) (vars, error) {
 	var v vars
 	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
