Keep the time of a slow caller out of the upstream's idle timeout

The idle timer ran while the sink took data, so a caller that read slowly for longer than the timeout had its stream cut as the upstream's fault, cost a retry from the budget and a second engine's work, and was broken off in the end (e2e/answers, "to slow callers", failed this way; so does TestIdleTimeoutDoesNotCountTheSink with the former client). Ruled out: raising the timeout, which would keep hung engines longer.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -86,24 +86,36 @@
 func (c *Client) Do(ctx context.Context, call *Call, sink Sink) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idle := time.AfterFunc(call.IdleTimeout, func() { cancel(ErrIdle) })
-	defer idle.Stop()
+	idle := &idleTimer{timeout: call.IdleTimeout}
+	idle.timer = time.AfterFunc(call.IdleTimeout, func() { cancel(ErrIdle) })
+	defer idle.stop()
 
 	resp, err := c.send(ctx, call)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	idle.Reset(call.IdleTimeout)
+	idle.stop()
 	if err := checkResumed(call, resp); err != nil {
 		return err
 	}
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
-	return relay(ctx, resp.Body, sink, func() { idle.Reset(call.IdleTimeout) })
+	return relay(ctx, resp.Body, sink, idle)
 }
 
+// idleTimer runs only while the upstream is waited for: time that the sink
+// takes is not the upstream's.
+type idleTimer struct {
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+func (t *idleTimer) start() { t.timer.Reset(t.timeout) }
+
+func (t *idleTimer) stop() { t.timer.Stop() }
+
 // send starts the call and waits for the answer's head.
 func (c *Client) send(ctx context.Context, call *Call) (*http.Response, error) {
 	var sent atomic.Bool
@@ -145,11 +157,12 @@
 	return eris.Wrap(ErrBroken, "the upstream did not resume the stream")
 }
 
-func relay(ctx context.Context, body io.Reader, sink Sink, progress func()) error {
+func relay(ctx context.Context, body io.Reader, sink Sink, idle *idleTimer) error {
 	buf := make([]byte, readBufferBytes)
 	for {
+		idle.start()
 		n, err := body.Read(buf)
-		progress()
+		idle.stop()
 		if n > 0 {
 			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
 				return sinkErr
