--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,6 @@
 clean:
 	rm -rf $(BIN) .tmp
 
-# Runs the example fleet of Warmtekas on stand-ins.
+# Runs the example fleet of Warmtekas on stand-ins; DEMO_ARGS=--hold keeps it running until an interrupt.
 demo: build
-	$(BIN)/demo examples/warmtekas.yaml
+	$(BIN)/demo $(DEMO_ARGS) examples/warmtekas.yaml
--- a/e2e/cmd/demo/main.go
+++ b/e2e/cmd/demo/main.go
@@ -32,6 +32,7 @@
 
 type arguments struct {
 	Inventory string `arg:"positional" default:"examples/warmtekas.yaml" help:"inventory file"`
+	Hold      bool   `arg:"--hold" help:"keep the fleet running until an interrupt, and print how to reach it"`
 }
 
 func main() {
@@ -43,16 +44,16 @@
 	arg.MustParse(&args)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if err := demo(ctx, args.Inventory); err != nil {
+	if err := demo(ctx, args.Inventory, args.Hold); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		return 1
 	}
 	return 0
 }
 
-func demo(ctx context.Context, path string) error {
+// demo starts the fleet of an inventory and shows it at work. With hold it then
+// keeps the fleet running until ctx ends.
+func demo(ctx context.Context, path string, hold bool) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -66,23 +67,47 @@
 		return err
 	}
 	defer f.Close()
+	if err := show(ctx, f, path); err != nil {
+		return err
+	}
+	if hold {
+		printAccess(f)
+		<-ctx.Done()
+	}
+	fmt.Println("\nstopping every process")
+	return nil
+}
+
+// show starts the fleet, sends its requests and prints its status within the
+// timeout.
+func show(ctx context.Context, f *harness.Fleet, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	started := time.Now()
 	if err := f.Start(ctx); err != nil {
 		return err
 	}
 	fmt.Printf("fleet of %s: %d regions, %d routers, %d upstreams, %d teams, ready in %v\n\n", path,
-		len(inv.Regions), len(f.Routers), len(f.Upstreams), len(inv.Teams), time.Since(started).Round(time.Millisecond))
+		len(f.Inventory.Regions), len(f.Routers), len(f.Upstreams), len(f.Inventory.Teams), time.Since(started).Round(time.Millisecond))
 	if err := completions(ctx, f); err != nil {
 		return err
 	}
 	if err := order(ctx, f); err != nil {
 		return err
 	}
-	if err := status(ctx, f); err != nil {
-		return err
-	}
-	fmt.Println("\nstopping every process")
-	return nil
+	return status(ctx, f)
+}
+
+// printAccess prints shell variables with which callers and operators reach the
+// fleet.
+func printAccess(f *harness.Fleet) {
+	fmt.Println("\nThe fleet runs until an interrupt. In another shell:")
+	fmt.Printf("export CALLER=%s\n", f.Routers[0].URL())
+	fmt.Printf("export KEY=%s\n", harness.TeamKey(f.Inventory.Teams[0].ID))
+	fmt.Printf("export FULMARSPINDLE_ADMIN=%s\n", f.Routers[0].AdminURL())
+	fmt.Printf("export FULMARSPINDLE_TOKEN=%s\n", harness.AdminToken)
+	fmt.Printf("export SIDECAR=%s\n", f.Upstreams[0].SidecarAdminURL())
+	fmt.Printf("export PLATFORM_CONTROL=%s\n", f.Platform.URL())
 }
 
 // completions sends streamed and whole requests through every router.
--- a/e2e/harness/control.go
+++ b/e2e/harness/control.go
@@ -38,6 +38,9 @@
 	return Control{url: "http://" + address}
 }
 
+// URL is where the control port is served.
+func (c Control) URL() string { return c.url }
+
 // Set merges switches: a struct, a map or raw JSON.
 func (c Control) Set(ctx context.Context, switches any) error {
 	return c.call(ctx, http.MethodPost, "/control", switches, nil)
