Verify the peer's certificate against the address that was dialed

No session over TLS could open: the dialing side's configuration named no server, which crypto/tls refuses ('either ServerName or InsecureSkipVerify must be specified'). Every test so far used plain TCP, so nothing showed it. Skipping verification was ruled out: the settings promise that both sides are verified.

--- a/peer/network.go
+++ b/peer/network.go
@@ -151,7 +151,7 @@
 	}
 	defer conn.Close()
 	if n.clientTLS != nil {
-		conn = tls.Client(conn, n.clientTLS)
+		conn = tls.Client(conn, forAddress(n.clientTLS, t.Address))
 	}
 	s, err := dialHandshake(conn, n.local, t.ID)
 	if err != nil {
@@ -163,6 +163,18 @@
 	return cause
 }
 
+// forAddress returns a configuration that verifies the peer's certificate
+// against the host of a host:port address.
+func forAddress(cfg *tls.Config, address string) *tls.Config {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	cfg = cfg.Clone()
+	cfg.ServerName = host
+	return cfg
+}
+
 func (n *Network) logDown(s *Session, cause error) {
 	n.log.Info("session closed", zap.String("peer", string(s.ID())), zap.Error(cause))
 }
