Fix a data race on the region pair of a connection

The handshake stored the pair in countingConn while the multiplexer's goroutine read it for each write. The pair is an atomic pointer now.

--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	s.dialed = true
-	counting.pair = s.pair
+	counting.setPair(s.pair)
 	return s, nil
 }
 
@@ -45,7 +45,7 @@
 		mux.Close()
 		return nil, err
 	}
-	counting.pair = s.pair
+	counting.setPair(s.pair)
 	return s, nil
 }
 
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"net"
 	"strings"
+	"sync/atomic"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
@@ -39,14 +40,22 @@
 }
 
 // countingConn counts all bytes written to a connection, including those of
-// the multiplexer.
+// the multiplexer. Bytes sent ahead of the peer's hello are counted without a
+// region pair.
 type countingConn struct {
 	net.Conn
-	pair string
+	// pair is set while the multiplexer writes.
+	pair atomic.Pointer[string]
 }
 
+func (c *countingConn) setPair(pair string) { c.pair.Store(&pair) }
+
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	connSentBytes.Add(c.pair, int64(n))
+	pair := ""
+	if known := c.pair.Load(); known != nil {
+		pair = *known
+	}
+	connSentBytes.Add(pair, int64(n))
 	return n, err
 }
