--- a/fairness/config.go
+++ b/fairness/config.go
@@ -46,6 +46,9 @@
 
 // KeeperConfig configures a Keeper. Zero fields take the defaults.
 type KeeperConfig struct {
+	// RefreshInterval is the time after which the other regions are sent an
+	// unchanged sum of an active team again.
+	RefreshInterval time.Duration
 	// ActivityTTL is the time without an active flag from any reporter or
 	// region after which a team counts as idle. It must be at least twice the
 	// reporters' refresh interval and the interval between region sums.
@@ -62,6 +65,7 @@
 }
 
 func (c KeeperConfig) withDefaults() KeeperConfig {
+	c.RefreshInterval = orDefault(c.RefreshInterval, DefaultRefreshInterval)
 	c.ActivityTTL = orDefault(c.ActivityTTL, DefaultActivityTTL)
 	c.ReporterTTL = orDefault(c.ReporterTTL, DefaultReporterTTL)
 	c.TeamTTL = orDefault(c.TeamTTL, DefaultTeamTTL)
--- a/fairness/keeper.go
+++ b/fairness/keeper.go
@@ -113,6 +113,7 @@
 		if entry.Active {
 			k.activate(t, entry, delta, at)
 		}
+		t.tell(rep.number)
 		answer.Teams = append(answer.Teams, t.answer())
 	}
 	return answer
--- a/fairness/keeper_team.go
+++ b/fairness/keeper_team.go
@@ -37,6 +37,8 @@
 	activeThere activity
 	changed     time.Duration
 	used        time.Duration
+	// sent is what the other regions were last sent.
+	sent sentSum
 }
 
 // counter is what one reporter has charged. Counters are ordered by reporter.
@@ -46,7 +48,9 @@
 	merges  uint32
 	seq     uint64
 	charged float64
-	seen    time.Duration
+	// told is the account that the reporter was last told.
+	told float64
+	seen time.Duration
 }
 
 // source is a keeper that took over for a while and whose total was merged.
--- a/fairness/ledger.go
+++ b/fairness/ledger.go
@@ -104,6 +104,14 @@
 	return len(l.accounts)
 }
 
+// SetEstimate sets the cost charged at Begin while no cost of the service is
+// known, in the service's cost units.
+func (l *Ledger) SetEstimate(cost float64) {
+	if validCost(cost) && cost > 0 {
+		l.cfg.Estimate = cost
+	}
+}
+
 // SetWeight sets the weight of a team for requests that begin later. A weight
 // that is not a positive number is ignored. Weights are forgotten with their
 // teams.
--- a/fairness/region.go
+++ b/fairness/region.go
@@ -24,8 +24,17 @@
 	seen        time.Duration
 }
 
-// RegionSums returns this region's totals of the teams that were active or
-// changed within the activity TTL, so that a few lost messages do no harm. The
+// sentSum is what the other regions were last sent of a team.
+type sentSum struct {
+	total float64
+	lift  float64
+	at    time.Duration
+	known bool
+}
+
+// RegionSums returns this region's totals of the teams that changed since the
+// last call, and once a refresh interval of those that were active or changed
+// within the activity TTL, so that a few lost messages do no harm. The
 // lift of a team that may still be refilled is left out: a refill lowers it,
 // and other regions would give the larger one back. The teams are ordered by
 // id. It reports false if there are none.
@@ -48,6 +57,10 @@
 		if !t.refilling(at) {
 			sum.Lift = t.lift
 		}
+		if !k.resend && !t.sumDue(sum, at, k.cfg.RefreshInterval) {
+			continue
+		}
+		t.sent = sentSum{total: sum.Total, lift: sum.Lift, at: at, known: true}
 		s.Teams = append(s.Teams, sum)
 	}
 	k.resend = false
@@ -59,6 +72,14 @@
 	return s, true
 }
 
+// sumDue reports whether the other regions must be sent a sum.
+func (t *teamState) sumDue(sum RegionSum, at, refresh time.Duration) bool {
+	if !t.sent.known || sum.Total != t.sent.total || sum.Lift != t.sent.lift {
+		return true
+	}
+	return at-t.sent.at >= refresh
+}
+
 // ResendAll makes the next RegionSums carry all teams. Call it when another
 // region can be reached again: teams that became idle during the cut would
 // otherwise not be sent.
--- a/node/account.go
+++ b/node/account.go
@@ -129,3 +129,25 @@
 	}
 	return s
 }
+
+// UpdateToWire converts a keeper's update to its message.
+func UpdateToWire(u fairness.Update) *peerpb.AccountUpdate {
+	out := &peerpb.AccountUpdate{VirtualTime: u.VirtualTime}
+	for _, t := range u.Teams {
+		out.Bases = append(out.Bases, &peerpb.AccountBase{Team: string(t.Team), Base: t.Base, Seq: t.Seq})
+	}
+	return out
+}
+
+// UpdateFromWire converts a message to a keeper's update.
+func UpdateFromWire(m *peerpb.AccountUpdate) fairness.Update {
+	u := fairness.Update{VirtualTime: m.GetVirtualTime()}
+	for _, b := range m.GetBases() {
+		u.Teams = append(u.Teams, fairness.TeamUpdate{
+			Team: fleet.TeamID(b.GetTeam()),
+			Base: b.GetBase(),
+			Seq:  b.GetSeq(),
+		})
+	}
+	return u
+}
--- a/peer/benchmark_test.go
+++ b/peer/benchmark_test.go
@@ -51,7 +51,7 @@
 func benchDemands(teams int) *peerpb.Envelope {
 	u := &peerpb.DemandUpdate{}
 	for i := range teams {
-		u.Demands = append(u.Demands, &peerpb.Demand{Team: benchTeam(i), Seq: 100000, Waiting: 20, OldestAgeMs: 900, Weight: 1})
+		u.Demands = append(u.Demands, &peerpb.Demand{Team: benchTeam(i), Seq: 100000, Waiting: 20, OldestAgeMs: 900})
 	}
 	return &peerpb.Envelope{Generation: 10000, Body: &peerpb.Envelope_Demand{Demand: u}}
 }
--- a/router/keeper.go
+++ b/router/keeper.go
@@ -12,8 +12,11 @@
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
 
-// regionSumsInterval is the time between two exchanges of region sums.
-const regionSumsInterval = 500 * time.Millisecond
+// Intervals at which changed accounts are sent on.
+const (
+	regionSumsInterval = 50 * time.Millisecond
+	updateInterval     = 25 * time.Millisecond
+)
 
 // keepers holds the account keepers of this router, one for each service.
 type keepers struct {
@@ -65,16 +68,43 @@
 // exchange sends this region's sums to the keepers of the other regions until
 // ctx ends.
 func (k *keepers) exchange(ctx context.Context) {
-	ticker := time.NewTicker(regionSumsInterval)
+	every(ctx, regionSumsInterval, func(now time.Time) {
+		for service, sums := range k.sums(now) {
+			k.send(service, sums)
+		}
+	})
+}
+
+// update tells the sidecars of this region of changed accounts until ctx ends.
+func (k *keepers) update(ctx context.Context) {
+	every(ctx, updateInterval, func(now time.Time) {
+		for _, u := range k.updates(now) {
+			m := node.UpdateToWire(u.Update)
+			k.sessions.Send(u.Reporter, &peerpb.Envelope{Body: &peerpb.Envelope_AccountUpdate{AccountUpdate: m}})
+		}
+	})
+}
+
+func (k *keepers) updates(now time.Time) []fairness.ReporterUpdate {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []fairness.ReporterUpdate
+	for _, keeper := range k.byService {
+		out = append(out, keeper.Updates(now)...)
+	}
+	return out
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for service, sums := range k.sums(now) {
-				k.send(service, sums)
-			}
+			f(now)
 		}
 	}
 }
--- a/router/queue.go
+++ b/router/queue.go
@@ -70,7 +70,6 @@
 		Seq:         a.Seq,
 		Waiting:     uint32(a.Waiting),
 		OldestAgeMs: uint32(a.OldestAge.Milliseconds()),
-		Weight:      a.Weight,
 	}
 	update := &peerpb.DemandUpdate{Demands: []*peerpb.Demand{demand}}
 	q.sessions.Send(a.Sidecar, &peerpb.Envelope{Body: &peerpb.Envelope_Demand{Demand: update}})
--- a/router/relay.go
+++ b/router/relay.go
@@ -96,7 +96,6 @@
 		Traceparent:  telemetry.Traceparent(ctx),
 		Digest:       req.Digest,
 		ResumeOffset: a.job.relayed,
-		Weight:       req.Weight,
 		Solo:         a.job.solo,
 	}
 	for name, values := range req.Header {
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -20,8 +20,8 @@
 // receiveTimeout bounds how long a router may take to send a request.
 const receiveTimeout = 30 * time.Second
 
-// accrueInterval is the least time between two charges of a running request.
-const accrueInterval = 50 * time.Millisecond
+// accrueAhead is the ratio of a charge to the cost so far.
+const accrueAhead = 1.25
 
 // execution is one dispatched request at this sidecar.
 type execution struct {
@@ -33,8 +33,9 @@
 	id       uint64
 	meter    *upstream.Meter
 	started  time.Time
-	accrued  time.Time
-	sent     uint64
+	// charged is the cost charged for what was streamed, in cost units.
+	charged float64
+	sent    uint64
 }
 
 // Stream implements peer.Handler: it serves one dispatched request.
@@ -161,13 +162,21 @@
 func (x *execution) Data(p []byte) error {
 	x.sent += uint64(len(p))
 	x.meter.Data(p)
-	if now := time.Now(); now.Sub(x.accrued) >= accrueInterval {
-		x.accrued = now
-		x.sidecar.scheduler.accrue(x.id, x.meter.Accrued(now.Sub(x.started)))
-	}
+	x.accrue()
 	return x.stream.SendData(p)
 }
 
+// accrue charges a request that costs more than was charged for it. The charge
+// runs ahead of the cost, so that a long request is charged a few times only.
+func (x *execution) accrue() {
+	cost := x.meter.Accrued(time.Since(x.started))
+	if cost <= x.charged {
+		return
+	}
+	x.charged = cost * accrueAhead
+	x.sidecar.scheduler.accrue(x.id, x.charged)
+}
+
 // conclude settles the request's cost and tells the router how it ended.
 func (x *execution) conclude(ctx context.Context, err error) {
 	elapsed := time.Since(x.started)
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -15,6 +15,8 @@
 // to the sessions. Its lock covers both machines.
 type scheduler struct {
 	sessions *node.Sessions
+	// weightOf returns a team's weight by the configuration in force.
+	weightOf func(fleet.TeamID) float64
 
 	mu      sync.Mutex
 	machine *dispatch.Sidecar
@@ -28,6 +30,8 @@
 	// verdicts are the requests that wait for a slot.
 	verdicts map[uint64]chan verdict
 	running  int
+	// changed has an element when an account has changed.
+	changed  chan struct{}
 	lastLoad dispatch.Load
 	usage    slotUsage
 }
@@ -38,11 +42,15 @@
 	reason dispatch.RejectReason
 }
 
-func newScheduler(sessions *node.Sessions, cfg dispatch.SidecarConfig, ledger fairness.LedgerConfig) *scheduler {
+func newScheduler(
+	sessions *node.Sessions, weightOf func(fleet.TeamID) float64, cfg dispatch.SidecarConfig, ledger fairness.LedgerConfig,
+) *scheduler {
 	s := &scheduler{
 		sessions: sessions,
+		weightOf: weightOf,
 		ledger:   fairness.NewLedger(ledger),
 		waiting:  newDemandTable(),
+		changed:  make(chan struct{}, 1),
 		reserved: make(map[fleet.TeamID][]uint64),
 		verdicts: make(map[uint64]chan verdict),
 	}
@@ -112,9 +120,8 @@
 	defer s.mu.Unlock()
 	team := fleet.TeamID(d.GetTeam())
 	s.now = time.Now()
-	if d.GetWeight() > 0 {
-		s.ledger.SetWeight(team, d.GetWeight())
-	}
+	weight := s.weightOf(team)
+	s.ledger.SetWeight(team, weight)
 	s.waiting.set(team, router, d.GetWaiting() > 0, s.now)
 	s.ledger.SetActive(team, s.waiting.has(team), s.now)
 	s.stepLocked(dispatch.DemandReceived{
@@ -123,7 +130,7 @@
 		Seq:       d.GetSeq(),
 		Waiting:   int(d.GetWaiting()),
 		OldestAge: time.Duration(d.GetOldestAgeMs()) * time.Millisecond,
-		Weight:    d.GetWeight(),
+		Weight:    weight,
 	})
 }
 
@@ -164,10 +171,9 @@
 	ch := make(chan verdict, 1)
 	s.verdicts[id] = ch
 	team := fleet.TeamID(d.GetTeam())
-	if d.GetWeight() > 0 {
-		s.ledger.SetWeight(team, d.GetWeight())
-	}
+	s.ledger.SetWeight(team, s.weightOf(team))
 	s.ledger.Begin(id, team, 0, s.now)
+	s.charged()
 	s.stepLocked(dispatch.RequestArrived{
 		Router:    router,
 		GrantID:   d.GetGrantId(),
@@ -203,6 +209,7 @@
 	s.observeUsage()
 	s.running--
 	s.ledger.Settle(id, cost, now)
+	s.charged()
 	s.stepLocked(dispatch.RequestFinished{RequestID: id})
 }
 
@@ -213,6 +220,14 @@
 	s.ledger.Accrue(id, cost)
 }
 
+// charged asks for a report soon.
+func (s *scheduler) charged() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // report returns the accounts that a keeper should hear of.
 func (s *scheduler) report() (fairness.Report, bool) {
 	s.mu.Lock()
@@ -224,14 +239,24 @@
 	return s.ledger.Report(now)
 }
 
+func (s *scheduler) update(u fairness.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Update(u)
+}
+
 func (s *scheduler) totals(t fairness.Totals) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Totals(t)
 }
 
-// configure sets the slots of the upstream.
-func (s *scheduler) configure(slots int) {
+// configure sets the slots of the upstream and the cost of a request before
+// any is known.
+func (s *scheduler) configure(slots int, defaultCost float64) {
+	s.mu.Lock()
+	s.ledger.SetEstimate(defaultCost)
+	s.mu.Unlock()
 	if s.load().Slots != slots {
 		s.step(dispatch.SetSlots{Slots: slots})
 	}
--- a/sidecar/sessions.go
+++ b/sidecar/sessions.go
@@ -49,6 +49,8 @@
 		s.scheduler.step(dispatch.RoundTrip{Router: session.ID(), RTT: session.RTT()})
 	case *peerpb.Envelope_AccountTotals:
 		s.scheduler.totals(node.TotalsFromWire(b.AccountTotals))
+	case *peerpb.Envelope_AccountUpdate:
+		s.scheduler.update(node.UpdateFromWire(b.AccountUpdate))
 	case *peerpb.Envelope_ConfigRequest:
 		s.adoption.Request(session, b.ConfigRequest)
 	case *peerpb.Envelope_ConfigSnapshot:
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -33,8 +33,10 @@
 )
 
 const (
-	// reportInterval is the time between two reports of accounts.
-	reportInterval = 100 * time.Millisecond
+	// reportInterval bounds the time between two reports of accounts.
+	reportInterval = 250 * time.Millisecond
+	// reportDelay is the time from a charge to its report.
+	reportDelay = 10 * time.Millisecond
 	// drainPoll is the time between two checks for running requests.
 	drainPoll = 20 * time.Millisecond
 )
@@ -76,7 +78,7 @@
 		sessions:    node.NewSessions(),
 		client:      upstream.NewClient(settings.Upstream.URL, settings.Upstream.HealthPath),
 	}
-	s.scheduler = newScheduler(s.sessions, dispatch.SidecarConfig{
+	s.scheduler = newScheduler(s.sessions, s.weightOf, dispatch.SidecarConfig{
 		Incarnation:     s.incarnation,
 		StagingDisabled: !settings.Staging,
 		RefreshInterval: node.DemandRefreshInterval,
@@ -129,13 +131,23 @@
 	return s.adoption.Index().Service(u.Service)
 }
 
+// weightOf returns a team's weight at this upstream's service.
+func (s *Sidecar) weightOf(team fleet.TeamID) float64 {
+	u, ok := s.upstream()
+	if !ok {
+		return 1
+	}
+	return s.adoption.Index().Weight(u.Service, team)
+}
+
 // derive sets slots and acceptance from present inputs alone.
 func (s *Sidecar) derive() {
 	s.deriveMu.Lock()
 	defer s.deriveMu.Unlock()
 	u, configured := s.upstream()
 	if configured {
-		s.scheduler.configure(u.Slots)
+		service, _ := s.service()
+		s.scheduler.configure(u.Slots, service.DefaultCost)
 	}
 	accepting := configured && s.eligible(u)
 	s.scheduler.step(dispatch.SetAccepting{Accepting: accepting})
@@ -201,7 +213,8 @@
 	s.log.Info("sidecar drained")
 }
 
-// reportLoop sends the accounts to their keepers.
+// reportLoop sends the accounts to their keepers: soon after a charge, and at
+// an interval for what else has to be told.
 func (s *Sidecar) reportLoop(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
@@ -210,8 +223,18 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.report()
+		case <-s.scheduler.changed:
+			// Charges that follow each other closely share a report.
+			pause(ctx, reportDelay)
 		}
+		s.report()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
