--- a/dispatch/sidecar_grants.go
+++ b/dispatch/sidecar_grants.go
@@ -38,7 +38,9 @@
 }
 
 // staging returns how much work beyond the slots hides the round trip of a
-// grant: what completes within it.
+// grant: what completes within it. Where that is less than stagingShare of the
+// slots nothing is staged: a staged request of a team that is owed a slot waits
+// longer than the round trip that it hides.
 func (s *Sidecar) staging() int {
 	if s.cfg.StagingDisabled || s.roundTrip <= 0 {
 		return 0
@@ -47,9 +49,17 @@
 	if !known {
 		return 0
 	}
-	return min(int(math.Ceil(perSecond*s.roundTrip.Seconds())), s.slots)
+	completing := perSecond * s.roundTrip.Seconds()
+	if completing < stagingShare*float64(s.slots) {
+		return 0
+	}
+	return min(int(math.Ceil(completing)), s.slots)
 }
 
+// stagingShare is the least part of the slots, as completions within a round
+// trip, for which work is staged.
+const stagingShare = 0.025
+
 func (s *Sidecar) sendGrant(d *demand) {
 	s.lastGrantID++
 	g := &grant{id: s.lastGrantID, demand: d, seq: d.seq}
--- a/fairness/config.go
+++ b/fairness/config.go
@@ -8,6 +8,8 @@
 // team.
 const (
 	DefaultRefreshInterval = time.Second
+	DefaultBurstWindow     = 300 * time.Millisecond
+	DefaultDebtWindow      = 30 * time.Second
 	DefaultActivityTTL     = 3 * time.Second
 	DefaultReporterTTL     = 2 * time.Minute
 	DefaultRetention       = 5 * time.Minute
@@ -20,6 +22,11 @@
 
 // LedgerConfig configures a Ledger. Zero fields take the defaults.
 type LedgerConfig struct {
+	// Slots is how many requests the upstream runs at once.
+	Slots int
+	// BurstWindow is how long a team that came from idleness to a sidecar
+	// without other waiting teams is not charged for what it starts there.
+	BurstWindow time.Duration
 	// Estimate is the cost charged at Begin while no cost of the service is
 	// known, in the service's cost units.
 	Estimate float64
@@ -39,6 +46,7 @@
 		c.Estimate = DefaultEstimate
 	}
 	c.RefreshInterval = orDefault(c.RefreshInterval, DefaultRefreshInterval)
+	c.BurstWindow = orDefault(c.BurstWindow, DefaultBurstWindow)
 	c.ActivityTTL = orDefault(c.ActivityTTL, DefaultActivityTTL)
 	c.Retention = orDefault(c.Retention, DefaultRetention)
 	return c
@@ -46,6 +54,9 @@
 
 // KeeperConfig configures a Keeper. Zero fields take the defaults.
 type KeeperConfig struct {
+	// DebtWindow bounds how long a waiting team makes up for what it received
+	// ahead of the others: one to two windows.
+	DebtWindow time.Duration
 	// RefreshInterval is the time after which the other regions are sent an
 	// unchanged sum of an active team again.
 	RefreshInterval time.Duration
@@ -66,6 +77,7 @@
 
 func (c KeeperConfig) withDefaults() KeeperConfig {
 	c.RefreshInterval = orDefault(c.RefreshInterval, DefaultRefreshInterval)
+	c.DebtWindow = orDefault(c.DebtWindow, DefaultDebtWindow)
 	c.ActivityTTL = orDefault(c.ActivityTTL, DefaultActivityTTL)
 	c.ReporterTTL = orDefault(c.ReporterTTL, DefaultReporterTTL)
 	c.TeamTTL = orDefault(c.TeamTTL, DefaultTeamTTL)
--- a/fairness/keeper.go
+++ b/fairness/keeper.go
@@ -38,6 +38,7 @@
 
 	virtualTime float64
 	credit      creditFloor
+	debt        debtCeiling
 	sumsSeq     uint64
 	resend      bool
 	lastSweep   time.Duration
@@ -86,7 +87,7 @@
 	if !ok {
 		return 0, false
 	}
-	return t.fleetTotal() + t.lift, true
+	return t.account(), true
 }
 
 // Report takes in a sidecar's report and answers it. Entries older than what
@@ -119,7 +120,7 @@
 	return answer
 }
 
-// activate marks a team as active in this region, bounds its credit, and lifts
+// activate marks a team as active in this region, bounds its credit and its debt, and lifts
 // it if it was inactive in the whole fleet. An echo that isn't stale shows that it was
 // active at its reporter while this keeper did not hear of it. The charge that
 // came with the report was made after the return and counts on top of the
@@ -130,6 +131,9 @@
 		t.raiseTo(k.virtualTime + max(0, delta))
 	}
 	t.raiseTo(k.credit.floor)
+	if k.debt.known() {
+		t.lowerTo(k.debt.ceiling)
+	}
 	t.activeHere.mark(at)
 }
 
@@ -177,6 +181,7 @@
 	if othersOK {
 		fleet = min(fleet, others)
 	}
+	k.debt.advance(k.virtualTime, at, k.cfg.DebtWindow)
 	k.credit.advance(fleet, at, k.cfg.CreditWindow)
 }
 
--- a/fairness/keeper_team.go
+++ b/fairness/keeper_team.go
@@ -18,6 +18,8 @@
 	// total is the region's total, in normalized service.
 	total float64
 	lift  float64
+	// waived is taken off the account; it never falls.
+	waived float64
 	// base is the part of total that was refilled by echoes.
 	base float64
 	// reported is set once a sidecar of this region has reported the team. Until
@@ -115,6 +117,7 @@
 	}
 	if entry.Echo.Keeper != self {
 		t.lift = max(t.lift, entry.Echo.Lift)
+		t.waived = max(t.waived, entry.Echo.Waived)
 	}
 	delta = entry.Charged - included
 	if delta != 0 {
@@ -219,9 +222,14 @@
 	return t.total + max(others, t.otherRegions)
 }
 
+// account returns the account in normalized service.
+func (t *teamState) account() float64 {
+	return t.fleetTotal() + t.lift - t.waived
+}
+
 // raiseTo raises the lift so that the account is at least the given one.
 func (t *teamState) raiseTo(account float64) {
-	t.lift = max(t.lift, account-t.fleetTotal())
+	t.lift = max(t.lift, account+t.waived-t.fleetTotal())
 }
 
 func (t *teamState) answer() TeamTotal {
@@ -229,6 +237,7 @@
 		Team:        t.id,
 		RegionTotal: t.total,
 		Lift:        t.lift,
+		Waived:      t.waived,
 		FleetTotal:  t.fleetTotal(),
 	}
 }
--- a/fairness/ledger.go
+++ b/fairness/ledger.go
@@ -48,6 +48,9 @@
 
 	waiting     bool
 	lastWaiting time.Time
+	// burst is how many requests are not charged until burstUntil.
+	burst      int
+	burstUntil time.Time
 	// activatedSeq is the first report that tells of the last activation.
 	// Answers to earlier reports do not include its lift.
 	activatedSeq uint64
@@ -65,7 +68,8 @@
 // request is one request in flight.
 type request struct {
 	account *account
-	weight  float64
+	// weight is infinite for a request that is not charged.
+	weight float64
 	// charged is the cost charged so far, in cost units.
 	charged float64
 }
@@ -94,6 +98,14 @@
 	return a.balance()
 }
 
+// MeanCost returns the moving average of the service's costs, in cost units.
+func (l *Ledger) MeanCost() float64 {
+	if !l.costs.known {
+		return l.cfg.Estimate
+	}
+	return l.costs.value
+}
+
 // VirtualTime returns the virtual time, in normalized service. It never falls.
 func (l *Ledger) VirtualTime() float64 {
 	return l.virtualTime
@@ -104,11 +116,12 @@
 	return len(l.accounts)
 }
 
-// SetEstimate sets the cost charged at Begin while no cost of the service is
-// known, in the service's cost units.
-func (l *Ledger) SetEstimate(cost float64) {
-	if validCost(cost) && cost > 0 {
-		l.cfg.Estimate = cost
+// Configure sets the upstream's slots, and the cost charged at Begin while no
+// cost of the service is known, in the service's cost units.
+func (l *Ledger) Configure(slots int, estimate float64) {
+	l.cfg.Slots = slots
+	if validCost(estimate) && estimate > 0 {
+		l.cfg.Estimate = estimate
 	}
 }
 
@@ -148,6 +161,10 @@
 // activate marks a team as waiting and lifts it if it was idle.
 func (l *Ledger) activate(a *account, now time.Time) {
 	if l.wasIdle(a, now) {
+		if l.waitingTeams == 0 {
+			a.burst = burstPerSlot * l.cfg.Slots
+			a.burstUntil = now.Add(l.cfg.BurstWindow)
+		}
 		a.base += max(0, l.virtualTime-a.balance())
 		a.activatedSeq = l.seq + 1
 		a.echo.Stale = true
@@ -171,11 +188,44 @@
 	}
 	a := l.ensure(team)
 	a.lastUsed = now
-	l.virtualTime = max(l.virtualTime, a.balance())
+	l.virtualTime = max(l.virtualTime, l.startTag(a))
 	cost := l.estimate(a, hint)
-	l.requests[id] = request{account: a, weight: a.weight, charged: cost}
+	weight := a.weight
+	if a.takeBurst(now) {
+		weight = math.Inf(1)
+	}
+	l.requests[id] = request{account: a, weight: weight, charged: cost}
 	a.inFlight++
-	l.charge(a, cost/a.weight)
+	l.charge(a, cost/weight)
+}
+
+// burstPerSlot covers the reservation of a slot and the request that takes it.
+const burstPerSlot = 2
+
+// takeBurst reports whether a request is not charged: its team came from
+// idleness to a sidecar where no other team waited. What it takes there at once
+// would be idle otherwise; when others come a moment later it is no debt to
+// them. Start-time fair queueing has the same effect, as its virtual time jumps
+// ahead with the burst; here the others' sidecars would learn of it too late.
+func (a *account) takeBurst(now time.Time) bool {
+	if a.burst == 0 || now.After(a.burstUntil) {
+		return false
+	}
+	a.burst--
+	return true
+}
+
+// startTag returns the account at which a request of a team begins, or the least
+// account of the waiting teams: a sidecar does not always grant to that one, and
+// a team that comes must not be lifted over those that wait.
+func (l *Ledger) startTag(a *account) float64 {
+	tag := a.balance()
+	for _, other := range l.live {
+		if other.waiting {
+			tag = min(tag, other.balance())
+		}
+	}
+	return tag
 }
 
 // Accrue tells the cost of a request so far, in cost units. The charge becomes
@@ -215,6 +265,9 @@
 	if !ok {
 		return
 	}
+	if math.IsInf(r.weight, 1) {
+		r.account.burst++
+	}
 	l.finish(id, r, 0, now)
 	l.riseWhenIdle()
 }
--- a/fairness/ledger_report.go
+++ b/fairness/ledger_report.go
@@ -123,10 +123,11 @@
 		FleetTotal:      total.FleetTotal,
 		ChargedIncluded: sent.charged,
 		Lift:            total.Lift,
+		Waived:          total.Waived,
 		Stale:           !sent.active || !current,
 	}
 	if current {
-		a.base = total.FleetTotal + total.Lift - sent.charged
+		a.base = total.account() - sent.charged
 	}
 }
 
--- a/fairness/messages.go
+++ b/fairness/messages.go
@@ -14,8 +14,9 @@
 	// ChargedIncluded is the part of the reporter's own charges that
 	// RegionTotal includes.
 	ChargedIncluded float64
-	// Lift is the lift of the account.
-	Lift float64
+	// Lift is the lift of the account, and Waived what was taken off it.
+	Lift   float64
+	Waived float64
 	// Stale is set unless the team had waiting requests in the report that the
 	// total answered and has not been idle since.
 	Stale bool
@@ -47,9 +48,13 @@
 	Team        fleet.TeamID
 	RegionTotal float64
 	Lift        float64
+	Waived      float64
 	FleetTotal  float64
 }
 
+// account returns the team's account in normalized service.
+func (t TeamTotal) account() float64 { return t.FleetTotal + t.Lift - t.Waived }
+
 // Totals answers a Report.
 type Totals struct {
 	ReportSeq uint64
@@ -64,6 +69,7 @@
 	Team   fleet.TeamID
 	Total  float64
 	Lift   float64
+	Waived float64
 	Active bool
 }
 
--- a/fairness/region.go
+++ b/fairness/region.go
@@ -26,10 +26,11 @@
 
 // sentSum is what the other regions were last sent of a team.
 type sentSum struct {
-	total float64
-	lift  float64
-	at    time.Duration
-	known bool
+	total  float64
+	lift   float64
+	waived float64
+	at     time.Duration
+	known  bool
 }
 
 // RegionSums returns this region's totals of the teams that changed since the
@@ -53,14 +54,14 @@
 		if !t.reported || (!recent && !k.resend) {
 			continue
 		}
-		sum := RegionSum{Team: t.id, Total: t.total, Active: active}
+		sum := RegionSum{Team: t.id, Total: t.total, Waived: t.waived, Active: active}
 		if !t.refilling(at) {
 			sum.Lift = t.lift
 		}
 		if !k.resend && !t.sumDue(sum, at, k.cfg.RefreshInterval) {
 			continue
 		}
-		t.sent = sentSum{total: sum.Total, lift: sum.Lift, at: at, known: true}
+		t.sent = sentSum{total: sum.Total, lift: sum.Lift, waived: sum.Waived, at: at, known: true}
 		s.Teams = append(s.Teams, sum)
 	}
 	k.resend = false
@@ -74,10 +75,11 @@
 
 // sumDue reports whether the other regions must be sent a sum.
 func (t *teamState) sumDue(sum RegionSum, at, refresh time.Duration) bool {
-	if !t.sent.known || sum.Total != t.sent.total || sum.Lift != t.sent.lift {
+	last := &t.sent
+	if !last.known || sum.Total != last.total || sum.Lift != last.lift || sum.Waived != last.waived {
 		return true
 	}
-	return at-t.sent.at >= refresh
+	return at-last.at >= refresh
 }
 
 // ResendAll makes the next RegionSums carry all teams. Call it when another
@@ -113,6 +115,7 @@
 // smaller or if the former keeper has been silent for the TTL: a keeper that
 // has just started may not be refilled yet. It reports false for an old total.
 func (t *teamState) mergeRegion(s *Sums, sum RegionSum, at, ttl time.Duration) bool {
+	t.waived = max(t.waived, sum.Waived)
 	entry := regionTotal{region: s.Region, keeper: s.Keeper, seq: s.Seq, total: sum.Total, seen: at}
 	index := slices.IndexFunc(t.regions, func(r regionTotal) bool { return r.region == s.Region })
 	if index < 0 {
--- a/fairness/update.go
+++ b/fairness/update.go
@@ -39,7 +39,7 @@
 	at := now.Sub(k.start)
 	byReporter := make(map[uint32][]TeamUpdate)
 	for _, t := range k.teams {
-		account := t.fleetTotal() + t.lift
+		account := t.account()
 		for i := range t.counters {
 			c := &t.counters[i]
 			if c.told == account || at-c.seen > k.cfg.ActivityTTL {
@@ -66,7 +66,7 @@
 // tell notes that a reporter was answered with the team's present account.
 func (t *teamState) tell(reporter uint32) {
 	if index, known := t.find(reporter); known {
-		t.counters[index].told = t.fleetTotal() + t.lift
+		t.counters[index].told = t.account()
 	}
 }
 
--- a/node/account.go
+++ b/node/account.go
@@ -30,6 +30,7 @@
 		FleetTotal:        e.FleetTotal,
 		ChargedIncluded:   e.ChargedIncluded,
 		Lift:              e.Lift,
+		Waived:            e.Waived,
 		Stale:             e.Stale,
 	}
 }
@@ -48,6 +49,7 @@
 				FleetTotal:      e.GetEcho().GetFleetTotal(),
 				ChargedIncluded: e.GetEcho().GetChargedIncluded(),
 				Lift:            e.GetEcho().GetLift(),
+				Waived:          e.GetEcho().GetWaived(),
 				Stale:           e.GetEcho().GetStale(),
 			},
 		})
@@ -67,6 +69,7 @@
 			Team:        string(team.Team),
 			RegionTotal: team.RegionTotal,
 			Lift:        team.Lift,
+			Waived:      team.Waived,
 			FleetTotal:  team.FleetTotal,
 		})
 	}
@@ -85,6 +88,7 @@
 			Team:        fleet.TeamID(team.GetTeam()),
 			RegionTotal: team.GetRegionTotal(),
 			Lift:        team.GetLift(),
+			Waived:      team.GetWaived(),
 			FleetTotal:  team.GetFleetTotal(),
 		})
 	}
@@ -105,6 +109,7 @@
 			Team:   string(t.Team),
 			Total:  t.Total,
 			Lift:   t.Lift,
+			Waived: t.Waived,
 			Active: t.Active,
 		})
 	}
@@ -124,6 +129,7 @@
 			Team:   fleet.TeamID(t.GetTeam()),
 			Total:  t.GetTotal(),
 			Lift:   t.GetLift(),
+			Waived: t.GetWaived(),
 			Active: t.GetActive(),
 		})
 	}
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -181,13 +181,13 @@
 func (x *execution) conclude(ctx context.Context, err error) {
 	elapsed := time.Since(x.started)
 	if errors.Is(err, upstream.ErrNotSent) {
-		x.sidecar.scheduler.finish(x.id, 0)
+		x.sidecar.scheduler.finish(x.id, 0, elapsed)
 		x.sidecar.health.observe(x.sidecar.ctx, false)
 		x.end(notRun("upstream refused the connection"))
 		return
 	}
 	cost := x.meter.Final(elapsed)
-	x.sidecar.scheduler.finish(x.id, cost)
+	x.sidecar.scheduler.finish(x.id, cost, elapsed)
 	if err == nil {
 		x.sidecar.health.observe(x.sidecar.ctx, true)
 		x.end(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE, BodyBytes: x.sent, Cost: cost})
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -24,6 +24,13 @@
 	now     time.Time
 	wake    *time.Timer
 	waiting *demandTable
+	// draw orders the teams for the next grant, once drawn is set.
+	draw  *fairness.Draw
+	drawn bool
+	// serviceSlots is the count of slots of all upstreams of the service, and
+	// runTime the moving average of how long a request runs.
+	serviceSlots int
+	runTime      time.Duration
 	// reserved holds the charges of grants that have no request yet.
 	reserved map[fleet.TeamID][]uint64
 	nextID   uint64
@@ -36,6 +43,14 @@
 	usage    slotUsage
 }
 
+const (
+	// accountLag is the time from a charge until sidecars of every region know
+	// of it.
+	accountLag = 200 * time.Millisecond
+	// runTimeSmoothing is the divisor of a new value in the average run time.
+	runTimeSmoothing = 16
+)
+
 // verdict tells a request that arrived whether it may run.
 type verdict struct {
 	start  bool
@@ -43,11 +58,13 @@
 }
 
 func newScheduler(
-	sessions *node.Sessions, weightOf func(fleet.TeamID) float64, cfg dispatch.SidecarConfig, ledger fairness.LedgerConfig,
+	self fleet.NodeID, sessions *node.Sessions, weightOf func(fleet.TeamID) float64,
+	cfg dispatch.SidecarConfig, ledger fairness.LedgerConfig,
 ) *scheduler {
 	s := &scheduler{
 		sessions: sessions,
 		weightOf: weightOf,
+		draw:     fairness.NewDraw(self),
 		ledger:   fairness.NewLedger(ledger),
 		waiting:  newDemandTable(),
 		changed:  make(chan struct{}, 1),
@@ -67,6 +84,7 @@
 
 func (s *scheduler) stepLocked(ev dispatch.SidecarEvent) {
 	s.now = time.Now()
+	s.drawn = false
 	s.observeUsage()
 	for _, action := range s.machine.Step(s.now, ev) {
 		s.perform(action)
@@ -202,10 +220,11 @@
 }
 
 // finish ends a request that ran and settles its cost.
-func (s *scheduler) finish(id uint64, cost float64) {
+func (s *scheduler) finish(id uint64, cost float64, elapsed time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.observeRunTime(elapsed)
 	s.observeUsage()
 	s.running--
 	s.ledger.Settle(id, cost, now)
@@ -213,6 +232,14 @@
 	s.stepLocked(dispatch.RequestFinished{RequestID: id})
 }
 
+func (s *scheduler) observeRunTime(elapsed time.Duration) {
+	if s.runTime == 0 {
+		s.runTime = elapsed
+		return
+	}
+	s.runTime += (elapsed - s.runTime) / runTimeSmoothing
+}
+
 // accrue charges what a running request has cost so far.
 func (s *scheduler) accrue(id uint64, cost float64) {
 	s.mu.Lock()
@@ -251,11 +278,12 @@
 	s.ledger.Totals(t)
 }
 
-// configure sets the slots of the upstream and the cost of a request before
-// any is known.
-func (s *scheduler) configure(slots int, defaultCost float64) {
+// configure sets the slots of the upstream, those of all upstreams of the
+// service, and the cost of a request before any is known.
+func (s *scheduler) configure(slots, serviceSlots int, defaultCost float64) {
 	s.mu.Lock()
-	s.ledger.SetEstimate(defaultCost)
+	s.serviceSlots = serviceSlots
+	s.ledger.Configure(slots, defaultCost)
 	s.mu.Unlock()
 	if s.load().Slots != slots {
 		s.step(dispatch.SetSlots{Slots: slots})
@@ -272,13 +300,34 @@
 // lock is held in every call.
 type reservations scheduler
 
-// Account implements dispatch.Accounts.
+// Account implements dispatch.Accounts: it returns the team's score in the
+// present draw.
 func (r *reservations) Account(team fleet.TeamID) float64 {
-	return r.ledger.Account(team)
+	if r.drawn {
+		return r.draw.Score(team, r.ledger.Account(team), r.weightOf(team))
+	}
+	r.drawn = true
+	shares := make([]fairness.Share, 0, len(r.waiting.teams))
+	for waiting := range r.waiting.teams {
+		shares = append(shares, fairness.Share{Account: r.ledger.Account(waiting), Weight: r.weightOf(waiting)})
+	}
+	r.draw.Next(shares, r.turnover())
+	return r.Account(team)
+}
+
+// turnover returns the cost that the service's upstreams grant while a charge is
+// on its way to all sidecars, at least that of one request.
+func (r *reservations) turnover() float64 {
+	grants := 1.0
+	if r.runTime > 0 {
+		grants = max(1, float64(r.serviceSlots)*accountLag.Seconds()/r.runTime.Seconds())
+	}
+	return grants * r.ledger.MeanCost()
 }
 
 // Reserve implements dispatch.Accounts.
 func (r *reservations) Reserve(team fleet.TeamID) {
+	r.drawn = false
 	r.nextID++
 	r.ledger.Begin(r.nextID, team, 0, r.now)
 	r.reserved[team] = append(r.reserved[team], r.nextID)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -78,7 +78,7 @@
 		sessions:    node.NewSessions(),
 		client:      upstream.NewClient(settings.Upstream.URL, settings.Upstream.HealthPath),
 	}
-	s.scheduler = newScheduler(s.sessions, s.weightOf, dispatch.SidecarConfig{
+	s.scheduler = newScheduler(settings.ID, s.sessions, s.weightOf, dispatch.SidecarConfig{
 		Incarnation:     s.incarnation,
 		StagingDisabled: !settings.Staging,
 		RefreshInterval: node.DemandRefreshInterval,
@@ -131,6 +131,15 @@
 	return s.adoption.Index().Service(u.Service)
 }
 
+// serviceSlots returns the count of slots of all upstreams of a service.
+func (s *Sidecar) serviceSlots(service fleet.ServiceID) int {
+	slots := 0
+	for _, u := range s.adoption.Index().UpstreamsOf(service) {
+		slots += u.Slots
+	}
+	return slots
+}
+
 // weightOf returns a team's weight at this upstream's service.
 func (s *Sidecar) weightOf(team fleet.TeamID) float64 {
 	u, ok := s.upstream()
@@ -147,7 +156,7 @@
 	u, configured := s.upstream()
 	if configured {
 		service, _ := s.service()
-		s.scheduler.configure(u.Slots, service.DefaultCost)
+		s.scheduler.configure(u.Slots, s.serviceSlots(u.Service), service.DefaultCost)
 	}
 	accepting := configured && s.eligible(u)
 	s.scheduler.step(dispatch.SetAccepting{Accepting: accepting})
