Retry on the failed upstream when there is no other, and from the start

Two faults of the retry after an attempt that broke off: - The sidecar that failed was excluded for good. With no other upstream in service the request waited for ever (e2e/answers "is resumed by the same upstream once it runs again" ran into its 20 s bound; 0.1 s after). The exclusion now holds only while another sidecar takes work. Ruled out: changing dispatch, which does what it is told. - An answer that was only held back was resumed at its offset, which an upstream refuses for anything but a stream: 502 although the retry could have been whole. The offset is now sent only for what the caller has. "is whole when an attempt broke off in the middle of a body" got 502 before; with the reset of the held-back part switched off in caller/ the answer breaks off.

--- a/router/membership.go
+++ b/router/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,6 +96,23 @@
 	m.refresh(id)
 }
 
+// avoid returns the sidecars that a retry must not run on: those that failed
+// it, unless no other one takes work.
+func (m *membership) avoid(service fleet.ServiceID, failed []fleet.NodeID) []fleet.NodeID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, state := range m.sidecars {
+		takesWork := state.reason == fleet.ReasonNone && state.load.GetAccepting()
+		if !takesWork || slices.Contains(failed, id) {
+			continue
+		}
+		if of, ok := m.serviceOf(id); ok && of == service {
+			return failed
+		}
+	}
+	return nil
+}
+
 // heartbeat takes a sidecar's own drain flag.
 func (m *membership) heartbeat(id fleet.NodeID, draining bool) {
 	m.mu.Lock()
--- a/router/relay.go
+++ b/router/relay.go
@@ -95,7 +95,7 @@
 		Idempotent:   !req.NonIdempotent,
 		Traceparent:  telemetry.Traceparent(ctx),
 		Digest:       req.Digest,
-		ResumeOffset: a.job.relayed,
+		ResumeOffset: a.resumeOffset(),
 		Weight:       req.Weight,
 		Solo:         a.job.solo,
 	}
@@ -108,6 +108,15 @@
 	return d
 }
 
+// resumeOffset returns how much of the answer the caller has. What was only
+// held back for it is dropped when the answer starts anew.
+func (a *attempt) resumeOffset() uint64 {
+	if !a.w.Started() {
+		return 0
+	}
+	return a.job.relayed
+}
+
 // relay copies frames to the caller until the end frame.
 func (a *attempt) relay(st *peer.Stream) result {
 	var received uint64
--- a/router/serve.go
+++ b/router/serve.go
@@ -119,7 +119,7 @@
 	if ctx.Err() != nil {
 		return r.refusal(ctx, j, context.Cause(ctx))
 	}
-	j.queued.Exclude = append(j.queued.Exclude, res.sidecar)
+	j.queued.Exclude = r.membership.avoid(j.req.Service, append(j.queued.Exclude, res.sidecar))
 	if r.suspects.refused(j.req.Digest) {
 		return caller.Unknown(http.StatusUnprocessableEntity, "quarantined",
 			"two upstreams crashed while they ran this request")
