Count each crash of a suspect once, in any order of merging

TestMergeInAnyOrder (rapid) failed on its first run: a first message with the same crash twice counted as two crashes, so the request was refused after one. A set of eight crashes also changed or not by the order of merging, since only its length was compared, and the first message was not bounded. Every message now goes through merge.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -61,11 +61,8 @@
 	}
 	s.Expires = earliest(s.Expires, now.Add(TTL))
 	known, ok := l.suspects[s.Digest]
-	merged := s
-	if ok {
-		merged = merge(known, s)
-	}
-	if ok && len(merged.CrashIDs) == len(known.CrashIDs) && merged.Expires.Equal(known.Expires) {
+	merged := merge(s, known)
+	if ok && slices.Equal(merged.CrashIDs, known.CrashIDs) && merged.Expires.Equal(known.Expires) {
 		return false
 	}
 	l.suspects[s.Digest] = merged
@@ -73,6 +70,7 @@
 	return true
 }
 
+// merge returns a with the crashes of both, each once, and the later expiry.
 func merge(a, b Suspect) Suspect {
 	ids := slices.Concat(a.CrashIDs, b.CrashIDs)
 	slices.Sort(ids)
