--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -240,7 +241,7 @@
 		for {
 			env := &peerpb.Envelope{}
 			err := readMessage(r, env, limit)
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				return
 			}
 			if err != nil {
