Do not take a caller that leaves for an upstream that refuses

A call whose context ends before it has a connection is ErrNotSent, and the sidecar took every ErrNotSent for a refused connection: the upstream was marked down, its grants were withdrawn, and requests that broke off then got that crash's identifier, which makes suspects of innocent ones. TestHealth failed before and passes after. Ruled out: another error of upstream/, since the call was in truth not sent.

--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -173,7 +173,7 @@
 	elapsed := time.Since(x.started)
 	if errors.Is(err, upstream.ErrNotSent) {
 		x.sidecar.scheduler.finish(x.id, 0)
-		x.sidecar.health.failed(err)
+		x.sidecar.health.failed(ctx, err)
 		x.end(notRun("upstream refused the connection"))
 		return
 	}
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -102,8 +102,13 @@
 	h.mu.Unlock()
 }
 
-// failed records that the upstream refused a connection.
-func (h *health) failed(err error) { h.set(false, err) }
+// failed records that the upstream refused a connection. A call whose ctx
+// ended may not have got as far as that.
+func (h *health) failed(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		h.set(false, err)
+	}
+}
 
 // broken records a call that broke off. If the upstream does not answer its
 // health check either, it crashed: all calls that broke off with it get the
