--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -12,32 +12,33 @@
 	"fulmarspindle.example/fulmarspindle/quarantine"
 )
 
+// spreadTimeout bounds the wait until the other routers know of a crash.
+const spreadTimeout = time.Second
+
+// crash is one crash in which a request was involved.
+type crash struct{ digest, id string }
+
 // suspects keeps the quarantine list of this router and spreads it to others.
 type suspects struct {
 	sessions *node.Sessions
+	// unsaved is signalled when the list holds a crash that this router saw.
+	unsaved chan struct{}
 
 	mu   sync.Mutex
 	list *quarantine.List
-	seq  uint64
-	// acks are the updates that wait for the routers that were sent them.
-	acks map[uint64]*pendingAcks
+	// known holds the routers that are known to know of a crash.
+	known map[crash]map[fleet.NodeID]bool
+	// learned is closed and replaced at every message of another router.
+	learned chan struct{}
 }
 
-// pendingAcks is an update that some routers have not confirmed.
-type pendingAcks struct {
-	missing map[fleet.NodeID]bool
-	done    chan struct{}
-}
-
-// ackTimeout bounds how long an answer waits until other routers know of a
-// suspect.
-const ackTimeout = time.Second
-
 func newSuspects(sessions *node.Sessions) *suspects {
 	return &suspects{
 		sessions: sessions,
+		unsaved:  make(chan struct{}, 1),
 		list:     quarantine.NewList(),
-		acks:     make(map[uint64]*pendingAcks),
+		known:    make(map[crash]map[fleet.NodeID]bool),
+		learned:  make(chan struct{}),
 	}
 }
 
@@ -59,93 +60,94 @@
 	return ok
 }
 
-// crashed records that a request was running when an upstream crashed. It
-// returns once every connected router knows, or after ackTimeout: a caller that
-// resends its request elsewhere when it has its answer meets routers that know.
+// crashed records that a request was running when an upstream crashed, and
+// waits until the other routers know it, at most for spreadTimeout: the
+// caller's next try may come through any of them.
 func (q *suspects) crashed(req *caller.Request, crashID string) {
-	news := q.merge([]quarantine.Suspect{{
+	q.learn([]quarantine.Suspect{{
 		Digest:   req.Digest,
 		Team:     req.Team,
 		Service:  req.Service,
 		CrashIDs: []string{crashID},
 		Expires:  time.Now().Add(quarantine.TTL),
 	}})
-	if len(news) > 0 {
-		q.spreadAndWait(news)
+	select {
+	case q.unsaved <- struct{}{}:
+	default:
 	}
+	q.awaitSpread(crash{digest: req.Digest, id: crashID})
 }
 
-func (q *suspects) spreadAndWait(news []quarantine.Suspect) {
-	routers := q.sessions.All(peerpb.Role_ROLE_ROUTER)
-	if len(routers) == 0 {
-		return
-	}
-	pending := &pendingAcks{missing: make(map[fleet.NodeID]bool), done: make(chan struct{})}
-	for _, session := range routers {
-		pending.missing[session.ID()] = true
-	}
-	q.mu.Lock()
-	q.seq++
-	seq := q.seq
-	q.acks[seq] = pending
-	q.mu.Unlock()
-	for _, session := range routers {
-		session.Send(suspectsEnvelope(news, seq))
-	}
-	select {
-	case <-pending.done:
-	case <-time.After(ackTimeout):
+// awaitSpread waits until every connected router has told of the crash: who
+// learns of one tells all others, the sender included.
+func (q *suspects) awaitSpread(c crash) {
+	timeout := time.NewTimer(spreadTimeout)
+	defer timeout.Stop()
+	for {
+		q.mu.Lock()
+		learned := q.learned
+		spread := q.spread(c)
+		q.mu.Unlock()
+		if spread {
+			return
+		}
+		select {
+		case <-learned:
+		case <-timeout.C:
+			return
+		}
 	}
-	q.mu.Lock()
-	delete(q.acks, seq)
-	q.mu.Unlock()
 }
 
-// acknowledged takes another router's confirmation of an update.
-func (q *suspects) acknowledged(router fleet.NodeID, seq uint64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	pending := q.acks[seq]
-	if pending == nil || !pending.missing[router] {
-		return
-	}
-	delete(pending.missing, router)
-	if len(pending.missing) == 0 {
-		close(pending.done)
+func (q *suspects) spread(c crash) bool {
+	for _, session := range q.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		if !q.known[c][session.ID()] {
+			return false
+		}
 	}
+	return true
 }
 
-// receive takes another router's update, passes on what is news, and confirms
-// it.
-func (q *suspects) receive(s *peer.Session, m *peerpb.SuspectUpdate) {
-	news := q.merge(suspectsFromWire(m))
-	if m.GetSeq() > 0 {
-		ack := &peerpb.SuspectAck{Seq: m.GetSeq()}
-		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_SuspectAck{SuspectAck: ack}})
-	}
-	if len(news) == 0 {
-		return
+// hear merges what another router tells, and notes that it knows it.
+func (q *suspects) hear(from fleet.NodeID, list []quarantine.Suspect) {
+	q.learn(list)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.known) > quarantine.MaxSuspects {
+		// What is forgotten only makes a later crash wait longer.
+		clear(q.known)
 	}
-	for _, session := range q.sessions.All(peerpb.Role_ROLE_ROUTER) {
-		if session != s {
-			session.Send(suspectsEnvelope(news, 0))
+	for _, s := range list {
+		for _, id := range s.CrashIDs {
+			c := crash{digest: s.Digest, id: id}
+			if q.known[c] == nil {
+				q.known[c] = make(map[fleet.NodeID]bool)
+			}
+			q.known[c][from] = true
 		}
 	}
+	close(q.learned)
+	q.learned = make(chan struct{})
 }
 
-// merge adds suspects and returns those that are news, as they stand now.
-func (q *suspects) merge(list []quarantine.Suspect) []quarantine.Suspect {
+// learn merges suspects and passes on those that are news.
+func (q *suspects) learn(list []quarantine.Suspect) {
 	now := time.Now()
 	var news []quarantine.Suspect
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	for _, s := range list {
 		if q.list.Merge(s, now) {
 			merged, _ := q.list.Lookup(s.Digest, now)
 			news = append(news, merged)
 		}
 	}
-	return news
+	q.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, session := range q.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		session.Send(suspectsEnvelope(news))
+	}
 }
 
 // greet sends the whole list to a new router session.
@@ -154,7 +156,7 @@
 	all := q.list.All(time.Now())
 	q.mu.Unlock()
 	if len(all) > 0 {
-		s.Send(suspectsEnvelope(all, 0))
+		s.Send(suspectsEnvelope(all))
 	}
 }
 
@@ -165,8 +167,8 @@
 	return q.list.All(time.Now())
 }
 
-func suspectsEnvelope(list []quarantine.Suspect, seq uint64) *peerpb.Envelope {
-	update := &peerpb.SuspectUpdate{Seq: seq}
+func suspectsEnvelope(list []quarantine.Suspect) *peerpb.Envelope {
+	update := &peerpb.SuspectUpdate{}
 	for _, s := range list {
 		update.Suspects = append(update.Suspects, &peerpb.Suspect{
 			Digest:        s.Digest,
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -182,7 +182,10 @@
 	elapsed := time.Since(x.started)
 	if errors.Is(err, upstream.ErrNotSent) {
 		x.sidecar.scheduler.finish(x.id, 0, elapsed)
-		x.sidecar.health.observe(x.sidecar.ctx, false)
+		if ctx.Err() == nil {
+			// A caller that leaves says nothing of the upstream.
+			x.sidecar.health.observe(x.sidecar.ctx, false)
+		}
 		x.end(notRun("upstream refused the connection"))
 		return
 	}
