--- a/router/router.go
+++ b/router/router.go
@@ -200,6 +200,7 @@
 		return vmListPeriod(len(r.adoption.Snapshot().Inventory.Routers))
 	})
 	go r.keepers.exchange(ctx)
+	go r.keepers.update(ctx)
 	seeds := make([]peer.Target, 0, len(r.settings.Peers))
 	for _, address := range r.settings.Peers {
 		seeds = append(seeds, peer.Target{Address: address})
