--- /dev/null
+++ b/e2e/capacity/teams_test.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/e2e/harness"
+)
+
+// BenchmarkTeams measures what a configuration with many teams takes in a
+// router and a sidecar, and what a change of one upstream costs there.
+func BenchmarkTeams(b *testing.B) {
+	for _, teams := range []int{16, 10_000, 30_000} {
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			for b.Loop() {
+				f := startFleet(b, harness.Shape{Regions: 1, Routers: 2, Engines: 2, Slots: 8, Teams: teams})
+				measureChanges(b, f)
+				f.Close()
+			}
+		})
+	}
+}
+
+func measureChanges(b *testing.B, f *harness.Fleet) {
+	const changes = 5
+	awaitGeneration(b, f, 1)
+	<-time.After(settle)
+	before := readFleet(b, f)
+	slowest := time.Duration(0)
+	for i := range changes {
+		inv := f.Inventory
+		inv.Upstreams = slices.Clone(inv.Upstreams)
+		inv.Upstreams[0].Slots = 20 + i
+		began := time.Now()
+		if err := f.Apply(b.Context(), inv); err != nil {
+			b.Fatal(err)
+		}
+		accepted := time.Since(began)
+		awaitGeneration(b, f, float64(2+i))
+		slowest = max(slowest, time.Since(began)-accepted)
+		b.ReportMetric(accepted.Seconds(), "accept-s/change")
+	}
+	<-time.After(settle)
+	after := readFleet(b, f)
+	b.ReportMetric(slowest.Seconds(), "in-force-s/change")
+	reportChanges(b, "router", before.routers, after.routers, changes)
+	reportChanges(b, "sidecar", before.sidecars, after.sidecars, changes)
+}
+
+func reportChanges(b *testing.B, role string, before, after []usage, changes float64) {
+	n := float64(len(after))
+	var cpu, first, last, conn, platform float64
+	for i, a := range after {
+		cpu += float64((a.cpu - before[i].cpu).Milliseconds())
+		first += before[i].resident
+		last += a.resident
+		conn += total(a.vars.Conn) - total(before[i].vars.Conn)
+		platform += total(a.vars.Platform) - total(before[i].vars.Platform)
+	}
+	b.ReportMetric(first/n/(1<<20), role+"-resident-MB")
+	b.ReportMetric(last/n/(1<<20), role+"-resident-after-changes-MB")
+	b.ReportMetric(cpu/n/changes, role+"-cpu-ms/change")
+	b.ReportMetric(conn/n/changes, role+"-conn-B/change")
+	b.ReportMetric(platform/n, role+"-platform-calls")
+}
+
+// awaitGeneration waits until a generation is in force in every process.
+func awaitGeneration(b *testing.B, f *harness.Fleet, generation float64) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !inForce(readFleet(b, f), generation) {
+		<-ticker.C
+	}
+}
+
+func inForce(u fleetUsage, generation float64) bool {
+	behind := func(p usage) bool { return p.vars.Generation < generation }
+	return !slices.ContainsFunc(u.routers, behind) && !slices.ContainsFunc(u.sidecars, behind)
+}
--- a/e2e/capacity/usage_test.go
+++ b/e2e/capacity/usage_test.go
@@ -31,7 +31,9 @@
 	Platform  map[string]float64 `json:"platform_calls"`
 	Completed float64            `json:"router_completed"`
 	InFlight  float64            `json:"router_dispatched"`
-	MemStats  struct {
+	// Generation is that of the configuration in force.
+	Generation float64 `json:"config_generation"`
+	MemStats   struct {
 		HeapAlloc  float64
 		StackInuse float64
 	} `json:"memstats"`
