Share reads of the VM list among the routers of a region

Each router read the VM list itself. The router of a region whose random time comes first reads it and tells the others the changes and the digest of the whole list; whose list has that digest then puts its own read off. A router that hears from none, or whose list differs, reads for itself, so nothing depends on an elected reader. The bound on the fleet's reads, which made the list older as the fleet grew, goes.

Ruled out: two readers for each failure domain by hash; the readers would still be over the budget, and a frozen one needs a timeout of its own.

--- a/e2e/capacity/usage_test.go
+++ b/e2e/capacity/usage_test.go
@@ -42,7 +42,7 @@
 // live is the memory of objects and stacks; garbage is included.
 func (u usage) live() float64 { return u.vars.MemStats.HeapAlloc + u.vars.MemStats.StackInuse }
 
-func read(b *testing.B, p *harness.Process, admin string) usage {
+func read(b testing.TB, p *harness.Process, admin string) usage {
 	b.Helper()
 	u := usage{cpu: processorTime(b, p.PID()), resident: residentBytes(b, p.PID())}
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, admin+"/debug/vars", nil)
@@ -62,7 +62,7 @@
 }
 
 // processorTime returns user and system time.
-func processorTime(b *testing.B, pid int) time.Duration {
+func processorTime(b testing.TB, pid int) time.Duration {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		b.Fatal(err)
@@ -75,7 +75,7 @@
 	return time.Duration(user+system) * clockTick
 }
 
-func residentBytes(b *testing.B, pid int) float64 {
+func residentBytes(b testing.TB, pid int) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		b.Fatal(err)
--- a/router/membership.go
+++ b/router/membership.go
@@ -1,9 +1,7 @@
 package router
 
 import (
-	"context"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -16,20 +14,6 @@
 	"fulmarspindle.example/fulmarspindle/platform"
 )
 
-const (
-	// vmListInterval is the least time between two reads of the VM list.
-	vmListInterval = time.Second
-	// maxVMListReads bounds the reads of the VM list by all routers together,
-	// per second: a tenth of what the platform takes of reads.
-	maxVMListReads = 200
-)
-
-// vmListPeriod returns the time between two reads of the VM list by one router
-// of a fleet.
-func vmListPeriod(routers int) time.Duration {
-	return max(vmListInterval, time.Duration(routers)*time.Second/maxVMListReads)
-}
-
 // membership derives, from present inputs alone, which upstreams this router
 // may offer work to.
 type membership struct {
@@ -38,7 +22,7 @@
 	log   *zap.Logger
 
 	mu       sync.Mutex
-	vms      map[fleet.VMID]platform.VMStatus
+	vms      vmTable
 	sidecars map[fleet.NodeID]*sidecarState
 }
 
@@ -55,6 +39,7 @@
 		queue:    q,
 		index:    index,
 		log:      log,
+		vms:      newVMTable(),
 		sidecars: make(map[fleet.NodeID]*sidecarState),
 	}
 }
@@ -169,36 +154,40 @@
 		return in
 	}
 	in.Rule = m.index().Leaving(upstream.VM)
-	if vm, ok := m.vms[upstream.VM]; ok {
+	if vm, ok := m.vms.byID[upstream.VM]; ok {
 		in.Entry = &fleet.VMEntry{Incarnation: vm.Incarnation, Leaving: vm.State == platform.VMLeaving}
 	}
 	return in
 }
 
-// followVMs reads the platform's VM list until ctx ends. During an outage the
-// last list stays in force.
-func (m *membership) followVMs(ctx context.Context, store platform.Store, period func() time.Duration) {
-	for ctx.Err() == nil {
-		next := time.Now().Add(period())
-		list, err := store.VMs(ctx)
-		if err == nil {
-			m.setVMs(list)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Until(next)):
-		}
+// setVMs takes a list that was read and returns what was new. To a router that
+// held none the whole list is new, which tells others nothing.
+func (m *membership) setVMs(list []platform.VMStatus) *peerpb.VMListUpdate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first := len(m.vms.byID) == 0
+	changes := m.vms.replace(list)
+	if first {
+		changes = nil
 	}
+	m.refreshAll()
+	return &peerpb.VMListUpdate{Digest: m.vms.digest, Changes: changes}
 }
 
-func (m *membership) setVMs(list []platform.VMStatus) {
-	vms := make(map[fleet.VMID]platform.VMStatus, len(list))
-	for _, vm := range list {
-		vms[vm.ID] = vm
-	}
+// updateVMs takes what another router read. It reports whether the list is now
+// the one that the other router has.
+func (m *membership) updateVMs(u *peerpb.VMListUpdate) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.vms = vms
+	m.vms.apply(u.GetChanges())
+	if len(u.GetChanges()) > 0 {
+		m.refreshAll()
+	}
+	return m.vms.digest == u.GetDigest()
+}
+
+// refreshAll derives every sidecar's eligibility anew. The lock is held.
+func (m *membership) refreshAll() {
 	for id := range m.sidecars {
 		m.refresh(id)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -56,6 +56,7 @@
 	network    *peer.Network
 	queue      *queue
 	membership *membership
+	vmList     *vmListFollower
 	keepers    *keepers
 	suspects   *suspects
 	budget     *retryBudget
@@ -98,6 +99,7 @@
 		OnBehind: r.behind.Store,
 	})
 	r.membership = newMembership(r.queue, r.adoption.Index, log)
+	r.vmList = newVMListFollower(r.sessions, settings.Region, r.membership)
 	local := &peer.Local{
 		Hello:      r.hello(),
 		Source:     node.DialSource(settings.Listen.Peer),
@@ -196,9 +198,7 @@
 		}
 	}()
 	go r.adoption.Watch(ctx)
-	go r.membership.followVMs(ctx, r.store, func() time.Duration {
-		return vmListPeriod(len(r.adoption.Snapshot().Inventory.Routers))
-	})
+	go r.vmList.follow(ctx, r.store)
 	go r.keepers.exchange(ctx)
 	go r.keepers.update(ctx)
 	seeds := make([]peer.Target, 0, len(r.settings.Peers))
--- a/router/sessions.go
+++ b/router/sessions.go
@@ -50,6 +50,8 @@
 		r.accountReport(s, b.AccountReport)
 	case *peerpb.Envelope_RegionSums:
 		r.keepers.merge(b.RegionSums)
+	case *peerpb.Envelope_VmList:
+		r.vmList.receive(s, b.VmList)
 	case *peerpb.Envelope_ConfigRequest:
 		r.adoption.Request(s, b.ConfigRequest)
 	case *peerpb.Envelope_ConfigSnapshot:
