--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -110,30 +110,30 @@
 	g.Expect(q.ready).To(Receive())
 }
 
-// recorder keeps the sequence numbers of the received grants.
-type recorder struct {
+// grantRecorder keeps the sequence numbers of the received grants.
+type grantRecorder struct {
 	up     chan *Session
 	down   chan error
 	grants chan uint64
 }
 
-func newRecorder() *recorder {
-	return &recorder{up: make(chan *Session, 1), down: make(chan error, 1), grants: make(chan uint64, sendQueueLength)}
+func newGrantRecorder() *grantRecorder {
+	return &grantRecorder{up: make(chan *Session, 1), down: make(chan error, 1), grants: make(chan uint64, sendQueueLength)}
 }
 
-func (r *recorder) SessionUp(s *Session)              { r.up <- s }
-func (r *recorder) SessionDown(_ *Session, err error) { r.down <- err }
-func (r *recorder) Stream(_ *Session, st *Stream)     { st.Close() }
-func (r *recorder) Message(_ *Session, env *peerpb.Envelope) {
+func (r *grantRecorder) SessionUp(s *Session)              { r.up <- s }
+func (r *grantRecorder) SessionDown(_ *Session, err error) { r.down <- err }
+func (r *grantRecorder) Stream(_ *Session, st *Stream)     { st.Close() }
+func (r *grantRecorder) Message(_ *Session, env *peerpb.Envelope) {
 	if g := env.GetGrant(); g != nil {
 		r.grants <- g.GetId()
 	}
 }
 
 // connect returns both ends of a session; relay stands between them.
-func connect(t *testing.T, relay func(net.Conn) net.Conn) (client, server *recorder) {
+func connect(t *testing.T, relay func(net.Conn) net.Conn) (client, server *grantRecorder) {
 	g := NewWithT(t)
-	client, server = newRecorder(), newRecorder()
+	client, server = newGrantRecorder(), newGrantRecorder()
 	ctx, cancel := context.WithCancel(t.Context())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
