--- a/dispatch/sidecar_grants.go
+++ b/dispatch/sidecar_grants.go
@@ -58,7 +58,7 @@
 
 // stagingShare is the least part of the slots, as completions within a round
 // trip, for which work is staged.
-const stagingShare = 0.03
+const stagingShare = 0.025
 
 func (s *Sidecar) sendGrant(d *demand) {
 	s.lastGrantID++
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -46,7 +46,7 @@
 const (
 	// accountLag is the time from a charge until sidecars of every region know
 	// of it.
-	accountLag = 200 * time.Millisecond
+	accountLag = 100 * time.Millisecond
 	// runTimeSmoothing is the divisor of a new value in the average run time.
 	runTimeSmoothing = 16
 )
