--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -136,8 +136,13 @@
 	}
 }
 
+// notifyRatio is the ratio of counts that makes a change matter. A sidecar that
+// holds too large a count sends grants that are declined, one that holds too
+// small a count asks the others first.
+const notifyRatio = 4
+
 // changeMatters tells whether a sidecar that holds one count must learn another:
-// between some and none always, else when the count doubled or halved within
+// between some and none always, else when the count changed by notifyRatio within
 // twice the sidecar's slots, for beyond them it could not use more at once.
 func changeMatters(held, waiting, slots int) bool {
 	if held == 0 || waiting == 0 {
@@ -147,7 +152,7 @@
 		held = min(held, 2*slots)
 		waiting = min(waiting, 2*slots)
 	}
-	return waiting >= 2*held || 2*waiting <= held
+	return waiting >= notifyRatio*held || notifyRatio*waiting <= held
 }
 
 // refresh repeats the demand to all that know of the queue.
--- a/dispatch/sidecar_api.go
+++ b/dispatch/sidecar_api.go
@@ -19,6 +19,10 @@
 
 // SidecarConfig holds the settings of a Sidecar. Zero fields take the defaults.
 type SidecarConfig struct {
+	Location fleet.Location
+	// RegionHandicap is how much longer a request of another region waits
+	// before it goes ahead of one of the same team of the own region. Default 1 s.
+	RegionHandicap time.Duration
 	// Slots is how many requests the upstream runs at a time.
 	Slots int
 	// Incarnation is this process's. Grant ids grow from it, so that a restarted
@@ -139,6 +143,14 @@
 	Reason    RejectReason
 }
 
+// TeamWaiting tells that a team's first request that can be granted waits, or
+// that its last one no longer does.
+type TeamWaiting struct {
+	Team    fleet.TeamID
+	Waiting bool
+}
+
+func (TeamWaiting) sidecarAction()   {}
 func (SendGrant) sidecarAction()     {}
 func (StartRequest) sidecarAction()  {}
 func (RejectRequest) sidecarAction() {}
--- a/dispatch/sidecar_demand.go
+++ b/dispatch/sidecar_demand.go
@@ -122,6 +122,7 @@
 		if len(team.open) == 1 {
 			team.position = len(s.open)
 			s.open = append(s.open, team)
+			s.emit(TeamWaiting{Team: team.team, Waiting: true})
 		}
 		return
 	}
@@ -132,7 +133,14 @@
 	}
 }
 
+// Waiting reports whether requests of a team wait that can be granted.
+func (s *Sidecar) Waiting(team fleet.TeamID) bool {
+	t, ok := s.teams[team]
+	return ok && len(t.open) > 0
+}
+
 func (s *Sidecar) removeOpenTeam(team *teamDemand) {
+	s.emit(TeamWaiting{Team: team.team, Waiting: false})
 	last := len(s.open) - 1
 	moved := s.open[last]
 	s.open[team.position] = moved
@@ -176,8 +184,9 @@
 }
 
 func (d *demand) before(other *demand) bool {
-	if !d.oldest.Equal(other.oldest) {
-		return d.oldest.Before(other.oldest)
+	since, otherSince := d.rankedSince(), other.rankedSince()
+	if !since.Equal(otherSince) {
+		return since.Before(otherSince)
 	}
 	if d.router.lastGrant != other.router.lastGrant {
 		return d.router.lastGrant < other.router.lastGrant
@@ -185,6 +194,12 @@
 	return d.router.id < other.router.id
 }
 
+// rankedSince is when the demand's oldest request arrived; later for a router of
+// another region, as traffic between regions is slow and paid by volume.
+func (d *demand) rankedSince() time.Time {
+	return d.oldest.Add(d.router.handicap)
+}
+
 // headGranted moves oldest on to the next request: the router tells only the
 // age of its head, so the arrivals are taken as evenly spaced.
 func (d *demand) headGranted() {
--- a/fairness/config.go
+++ b/fairness/config.go
@@ -54,6 +54,9 @@
 
 // KeeperConfig configures a Keeper. Zero fields take the defaults.
 type KeeperConfig struct {
+	// AnswerInterval is the least time between two answers about a team to one
+	// reporter; 0 answers every report. It needs calls of Updates.
+	AnswerInterval time.Duration
 	// DebtWindow bounds how long a waiting team makes up for what it received
 	// ahead of the others: one to two windows.
 	DebtWindow time.Duration
--- a/fairness/keeper.go
+++ b/fairness/keeper.go
@@ -90,8 +90,9 @@
 	return t.account(), true
 }
 
-// Report takes in a sidecar's report and answers it. Entries older than what
-// the sidecar already reported are left out of the answer.
+// Report takes in a sidecar's report and answers it. Left out of the answer are
+// entries older than what the sidecar already reported, and teams that it was
+// answered within the answer interval: it learns of their changes by Updates.
 func (k *Keeper) Report(from fleet.NodeID, inc fleet.Incarnation, r Report, now time.Time) Totals {
 	at := now.Sub(k.start)
 	k.sweep(at)
@@ -114,8 +115,9 @@
 		if entry.Active {
 			k.activate(t, entry, delta, at)
 		}
-		t.tell(rep.number)
-		answer.Teams = append(answer.Teams, t.answer())
+		if t.mustAnswer(rep.number, entry, k.incarnation, at, k.cfg.AnswerInterval) {
+			answer.Teams = append(answer.Teams, t.answer())
+		}
 	}
 	return answer
 }
--- a/fairness/keeper_team.go
+++ b/fairness/keeper_team.go
@@ -8,6 +8,9 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
+// typicalSmoothing is that of a team's typical charge.
+const typicalSmoothing = 0.1
+
 // maxSources bounds the keepers remembered as sources of a total.
 const maxSources = 4
 
@@ -39,6 +42,8 @@
 	activeThere activity
 	changed     time.Duration
 	used        time.Duration
+	// typical is the moving average of what is charged at once.
+	typical average
 	// sent is what the other regions were last sent.
 	sent sentSum
 }
@@ -50,9 +55,11 @@
 	merges  uint32
 	seq     uint64
 	charged float64
-	// told is the account that the reporter was last told.
-	told float64
-	seen time.Duration
+	// told is what the reporter was last told of the account without its own
+	// charges, and answered when it was last answered.
+	told     float64
+	answered time.Duration
+	seen     time.Duration
 }
 
 // source is a keeper that took over for a while and whose total was merged.
@@ -124,7 +131,14 @@
 		t.total += delta
 		t.changed = at
 	}
+	if delta > 0 {
+		t.typical.observe(delta, typicalSmoothing)
+	}
 	c := counter{reporter: reporter, merges: t.merges, seq: seq, charged: entry.Charged, seen: at}
+	if known {
+		c.told = t.counters[index].told
+		c.answered = t.counters[index].answered
+	}
 	t.setCounter(index, known, c)
 	return delta, true
 }
--- a/fairness/ledger_report.go
+++ b/fairness/ledger_report.go
@@ -81,13 +81,12 @@
 	return r, true
 }
 
-// due reports whether a team belongs into the next report. With too many
-// unanswered reports a changed team waits for the refresh interval.
+// due reports whether a team belongs into the next report.
 func (l *Ledger) due(a *account, now time.Time) bool {
 	if now.Sub(a.reportedAt) >= l.cfg.RefreshInterval {
 		return a.changed || a.waiting || a.unconfirmed()
 	}
-	return a.changed && !a.sent.full()
+	return a.changed
 }
 
 func (l *Ledger) reportTeam(a *account, seq uint64, now time.Time) TeamReport {
--- a/fairness/region.go
+++ b/fairness/region.go
@@ -76,7 +76,10 @@
 // sumDue reports whether the other regions must be sent a sum.
 func (t *teamState) sumDue(sum RegionSum, at, refresh time.Duration) bool {
 	last := &t.sent
-	if !last.known || sum.Total != last.total || sum.Lift != last.lift || sum.Waived != last.waived {
+	if !last.known || sum.Lift != last.lift || sum.Waived != last.waived {
+		return true
+	}
+	if t.worthTelling(sum.Total - last.total) {
 		return true
 	}
 	return at-last.at >= refresh
--- a/fairness/update.go
+++ b/fairness/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,10 @@
 	Update   Update
 }
 
+// minUpdate is the least change of an account that is told at once, as a part
+// of the team's typical charge. Smaller ones wait for the next answer.
+const minUpdate = 0.5
+
 // Updates returns the accounts that changed since their reporters were told,
 // for the reporters that told of the team within the activity TTL. The accounts
 // of sidecars thus lag by the interval of the calls, not by that of their own
@@ -42,11 +47,12 @@
 		account := t.account()
 		for i := range t.counters {
 			c := &t.counters[i]
-			if c.told == account || at-c.seen > k.cfg.ActivityTTL {
+			base := account - c.charged
+			if at-c.seen > k.cfg.ActivityTTL || !t.worthTelling(base-c.told) {
 				continue
 			}
-			c.told = account
-			update := TeamUpdate{Team: t.id, Base: account - c.charged, Seq: c.seq}
+			c.told = base
+			update := TeamUpdate{Team: t.id, Base: base, Seq: c.seq}
 			byReporter[c.reporter] = append(byReporter[c.reporter], update)
 		}
 	}
@@ -63,16 +69,32 @@
 	return out
 }
 
-// tell notes that a reporter was answered with the team's present account.
-func (t *teamState) tell(reporter uint32) {
-	if index, known := t.find(reporter); known {
-		t.counters[index].told = t.account()
+func (t *teamState) worthTelling(change float64) bool {
+	return change != 0 && math.Abs(change) >= minUpdate*t.typical.value
+}
+
+// mustAnswer reports whether a reporter is answered with a team's total, and
+// notes that it is. One that has none of this keeper is answered at once.
+func (t *teamState) mustAnswer(
+	reporter uint32, entry *TeamReport, self fleet.Incarnation, at, interval time.Duration,
+) bool {
+	index, known := t.find(reporter)
+	if !known {
+		return true
+	}
+	c := &t.counters[index]
+	if entry.Echo.Keeper == self && at-c.answered < interval {
+		return false
 	}
+	c.answered = at
+	c.told = t.account() - c.charged
+	return true
 }
 
 // Update takes in a keeper's update. An account that became active since the
 // report that the keeper knows keeps its provisional lift.
 func (l *Ledger) Update(u Update) {
+	l.synced = true
 	l.virtualTime = max(l.virtualTime, u.VirtualTime)
 	for _, team := range u.Teams {
 		a, ok := l.accounts[team.Team]
--- a/router/keeper.go
+++ b/router/keeper.go
@@ -15,7 +15,10 @@
 // Intervals at which changed accounts are sent on.
 const (
 	regionSumsInterval = 50 * time.Millisecond
-	updateInterval     = 25 * time.Millisecond
+	updateInterval     = 40 * time.Millisecond
+	// answerInterval is the time between two answers about a team to a sidecar;
+	// with them a restarted keeper is refilled.
+	answerInterval = 2 * time.Second
 )
 
 // keepers holds the account keepers of this router, one for each service.
@@ -42,7 +45,7 @@
 func (k *keepers) keeper(service fleet.ServiceID, now time.Time) *fairness.Keeper {
 	keeper := k.byService[service]
 	if keeper == nil {
-		keeper = fairness.NewKeeper(fairness.KeeperConfig{}, k.region, k.incarnation, now)
+		keeper = fairness.NewKeeper(fairness.KeeperConfig{AnswerInterval: answerInterval}, k.region, k.incarnation, now)
 		k.byService[service] = keeper
 	}
 	return keeper
@@ -54,6 +57,9 @@
 	k.mu.Lock()
 	totals := k.keeper(service, now).Report(s.ID(), s.Incarnation(), node.ReportFromWire(m), now)
 	k.mu.Unlock()
+	if len(totals.Teams) == 0 {
+		return
+	}
 	s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_AccountTotals{AccountTotals: node.TotalsToWire(totals)}})
 }
 
--- a/sidecar/load.go
+++ b/sidecar/load.go
@@ -39,7 +39,7 @@
 	busy := float64(s.running) * elapsed
 	slotSeconds.Add(slots)
 	busySeconds.Add(busy)
-	if !s.waiting.empty() {
+	if len(s.waiting) > 0 {
 		slotSecondsWaiting.Add(slots)
 		busySecondsWaiting.Add(busy)
 	}
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -23,7 +23,8 @@
 	ledger  *fairness.Ledger
 	now     time.Time
 	wake    *time.Timer
-	waiting *demandTable
+	// waiting holds the teams with requests that can be granted.
+	waiting map[fleet.TeamID]bool
 	// draw orders the teams for the next grant, once drawn is set.
 	draw  *fairness.Draw
 	drawn bool
@@ -66,7 +67,7 @@
 		weightOf: weightOf,
 		draw:     fairness.NewDraw(self),
 		ledger:   fairness.NewLedger(ledger),
-		waiting:  newDemandTable(),
+		waiting:  make(map[fleet.TeamID]bool),
 		changed:  make(chan struct{}, 1),
 		reserved: make(map[fleet.TeamID][]uint64),
 		verdicts: make(map[uint64]chan verdict),
@@ -102,6 +103,8 @@
 			ExpiresInMs: uint32(a.Expires.Milliseconds()),
 		}
 		s.sessions.Send(a.Router, &peerpb.Envelope{Body: &peerpb.Envelope_Grant{Grant: grant}})
+	case dispatch.TeamWaiting:
+		s.setWaiting(a.Team, a.Waiting)
 	case dispatch.StartRequest:
 		s.running++
 		s.decide(a.RequestID, verdict{start: true})
@@ -110,6 +113,15 @@
 	}
 }
 
+func (s *scheduler) setWaiting(team fleet.TeamID, waiting bool) {
+	s.ledger.SetActive(team, waiting, s.now)
+	if waiting {
+		s.waiting[team] = true
+		return
+	}
+	delete(s.waiting, team)
+}
+
 func (s *scheduler) decide(id uint64, v verdict) {
 	ch, ok := s.verdicts[id]
 	if !ok {
@@ -140,8 +152,10 @@
 	s.now = time.Now()
 	weight := s.weightOf(team)
 	s.ledger.SetWeight(team, weight)
-	s.waiting.set(team, router, d.GetWaiting() > 0, s.now)
-	s.ledger.SetActive(team, s.waiting.has(team), s.now)
+	if d.GetWaiting() > 0 {
+		// The account is lifted before the first grant is charged to it.
+		s.setWaiting(team, true)
+	}
 	s.stepLocked(dispatch.DemandReceived{
 		Router:    router,
 		Team:      team,
@@ -150,6 +164,7 @@
 		OldestAge: time.Duration(d.GetOldestAgeMs()) * time.Millisecond,
 		Weight:    weight,
 	})
+	s.setWaiting(team, s.machine.Waiting(team))
 }
 
 func (s *scheduler) declined(router fleet.NodeID, d *peerpb.Decline) {
@@ -157,10 +172,6 @@
 	defer s.mu.Unlock()
 	team := fleet.TeamID(d.GetTeam())
 	s.now = time.Now()
-	if d.GetSeq() > 0 {
-		s.waiting.set(team, router, false, s.now)
-		s.ledger.SetActive(team, s.waiting.has(team), s.now)
-	}
 	s.stepLocked(dispatch.GrantDeclined{
 		Router:  router,
 		GrantID: d.GetGrantId(),
@@ -173,9 +184,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now = time.Now()
-	for _, team := range s.waiting.dropRouter(router) {
-		s.ledger.SetActive(team, s.waiting.has(team), s.now)
-	}
 	s.stepLocked(dispatch.RouterDown{Router: router})
 }
 
@@ -260,9 +268,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, team := range s.waiting.expire(now) {
-		s.ledger.SetActive(team, s.waiting.has(team), now)
-	}
 	return s.ledger.Report(now)
 }
 
@@ -307,8 +312,8 @@
 		return r.draw.Score(team, r.ledger.Account(team), r.weightOf(team))
 	}
 	r.drawn = true
-	shares := make([]fairness.Share, 0, len(r.waiting.teams))
-	for waiting := range r.waiting.teams {
+	shares := make([]fairness.Share, 0, len(r.waiting))
+	for waiting := range r.waiting {
 		shares = append(shares, fairness.Share{Account: r.ledger.Account(waiting), Weight: r.weightOf(waiting)})
 	}
 	r.draw.Next(shares, r.turnover())
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,6 +82,7 @@
 		Incarnation:     s.incarnation,
 		StagingDisabled: !settings.Staging,
 		RefreshInterval: node.DemandRefreshInterval,
+		Location:        fleet.Location{Region: settings.Region, FailureDomain: settings.FailureDomain},
 	}, fairness.LedgerConfig{})
 	s.scheduler.step(dispatch.SetAccepting{Accepting: false})
 	s.health = newHealth(string(settings.ID), s.client, log, s.derive)
