--- a/dispatch/sidecar.go
+++ b/dispatch/sidecar.go
@@ -13,7 +13,6 @@
 const (
 	defaultGrantExpiryFloor = 20 * time.Millisecond
 	defaultGrantExpiryRTTs  = 4
-	defaultRegionHandicap   = time.Second
 )
 
 // demandRetentionRefreshes is how many refresh intervals demand is believed for.
@@ -57,9 +56,8 @@
 	// lapsed is set when a grant expired unanswered, until the router is heard
 	// from again.
 	lapsed bool
-	// handicap is how much longer its requests wait than those of the own
-	// region before they go first.
-	handicap time.Duration
+	// remote is set for a router of another region.
+	remote bool
 	// backoff multiplies the expiry of grants; it doubles when one lapses.
 	backoff int
 	// lastGrant is the id of the newest grant to this router.
@@ -70,7 +68,6 @@
 func NewSidecar(cfg SidecarConfig, accounts Accounts) *Sidecar {
 	cfg.GrantExpiryFloor = cmp.Or(cfg.GrantExpiryFloor, defaultGrantExpiryFloor)
 	cfg.GrantExpiryRTTs = cmp.Or(cfg.GrantExpiryRTTs, defaultGrantExpiryRTTs)
-	cfg.RegionHandicap = cmp.Or(cfg.RegionHandicap, defaultRegionHandicap)
 	cfg.RefreshInterval = cmp.Or(cfg.RefreshInterval, defaultRefreshInterval)
 	return &Sidecar{
 		cfg:         cfg,
@@ -97,9 +94,7 @@
 	case RouterUp:
 		s.routerDown(ev.Router)
 		peer := newRouterPeer(ev.Router)
-		if ev.Location.Region != s.cfg.Location.Region {
-			peer.handicap = s.cfg.RegionHandicap
-		}
+		peer.remote = ev.Location.Region != s.cfg.Location.Region
 		s.routers[ev.Router] = peer
 	case RouterDown:
 		s.routerDown(ev.Router)
--- a/dispatch/sidecar_api.go
+++ b/dispatch/sidecar_api.go
@@ -20,9 +20,6 @@
 // SidecarConfig holds the settings of a Sidecar. Zero fields take the defaults.
 type SidecarConfig struct {
 	Location fleet.Location
-	// RegionHandicap is how much longer a request of another region waits
-	// before it goes ahead of one of the same team of the own region. Default 1 s.
-	RegionHandicap time.Duration
 	// Slots is how many requests the upstream runs at a time.
 	Slots int
 	// Incarnation is this process's. Grant ids grow from it, so that a restarted
--- a/dispatch/sidecar_demand.go
+++ b/dispatch/sidecar_demand.go
@@ -171,22 +171,26 @@
 	return t.team < other.team
 }
 
+// remoteAgeDivisor is how many times longer a request of another region waits
+// before it goes ahead of one of the same team of the own region.
+const remoteAgeDivisor = 3
+
 // nextDemand returns the open demand whose oldest request waits longest; ties
 // go to the router that was granted least recently.
-func (t *teamDemand) nextDemand() *demand {
+func (t *teamDemand) nextDemand(now time.Time) *demand {
 	best := t.open[0]
 	for _, d := range t.open[1:] {
-		if d.before(best) {
+		if d.before(best, now) {
 			best = d
 		}
 	}
 	return best
 }
 
-func (d *demand) before(other *demand) bool {
-	since, otherSince := d.rankedSince(), other.rankedSince()
-	if !since.Equal(otherSince) {
-		return since.Before(otherSince)
+func (d *demand) before(other *demand, now time.Time) bool {
+	age, otherAge := d.rankedAge(now), other.rankedAge(now)
+	if age != otherAge {
+		return age > otherAge
 	}
 	if d.router.lastGrant != other.router.lastGrant {
 		return d.router.lastGrant < other.router.lastGrant
@@ -194,10 +198,14 @@
 	return d.router.id < other.router.id
 }
 
-// rankedSince is when the demand's oldest request arrived; later for a router of
-// another region, as traffic between regions is slow and paid by volume.
-func (d *demand) rankedSince() time.Time {
-	return d.oldest.Add(d.router.handicap)
+// rankedAge is the age of the demand's oldest request; a part of it for a router
+// of another region, as traffic between regions is slow and paid by volume.
+func (d *demand) rankedAge(now time.Time) time.Duration {
+	age := now.Sub(d.oldest)
+	if d.router.remote {
+		return age / remoteAgeDivisor
+	}
+	return age
 }
 
 // headGranted moves oldest on to the next request: the router tells only the
--- a/dispatch/sidecar_grants.go
+++ b/dispatch/sidecar_grants.go
@@ -33,7 +33,7 @@
 		if team == nil {
 			return
 		}
-		s.sendGrant(team.nextDemand())
+		s.sendGrant(team.nextDemand(s.now))
 	}
 }
 
