Let the hook of TestCommitterClose run twice

The hook closed a channel on every write. After a write of unknown outcome the committer reads the head back and writes again, so a second write before Close panicked: close of closed channel. The hook now closes it once; the assertions are unchanged.

go test -count=50 -run 'TestCommitterClose$' ./claim passes, with -race too.

--- a/claim/committer_test.go
+++ b/claim/committer_test.go
@@ -136,8 +136,11 @@
 	g := NewWithT(t)
 	store := newFakeStore()
 	entered := make(chan struct{})
+	// A write of unknown outcome is read back and made again, so the hook may
+	// run more than once.
+	enter := sync.OnceFunc(func() { close(entered) })
 	store.hook = func(func() (platform.Version, error)) (platform.Version, error) {
-		close(entered)
+		enter()
 		return 0, platform.ErrOutcomeUnknown
 	}
 	c := NewCommitter(store, CommitterConfig{Partitions: 1})
