Compare generations with what was known before the read

The configuration suite failed now and then with "generation fell (4 after 5)". Two goroutines read the same process, the background watcher and expectInForce; the earlier read's answer was sometimes compared last. A process's generation may not fall below what was observed before the read was sent, and that is what is checked now: a process that reverts fails it as before, since every later read is compared with the highest observed value.

--- a/e2e/configuration/watcher_test.go
+++ b/e2e/configuration/watcher_test.go
@@ -66,15 +66,24 @@
 }
 
 func (w *watcher) observe(out map[string]uint64, name string, p *harness.Process, url string) {
+	// Reads overlap, and an older answer may arrive last. A read must return at
+	// least what had been observed before it was sent.
+	known := w.highestOf(p)
 	generation, ok := w.read(url + "/debug/vars")
 	if !ok {
 		return
 	}
 	out[name] = generation
+	Expect(generation).To(BeNumerically(">=", known), "generation of %s fell", name)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	Expect(generation).To(BeNumerically(">=", w.highest[p]), "generation of %s fell", name)
-	w.highest[p] = generation
+	w.highest[p] = max(w.highest[p], generation)
+}
+
+func (w *watcher) highestOf(p *harness.Process) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.highest[p]
 }
 
 func (w *watcher) read(url string) (uint64, bool) {
