Let the peer close before a write is confirmed

TestOversizedMessageClosesTheSession failed now and then with "session shutdown" from the write. The multiplexer's Write waits for its send loop's confirmation and for the session's end; the peer reads the oversized length and closes at once, so both are ready and either may be returned. It is no fault of the session. The test takes that one error besides none; that the peer got the length is proved by the cause with which it closed, as before.

Before: 22 of 150 failed with -race and GOMAXPROCS=1, 30 of 150 with 2. After: none of 150 with GOMAXPROCS 1, 2, 3 and 10, and go test -race -count=50 -run TestOversized ./peer passes.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
@@ -150,7 +151,9 @@
 	g := NewWithT(t)
 	a, _, ra, rb := start(t)
 	_, err := a.control.Write(binary.AppendUvarint(nil, MaxControlBytes+1))
-	g.Expect(err).NotTo(HaveOccurred())
+	// The multiplexer confirms a write after it was sent. The peer may have
+	// closed the session by then; its cause proves that it got the length.
+	g.Expect(err).To(Or(Not(HaveOccurred()), MatchError(yamux.ErrSessionShutdown)))
 	var closed *Session
 	g.Eventually(rb.down).Should(Receive(&closed))
 	g.Expect(closed.cause).To(MatchError(ErrMessage))
