Bound the wait of requests without a deadline

A request without Request-Timeout that found no sidecar waited as long as its caller did; a client without a timeout of its own waited without bound, and its bytes counted against the router's limits.

Weighed: the service's max_duration as deadline of the whole request would cut a run that started late. So it bounds the wait only; the sidecar bounds the run by the same setting.

go test -race ./caller ./router ./docs ./config passes.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -45,7 +45,7 @@
 		Teams: []config.Team{{ID: "t", KeyHashes: []string{hex.EncodeToString(hash[:])}}},
 		Services: []config.Service{
 			{ID: "m", Kind: config.KindModel, MaxBodyBytes: 1 << 10},
-			{ID: "p", Kind: config.KindPlain, MaxBodyBytes: 64},
+			{ID: "p", Kind: config.KindPlain, MaxBodyBytes: 64, MaxDuration: config.Duration(time.Minute)},
 		},
 		Rules: config.Rules{NonIdempotent: []config.NonIdempotentRule{
 			{Service: "p", Methods: []string{"POST"}, PathPrefix: "/orders/"},
@@ -157,6 +157,15 @@
 	g.Expect(time.Until(b.last.Deadline)).To(And(BeNumerically(">", 0), BeNumerically("<=", 7500*time.Millisecond)))
 }
 
+func TestWaitWithoutATimeoutIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	b := &backend{}
+	_, _, err := call(g, newTestServer(t, b), "GET", "/services/p/x", "", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.last.Deadline).To(BeZero())
+	g.Expect(b.last.MaxWait).To(Equal(time.Minute))
+}
+
 func TestOutcomeIsHeaderOrTrailer(t *testing.T) {
 	long := strings.Repeat("b", bufferBytes+1)
 	for _, c := range []struct {
--- a/caller/server.go
+++ b/caller/server.go
@@ -182,6 +182,7 @@
 		return tooLarge(service.MaxBodyBytes)
 	}
 	req.Weight = index.Weight(req.Service, req.Team)
+	req.MaxWait = service.MaxDuration.Std()
 	req.Header = forwardHeader(c.Request().Header)
 	req.Digest = digest(req)
 	timeout, err := requestTimeout(c.Request().Header)
--- a/router/serve.go
+++ b/router/serve.go
@@ -76,6 +76,7 @@
 
 func (r *Router) newJob(req *caller.Request) *job {
 	snapshot := r.adoption.Snapshot()
+	now := time.Now()
 	return &job{
 		req: req,
 		queued: dispatch.Request{
@@ -84,14 +85,23 @@
 			Team:        req.Team,
 			Weight:      req.Weight,
 			Bytes:       int64(len(req.Body)) + overheadBytes,
-			Arrived:     time.Now(),
-			Deadline:    req.Deadline,
+			Arrived:     now,
+			Deadline:    queueDeadline(req, now),
 			AffinityKey: req.AffinityKey,
 			SpillAfter:  snapshot.Inventory.Rules.SpillAfter.Std(),
 		},
 	}
 }
 
+// queueDeadline returns when a request has waited for too long. Without the
+// caller's deadline only its wait is bounded: what runs is not cut by it.
+func queueDeadline(req *caller.Request, arrived time.Time) time.Time {
+	if req.Deadline.IsZero() {
+		return arrived.Add(req.MaxWait)
+	}
+	return req.Deadline
+}
+
 // serveIdempotent runs a request that may be repeated.
 func (r *Router) serveIdempotent(ctx context.Context, j *job, w caller.Responder) error {
 	r.budget.request()
