Apply rules.claim_retention

The setting was accepted and ignored. claim.Partition takes SetRetention as an event, the committer passes it to its partitions, and the router sets it with each configuration.

An operator could now set a retention that is shorter than a request's life, and a key would be free while its request still waits or runs. So an inventory must keep claims for twice the longest max_duration of a non-idempotent service and a minute, and a non-idempotent request waits for at most max_duration whatever its Request-Timeout says.

go test -race ./claim ./config ./router ./docs passes.

--- a/caller/request.go
+++ b/caller/request.go
@@ -43,7 +43,8 @@
 	Body   []byte
 	// Deadline is zero when the caller set none.
 	Deadline time.Time
-	// MaxWait bounds how long the request waits when the caller set no deadline.
+	// MaxWait bounds how long the request waits when the caller set no deadline,
+	// and always if it is non-idempotent.
 	MaxWait time.Duration
 	// NonIdempotent requests run at most once under IdempotencyKey.
 	NonIdempotent  bool
--- a/claim/committer.go
+++ b/claim/committer.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// SetRetention changes how long claims are kept, of all partitions. A value that
+// is not positive is ignored.
+func (c *Committer) SetRetention(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cfg.Partition.Retention = d
+	for _, d := range c.drivers {
+		d.step(SetRetention{Retention: c.cfg.Partition.Retention})
+	}
+}
+
 // Close stops the Committer and waits for its goroutines. Operations that wait
 // end with ErrClosed.
 func (c *Committer) Close() {
--- a/claim/committer_test.go
+++ b/claim/committer_test.go
@@ -152,6 +152,24 @@
 	g.Expect(err).To(MatchError(ErrClosed))
 }
 
+// A new retention is for the partitions in use and for those used later.
+func TestCommitterSetRetention(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCommitter(t, newFakeStore(), CommitterConfig{})
+	retention := func() time.Duration {
+		d, err := c.driver(ScopeKey{})
+		g.Expect(err).NotTo(HaveOccurred())
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.part.cfg.Retention
+	}
+	c.SetRetention(2 * time.Hour)
+	g.Expect(retention()).To(Equal(2 * time.Hour))
+	c.SetRetention(3 * time.Hour)
+	c.SetRetention(0)
+	g.Expect(retention()).To(Equal(3 * time.Hour))
+}
+
 // delayStore answers each call after a fixed time.
 type delayStore struct {
 	*fakeStore
--- a/claim/event.go
+++ b/claim/event.go
@@ -29,6 +29,10 @@
 	Waiter WaiterID
 }
 
+// SetRetention changes the age at which sealed segments are dropped. A value
+// that is not positive is ignored.
+type SetRetention struct{ Retention time.Duration }
+
 // ReadDone answers ReadHead. An absent head has version zero.
 type ReadDone struct {
 	Head     Head
@@ -73,6 +77,7 @@
 // Tick reports that the time of NextWake has come.
 type Tick struct{}
 
+func (SetRetention) event()       {}
 func (Submit) event()             {}
 func (ReadDone) event()           {}
 func (ReadFailed) event()         {}
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -127,6 +127,8 @@
 	switch ev := ev.(type) {
 	case Submit:
 		p.submit(now, ev)
+	case SetRetention:
+		p.setRetention(ev.Retention)
 	case Tick:
 		p.start(now)
 	case ReadDone:
@@ -152,6 +154,12 @@
 	return p.out
 }
 
+func (p *Partition) setRetention(d time.Duration) {
+	if d > 0 {
+		p.cfg.Retention = d
+	}
+}
+
 // NextWake returns when the next Tick is due, if one is.
 func (p *Partition) NextWake() (time.Time, bool) {
 	if p.phase != phaseIdle || len(p.orphans) == 0 {
--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -109,7 +109,9 @@
 // the store. A key in a segment that is not dropped stays claimed.
 func TestPartitionDropsExpiredSegments(t *testing.T) {
 	g := NewWithT(t)
-	p := NewPartition(Config{SegmentBytes: 1, Retention: time.Hour})
+	p := NewPartition(Config{SegmentBytes: 1, Retention: 2 * time.Hour})
+	p.Step(t0, SetRetention{Retention: time.Hour})
+	p.Step(t0, SetRetention{})
 	head := Head{
 		Sealed: []SegmentRef{
 			{Key: "old", SealedAt: t0.Add(-time.Hour - time.Second)},
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -67,6 +67,7 @@
 		Entry("not YAML", "regions:", "regions: [", `config: inventory:`),
 		Entry("alias", "failure_domains: [n1]", "failure_domains: &a [n1]", `inventory:3: expected no anchors or aliases`),
 		Entry("two documents", "rules:", "---\nrules:", `expected a single document`),
+		Entry("claims that end before their requests", "rules:", "rules:\n  claim_retention: 20m", `rules.claim_retention: expected at least twice the longest max_duration of a non-idempotent service and a minute: 21m0s, got "20m0s"`),
 		Entry("missing id", "- id: chat\n    kind", "- kind", `inventory:10: services[0].id: expected an identifier`),
 	)
 
--- a/config/references.go
+++ b/config/references.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
@@ -31,6 +33,7 @@
 	r.checkServices(inv)
 	r.checkTeams(inv.Teams)
 	r.checkRules(inv.Rules)
+	r.checkClaimRetention(inv)
 	return r.issues[:min(len(r.issues), maxIssues)]
 }
 
@@ -121,3 +124,23 @@
 		requireKnown(r, r.vms, vm.ID, "VM", "rules.leaving_vms[%d].id", i)
 	}
 }
+
+// claimMargin is how much longer than the life of a request its claim is kept.
+const claimMargin = time.Minute
+
+// checkClaimRetention demands that claims outlive their requests, which wait
+// for at most MaxDuration and run for at most MaxDuration.
+func (r *references) checkClaimRetention(inv Inventory) {
+	longest := Duration(0)
+	for _, service := range inv.Services {
+		named := func(rule NonIdempotentRule) bool { return rule.Service == service.ID }
+		if slices.ContainsFunc(inv.Rules.NonIdempotent, named) {
+			longest = max(longest, service.MaxDuration)
+		}
+	}
+	least := 2*longest.Std() + claimMargin
+	if longest > 0 && inv.Rules.ClaimRetention.Std() < least {
+		expected := "at least twice the longest max_duration of a non-idempotent service and a minute: " + least.String()
+		r.report(expected, inv.Rules.ClaimRetention.Std().String(), "rules.claim_retention")
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -126,6 +126,7 @@
 
 // adopted puts a new configuration to use.
 func (r *Router) adopted(s config.Snapshot) {
+	r.claims.SetRetention(s.Inventory.Rules.ClaimRetention.Std())
 	limits := s.Inventory.Rules.Limits
 	r.queue.step(dispatch.UpdateLimits{Limits: dispatch.Limits{
 		TeamWaiting:   limits.TeamWaiting,
--- a/router/serve.go
+++ b/router/serve.go
@@ -94,10 +94,13 @@
 }
 
 // queueDeadline returns when a request has waited for too long. Without the
-// caller's deadline only its wait is bounded: what runs is not cut by it.
+// caller's deadline only its wait is bounded: what runs is not cut by it. A
+// non-idempotent request never waits longer than MaxWait, because its claim
+// has to be kept until it has run.
 func queueDeadline(req *caller.Request, arrived time.Time) time.Time {
-	if req.Deadline.IsZero() {
-		return arrived.Add(req.MaxWait)
+	latest := arrived.Add(req.MaxWait)
+	if req.Deadline.IsZero() || req.NonIdempotent && req.Deadline.After(latest) {
+		return latest
 	}
 	return req.Deadline
 }
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -40,4 +40,6 @@
 	deadline := arrived.Add(time.Hour)
 	g.Expect(queueDeadline(&caller.Request{MaxWait: time.Minute}, arrived)).To(Equal(arrived.Add(time.Minute)))
 	g.Expect(queueDeadline(&caller.Request{MaxWait: time.Minute, Deadline: deadline}, arrived)).To(Equal(deadline))
+	once := &caller.Request{MaxWait: time.Minute, Deadline: deadline, NonIdempotent: true}
+	g.Expect(queueDeadline(once, arrived)).To(Equal(arrived.Add(time.Minute)))
 }
