--- a/config/collect.go
+++ b/config/collect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"fulmarspindle.example/fulmarspindle/platform"
 )
@@ -19,14 +20,25 @@
 	// shardGrace is the least age of a shard that is deleted. It is longer
 	// than any Apply takes between its shards and its head.
 	shardGrace = time.Hour
+	// collectRate bounds the deletions a second of one Collect, and
+	// collectBurst those that follow each other at once.
+	collectRate  = 50
+	collectBurst = 50
 )
 
+// collector is one run of Collect.
+type collector struct {
+	store   platform.Store
+	limiter *rate.Limiter
+}
+
 // Collect deletes superseded heads beyond those that are kept, and the shards
 // that neither the head in force nor a kept one names. A shard that an Apply
 // is about to name is never deleted: it is younger than the grace period, or
 // was written again and no longer has the version that the deletion demands.
 // Collect may run in several processes at once.
 func (p *Publisher) Collect(ctx context.Context) error {
+	c := &collector{store: p.store, limiter: rate.NewLimiter(collectRate, collectBurst)}
 	current, err := p.readHead(ctx)
 	if err != nil || current.head.Generation == 0 {
 		return err
@@ -35,7 +47,7 @@
 	if err != nil {
 		return eris.Wrap(err, "config: cannot list shards")
 	}
-	named, err := p.collectHistory(ctx, current.head.Generation)
+	named, err := p.collectHistory(ctx, c, current.head.Generation)
 	if err != nil {
 		return err
 	}
@@ -46,7 +58,7 @@
 		if named[hash] || entry.Modified.After(deadline) {
 			continue
 		}
-		if err := p.remove(ctx, entry); err != nil {
+		if err := c.remove(ctx, entry); err != nil {
 			return err
 		}
 	}
@@ -55,7 +67,7 @@
 
 // collectHistory deletes old superseded heads and returns the shards that the
 // kept ones name.
-func (p *Publisher) collectHistory(ctx context.Context, current uint64) (map[Hash]bool, error) {
+func (p *Publisher) collectHistory(ctx context.Context, c *collector, current uint64) (map[Hash]bool, error) {
 	entries, err := p.store.List(ctx, HistoryPrefix)
 	if err != nil {
 		return nil, eris.Wrap(err, "config: cannot list the history")
@@ -67,7 +79,7 @@
 			continue
 		}
 		if generation+historyKept < current {
-			err = p.remove(ctx, entry)
+			err = c.remove(ctx, entry)
 		} else {
 			err = p.nameHistory(ctx, generation, named)
 		}
@@ -87,8 +99,11 @@
 	return nil
 }
 
-func (p *Publisher) remove(ctx context.Context, entry platform.Entry) error {
-	err := p.store.Delete(ctx, entry.Key, platform.IfVersion(entry.Version))
+func (c *collector) remove(ctx context.Context, entry platform.Entry) error {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return eris.Wrap(err, "config: collection stopped")
+	}
+	err := c.store.Delete(ctx, entry.Key, platform.IfVersion(entry.Version))
 	if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
 		return nil
 	}
