--- a/e2e/once/once_test.go
+++ b/e2e/once/once_test.go
@@ -261,6 +261,7 @@
 		go func() { sent <- o.send(ctx, clients[0]) }()
 		u := awaitRunning()
 		u.Sidecar().Kill()
+		_ = u.Sidecar().Wait(ctx)
 		var a harness.Answer
 		Eventually(sent, specTimeout).Should(Receive(&a))
 		Expect(a.Outcome).To(Equal(harness.OutcomeUnknown), o.String())
@@ -303,6 +304,7 @@
 			b.awaitAnswered((2*n + 1) * b.total() / 6)
 			awaitRunning()
 			u.Sidecar().Kill()
+			_ = u.Sidecar().Wait(ctx)
 			Expect(f.StartSidecar(ctx, u)).To(Succeed())
 			b.awaitAnswered((2*n + 2) * b.total() / 6)
 			f.Links.Peer(u.VM.ID).Reset()
