--- a/peer/benchmark_test.go
+++ b/peer/benchmark_test.go
@@ -56,6 +56,14 @@
 	return &peerpb.Envelope{Generation: 10000, Body: &peerpb.Envelope_Demand{Demand: u}}
 }
 
+func benchUpdate(teams int) *peerpb.Envelope {
+	u := &peerpb.AccountUpdate{VirtualTime: 1.5}
+	for i := range teams {
+		u.Bases = append(u.Bases, &peerpb.AccountBase{Team: benchTeam(i), Base: 1.5, Seq: 100000})
+	}
+	return &peerpb.Envelope{Generation: 10000, Body: &peerpb.Envelope_AccountUpdate{AccountUpdate: u}}
+}
+
 // BenchmarkMessage measures one message of each kind, encoded and decoded.
 func BenchmarkMessage(b *testing.B) {
 	cases := []struct {
@@ -70,6 +78,7 @@
 		{"load", &peerpb.Envelope{Generation: 10000, Body: &peerpb.Envelope_Load{Load: &peerpb.Load{Slots: 32, FreeSlots: 1, Accepting: true}}}},
 		{"report-1", benchReport(1)}, {"report-75", benchReport(75)}, {"report-600", benchReport(600)}, {"report-3000", benchReport(3000)},
 		{"totals-1", benchTotals(1)}, {"totals-75", benchTotals(75)}, {"totals-600", benchTotals(600)}, {"totals-3000", benchTotals(3000)},
+		{"update-1", benchUpdate(1)}, {"update-75", benchUpdate(75)},
 		{"sums-1", benchSums(1)}, {"sums-75", benchSums(75)}, {"sums-600", benchSums(600)},
 		{"snapshot-13KB", &peerpb.Envelope{Generation: 10000, Body: &peerpb.Envelope_ConfigSnapshot{ConfigSnapshot: &peerpb.ConfigSnapshot{
 			Head: make([]byte, 4<<10), Shards: []*peerpb.ConfigShard{{Hash: benchTeam(1), Data: make([]byte, 9<<10)}}}}}},
