--- a/dispatch/sidecar_test.go
+++ b/dispatch/sidecar_test.go
@@ -137,6 +137,14 @@
 		Expect(l.reserved["a"]).To(BeZero())
 	})
 
+	It("withholds no slot from waiting work when it accepts again", func() {
+		s.Step(start, SetSlots{8})
+		s.Step(start, SetAccepting{false})
+		Expect(s.Step(start, demandOf("r0", "a", 1, 9, 0))).To(BeEmpty())
+		Expect(s.Step(start, SetAccepting{true})).To(HaveLen(8))
+		Expect(s.Load()).To(Equal(Load{Slots: 8, Accepting: true}))
+	})
+
 	It("runs a solo request alone", func() {
 		s.Step(start, SetSlots{3})
 		s.Step(start, demandOf("r0", "a", 1, 9, 0))
