Spell the codes of refusals in one way

Callers saw claim_unavailable beside router-limit. All codes are in snake case now; the keys of the metric router_refused follow. The docs test checks it, and its pattern no longer passes over codes with other characters. refusalTable.take took nothing out: it is get.

go test -race ./router ./dispatch ./docs passes.

--- a/dispatch/router_api.go
+++ b/dispatch/router_api.go
@@ -193,9 +193,9 @@
 
 var refuseReasonNames = map[RefuseReason]string{
 	ReasonDeadline:     "deadline",
-	ReasonExpectedWait: "expected-wait",
-	ReasonTeamLimit:    "team-limit",
-	ReasonRouterLimit:  "router-limit",
+	ReasonExpectedWait: "expected_wait",
+	ReasonTeamLimit:    "team_limit",
+	ReasonRouterLimit:  "router_limit",
 	ReasonStopping:     "stopping",
 }
 
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -24,6 +24,8 @@
 	"Inventory and rules":   config.Inventory{},
 }
 
+var snakeCase = regexp.MustCompile("^[a-z]+(_[a-z]+)*$")
+
 var firstCell = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|")
 
 func TestReferencesNameEveryKey(t *testing.T) {
@@ -75,7 +77,7 @@
 	{"Metrics", regexp.MustCompile(`expvar\.New\w+\("([^"]+)"\)`)},
 	{"Log events", regexp.MustCompile(`(?:[lL]og\.(?:Warn|Error)|\.warn)\("([^"]+)"`)},
 	{"Traces", regexp.MustCompile(`StartSpan\([^,]+, "([^"]+)"`)},
-	{"Codes of refusals", regexp.MustCompile(`(?:(?:NotRun|Unknown)\([^,()]+, |retryLater\()"([a-z_]+)"`)},
+	{"Codes of refusals", regexp.MustCompile(`(?:(?:NotRun|Unknown)\([^,()]+, |retryLater\()"([^"]+)"`)},
 }
 
 func TestPageNamesMetricsLogsTracesAndCodes(t *testing.T) {
@@ -101,6 +103,9 @@
 		if !strings.Contains(text, "`"+reason.String()+"`") {
 			t.Errorf("reason %q is not documented", reason)
 		}
+		if !snakeCase.MatchString(reason.String()) {
+			t.Errorf("reason %q is a code of refusals, but not in snake case", reason)
+		}
 	}
 }
 
--- a/router/once.go
+++ b/router/once.go
@@ -156,7 +156,7 @@
 	case claim.AnswerGone:
 		return alreadyRun()
 	case claim.AnswerNotRun:
-		return r.refusals.take(id)
+		return r.refusals.get(id)
 	default:
 		return caller.Unknown(http.StatusConflict, "outcome_unknown",
 			"the request was dispatched and its outcome is unknown")
--- a/router/repeat.go
+++ b/router/repeat.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// take returns the refusal of an attempt. Every waiter of the attempt gets it.
-func (t *refusalTable) take(id claim.AttemptID) error {
+// get returns the refusal of an attempt. Every waiter of the attempt gets it.
+func (t *refusalTable) get(id claim.AttemptID) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if cause, ok := t.byID[id]; ok {
