--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -100,7 +100,7 @@
 		{"no JSON", "POST", "/v1/completions", "{", nil, 400},
 		{"no model", "POST", "/v1/completions", "{}", nil, 400},
 		{"no idempotency key", "POST", "/services/p/orders", "", nil, 400},
-		{"long idempotency key", "GET", "/services/p/x", "", http.Header{"Idempotency-Key": {strings.Repeat("k", 257)}}, 400},
+		{"long idempotency key", "GET", "/services/p/x", "", http.Header{"Idempotency-Key": {strings.Repeat("k", 256)}}, 400},
 		{"bad timeout", "GET", "/services/p/x", "", http.Header{"Request-Timeout": {"soon"}}, 400},
 		{"no timeout at all", "GET", "/services/p/x", "", http.Header{"Request-Timeout": {"1e-20"}}, 400},
 		{"over the service's limit", "POST", "/services/p/x", strings.Repeat("b", 65), nil, 413},
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -15,13 +15,14 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 
+	"fulmarspindle.example/fulmarspindle/claim"
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
 // Limits of what callers send.
 const (
-	maxIdempotencyKeyBytes = 256
+	maxIdempotencyKeyBytes = claim.MaxKeyBytes
 	minTimeout             = time.Millisecond
 	maxTimeout             = 24 * time.Hour
 	// affinityPrefixBytes is how much of a prompt decides its affinity.
