Tell routers why a sidecar is not accepting

Load.reason of the peer protocol was never set, so /v1/upstreams showed an unhealthy upstream as accepting: false without a reason. The sidecar now sends what it finds: leaving-rule, draining, unhealthy, or not-configured (new: no configuration that it holds names its upstream). What the router finds itself goes first. A change of reason is announced as one of accepting is.

--- a/fleet/eligible.go
+++ b/fleet/eligible.go
@@ -20,6 +20,9 @@
 	ReasonDraining Reason = "draining"
 	// ReasonUnhealthy means that the upstream fails its health checks.
 	ReasonUnhealthy Reason = "unhealthy"
+	// ReasonNotConfigured means that no configuration which the sidecar holds
+	// names the upstream. Only the sidecar finds it.
+	ReasonNotConfigured Reason = "not-configured"
 )
 
 // LeavingRule is the operators' rule that takes a VM out of service.
--- a/router/membership.go
+++ b/router/membership.go
@@ -35,6 +35,15 @@
 	reason   fleet.Reason
 }
 
+// shownReason tells why the upstream gets no new work: what this router finds
+// goes before what the sidecar said.
+func (s *sidecarState) shownReason() fleet.Reason {
+	if s.reason != fleet.ReasonNone {
+		return s.reason
+	}
+	return fleet.Reason(s.load.GetReason())
+}
+
 func newMembership(q *queue, index func() *config.Index, log *zap.Logger) *membership {
 	return &membership{
 		queue:    q,
@@ -227,7 +236,7 @@
 		if state := m.sidecars[status.ID]; state != nil {
 			status.Connected = true
 			status.Accepting = state.reason == fleet.ReasonNone && state.load.GetAccepting()
-			status.Reason = state.reason
+			status.Reason = state.shownReason()
 			status.FreeSlots = int(state.load.GetFreeSlots())
 		}
 		out = append(out, status)
--- a/router/membership_test.go
+++ b/router/membership_test.go
@@ -119,3 +119,13 @@
 	g.Expect(behind.updateVMs(next)).To(BeTrue())
 	g.Expect(behind.updateVMs(&peerpb.VMListUpdate{Digest: first.GetDigest()})).To(BeFalse())
 }
+
+func TestShownReason(t *testing.T) {
+	g := NewWithT(t)
+	state := &sidecarState{}
+	g.Expect(state.shownReason()).To(Equal(fleet.ReasonNone))
+	state.load = &peerpb.Load{Reason: "unhealthy"}
+	g.Expect(state.shownReason()).To(Equal(fleet.ReasonUnhealthy))
+	state.reason = fleet.ReasonLeavingVM
+	g.Expect(state.shownReason()).To(Equal(fleet.ReasonLeavingVM))
+}
--- a/sidecar/load.go
+++ b/sidecar/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/dispatch"
+	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
 
@@ -45,35 +46,57 @@
 	}
 }
 
+// setAccepting accepts new work unless there is a reason not to.
+func (s *scheduler) setAccepting(reason fleet.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reason = reason
+	s.stepLocked(dispatch.SetAccepting{Accepting: reason == fleet.ReasonNone})
+}
+
+func (s *scheduler) load() dispatch.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Load()
+}
+
 // announceLoad tells every router when the sidecar starts or stops accepting,
-// and when its first slot frees or its last one fills.
+// and when its first slot frees, its last one fills or its reason changes.
 func (s *scheduler) announceLoad() {
 	load := s.machine.Load()
-	last := s.lastLoad
+	last := s.announced
 	changed := load.Accepting != last.Accepting || load.Slots != last.Slots ||
-		(load.FreeSlots > 0) != (last.FreeSlots > 0)
+		(load.FreeSlots > 0) != (last.FreeSlots > 0) || s.reason != s.announcedReason
 	if !changed {
 		return
 	}
-	s.lastLoad = load
-	s.broadcastLoad(load)
+	s.announced = load
+	s.announcedReason = s.reason
+	s.broadcastLoad()
 }
 
-func (s *scheduler) broadcastLoad(load dispatch.Load) {
-	env := loadEnvelope(load)
+func (s *scheduler) broadcastLoad() {
 	for _, session := range s.sessions.All(peerpb.Role_ROLE_ROUTER) {
-		session.Send(env())
+		session.Send(s.loadEnvelope())
 	}
 }
 
-// loadEnvelope returns a maker of messages: each session stamps its own.
-func loadEnvelope(load dispatch.Load) func() *peerpb.Envelope {
-	return func() *peerpb.Envelope {
-		m := &peerpb.Load{
-			Slots:     uint32(load.Slots),
-			FreeSlots: uint32(load.FreeSlots),
-			Accepting: load.Accepting,
-		}
-		return &peerpb.Envelope{Body: &peerpb.Envelope_Load{Load: m}}
+// loadMessage returns the message that a new session starts with.
+func (s *scheduler) loadMessage() *peerpb.Envelope {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loadEnvelope()
+}
+
+// loadEnvelope returns a new message: each session stamps its own. The lock is
+// held.
+func (s *scheduler) loadEnvelope() *peerpb.Envelope {
+	load := s.machine.Load()
+	m := &peerpb.Load{
+		Slots:     uint32(load.Slots),
+		FreeSlots: uint32(load.FreeSlots),
+		Accepting: load.Accepting,
+		Reason:    string(s.reason),
 	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Load{Load: m}}
 }
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -38,9 +38,13 @@
 	verdicts map[uint64]chan verdict
 	running  int
 	// changed has an element when an account has changed.
-	changed  chan struct{}
-	lastLoad dispatch.Load
-	usage    slotUsage
+	changed chan struct{}
+	// reason tells why no new work is accepted.
+	reason fleet.Reason
+	// announced and announcedReason are what the routers were told last.
+	announced       dispatch.Load
+	announcedReason fleet.Reason
+	usage           slotUsage
 }
 
 const (
@@ -290,12 +294,6 @@
 	}
 }
 
-func (s *scheduler) load() dispatch.Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.machine.Load()
-}
-
 // reservations implements dispatch.Accounts on the ledger. The scheduler's
 // lock is held in every call.
 type reservations scheduler
--- a/sidecar/sessions.go
+++ b/sidecar/sessions.go
@@ -23,7 +23,7 @@
 		Incarnation: session.Incarnation(),
 		Location:    session.Location(),
 	})
-	session.Send(loadEnvelope(s.scheduler.load())())
+	session.Send(s.scheduler.loadMessage())
 }
 
 // SessionDown implements peer.Handler.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -83,7 +83,7 @@
 		StagingDisabled: !settings.Staging,
 		RefreshInterval: node.DemandRefreshInterval,
 	}, fairness.LedgerConfig{})
-	s.scheduler.step(dispatch.SetAccepting{Accepting: false})
+	s.scheduler.setAccepting(fleet.ReasonNotConfigured)
 	s.health = newHealth(string(settings.ID), s.client, log, s.derive)
 	s.adoption = node.NewAdoption(ctx, node.AdoptionOptions{
 		Sessions: s.sessions,
@@ -154,19 +154,20 @@
 	s.deriveMu.Lock()
 	defer s.deriveMu.Unlock()
 	u, configured := s.upstream()
-	if configured {
-		service, _ := s.service()
-		s.scheduler.configure(u.Slots, s.serviceSlots(u.Service), service.DefaultCost)
+	if !configured {
+		s.scheduler.setAccepting(fleet.ReasonNotConfigured)
+		return
 	}
-	accepting := configured && s.eligible(u)
-	s.scheduler.step(dispatch.SetAccepting{Accepting: accepting})
+	service, _ := s.service()
+	s.scheduler.configure(u.Slots, s.serviceSlots(u.Service), service.DefaultCost)
+	s.scheduler.setAccepting(s.ineligibility(s.adoption.Index().Leaving(u.VM)))
 }
 
-// eligible applies the operators' rules and this process's own state. The
+// ineligibility applies the operators' rule for the VM and this process's own state. The
 // routers apply the platform's VM list.
-func (s *Sidecar) eligible(u config.Upstream) bool {
+func (s *Sidecar) ineligibility(rule *fleet.LeavingRule) fleet.Reason {
 	in := fleet.Inputs{
-		Rule: s.adoption.Index().Leaving(u.VM),
+		Rule: rule,
 		Sidecar: fleet.SidecarState{
 			Incarnation:   s.incarnation,
 			VMIncarnation: s.settings.VMIncarnation,
@@ -176,8 +177,8 @@
 	if s.draining.Load() {
 		in.Sidecar.DrainingIncarnation = s.incarnation
 	}
-	ok, _ := fleet.Eligible(in)
-	return ok
+	_, reason := fleet.Eligible(in)
+	return reason
 }
 
 // Run serves until ctx ends, then finishes what runs within the drain timeout.
