--- a/cmd/fulmarside/main.go
+++ b/cmd/fulmarside/main.go
@@ -61,20 +61,12 @@
 	if err != nil {
 		return err
 	}
-	log, err := telemetry.NewLogger(settings.Log.Level, string(settings.ID))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = log.Sync() }()
 	background := context.WithoutCancel(ctx)
-	flush, err := telemetry.StartTraces(background, telemetry.TraceOptions{
-		Endpoint: settings.Traces.OTLPEndpoint,
-		Stdout:   settings.Traces.Stdout,
-	}, string(settings.ID))
+	log, flush, err := node.StartTelemetry(background, settings.ID, settings.Log, settings.Traces)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = flush(background) }()
+	defer flush()
 	var links sidecar.TLS
 	links.PeerServer, links.PeerClient, err = node.PeerTLS(settings.TLS.Peer)
 	if err != nil {
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -39,38 +40,31 @@
 		services[i] = serviceWithDefaults(service)
 	}
 	inv.Services = services
-	setDefault(&inv.Rules.Limits.TeamWaiting, defaultTeamWaiting)
-	setDefault(&inv.Rules.Limits.RouterWaiting, defaultRouterWaiting)
-	setDefault(&inv.Rules.Limits.RouterBytes, defaultRouterBytes)
-	setDefault(&inv.Rules.SpillAfter, defaultSpillAfter)
-	setDefault(&inv.Rules.ClaimRetention, defaultClaimRetention)
+	inv.Rules.Limits.TeamWaiting = cmp.Or(inv.Rules.Limits.TeamWaiting, defaultTeamWaiting)
+	inv.Rules.Limits.RouterWaiting = cmp.Or(inv.Rules.Limits.RouterWaiting, defaultRouterWaiting)
+	inv.Rules.Limits.RouterBytes = cmp.Or(inv.Rules.Limits.RouterBytes, defaultRouterBytes)
+	inv.Rules.SpillAfter = cmp.Or(inv.Rules.SpillAfter, defaultSpillAfter)
+	inv.Rules.ClaimRetention = cmp.Or(inv.Rules.ClaimRetention, defaultClaimRetention)
 	return inv
 }
 
 func serviceWithDefaults(s Service) Service {
-	setDefault(&s.IdleTimeout, defaultIdleTimeout)
-	setDefault(&s.MaxDuration, defaultMaxDuration)
-	setDefault(&s.MaxBodyBytes, defaultMaxBodyBytes)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, defaultIdleTimeout)
+	s.MaxDuration = cmp.Or(s.MaxDuration, defaultMaxDuration)
+	s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, defaultMaxBodyBytes)
 	if s.Kind == KindPlain {
-		setDefault(&s.SecondPrice, defaultSecondPrice)
-		setDefault(&s.DefaultCost, s.SecondPrice)
+		s.SecondPrice = cmp.Or(s.SecondPrice, defaultSecondPrice)
+		s.DefaultCost = cmp.Or(s.DefaultCost, s.SecondPrice)
 		return s
 	}
 	if s.PromptTokenPrice == 0 && s.GeneratedTokenPrice == 0 {
 		s.PromptTokenPrice = defaultTokenPrice
 		s.GeneratedTokenPrice = defaultTokenPrice
 	}
-	setDefault(&s.DefaultCost, defaultRequestTokens*(s.PromptTokenPrice+s.GeneratedTokenPrice))
+	s.DefaultCost = cmp.Or(s.DefaultCost, defaultRequestTokens*(s.PromptTokenPrice+s.GeneratedTokenPrice))
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // DefaultRouterSettings returns the settings of an empty file.
 func DefaultRouterSettings() RouterSettings {
 	return RouterSettings{
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -82,20 +83,13 @@
 
 // NewHealth returns a Health whose first probe is due at once.
 func NewHealth(options HealthOptions) *Health {
-	setDefault(&options.FailureThreshold, DefaultFailureThreshold)
-	setDefault(&options.ProbeInterval, DefaultProbeInterval)
-	setDefault(&options.MaxProbeInterval, DefaultMaxProbeInterval)
-	setDefault(&options.ProbeTimeout, DefaultProbeTimeout)
+	options.FailureThreshold = cmp.Or(options.FailureThreshold, DefaultFailureThreshold)
+	options.ProbeInterval = cmp.Or(options.ProbeInterval, DefaultProbeInterval)
+	options.MaxProbeInterval = cmp.Or(options.MaxProbeInterval, DefaultMaxProbeInterval)
+	options.ProbeTimeout = cmp.Or(options.ProbeTimeout, DefaultProbeTimeout)
 	return &Health{options: options, interval: options.ProbeInterval}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Up tells whether the upstream is healthy.
 func (h *Health) Up() bool {
 	return h.up
--- a/node/adoption.go
+++ b/node/adoption.go
@@ -113,14 +113,14 @@
 		if !known {
 			known = a.readHead(ctx)
 			if !known {
-				pause(ctx, platformRetry)
+				Pause(ctx, platformRetry)
 				continue
 			}
 		}
 		entries, version, err := a.opts.Store.Watch(ctx, config.HeadKey, since)
 		if err != nil {
 			known = false
-			pause(ctx, platformRetry)
+			Pause(ctx, platformRetry)
 			continue
 		}
 		since = version
@@ -144,13 +144,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (a *Adoption) step(ev config.Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/node/pause.go
@@ -0,0 +1,14 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d or the end of ctx.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/node/telemetry.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/telemetry"
+)
+
+// StartTelemetry returns the log of a process and starts its traces. The
+// function that it returns flushes both and must be called at the end. Errors
+// are those of package telemetry.
+func StartTelemetry(
+	ctx context.Context, id fleet.NodeID, logs config.LogSettings, traces config.TraceSettings,
+) (*zap.Logger, func(), error) {
+	log, err := telemetry.NewLogger(logs.Level, string(id))
+	if err != nil {
+		return nil, nil, err
+	}
+	opts := telemetry.TraceOptions{Endpoint: traces.OTLPEndpoint, Stdout: traces.Stdout}
+	shutdown, err := telemetry.StartTraces(ctx, opts, string(id))
+	if err != nil {
+		return nil, nil, err
+	}
+	flush := func() {
+		_ = shutdown(ctx)
+		_ = log.Sync()
+	}
+	return log, flush, nil
+}
--- a/router/suspectstore.go
+++ b/router/suspectstore.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/quarantine"
 )
@@ -41,10 +42,7 @@
 	for ctx.Err() == nil {
 		if err := r.suspects.sync(ctx, r.store); err != nil {
 			r.log.Debug("suspects not kept", zap.Error(err))
-			select {
-			case <-ctx.Done():
-			case <-time.After(suspectsRetry):
-			}
+			node.Pause(ctx, suspectsRetry)
 			continue
 		}
 		select {
--- a/router/vmlist.go
+++ b/router/vmlist.go
@@ -46,10 +46,7 @@
 func (f *vmListFollower) follow(ctx context.Context, store platform.Store) {
 	for ctx.Err() == nil {
 		if wait := f.untilDue(time.Now()); wait > 0 {
-			select {
-			case <-ctx.Done():
-			case <-time.After(wait):
-			}
+			node.Pause(ctx, wait)
 			continue
 		}
 		began := time.Now()
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -48,16 +49,12 @@
 
 // run probes the upstream until ctx ends.
 func (h *health) run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		h.step(ctx, fleet.HealthTick{})
 		h.mu.Lock()
 		at, _ := h.machine.NextWake()
 		h.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Until(at)):
-		}
+		node.Pause(ctx, time.Until(at))
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -235,19 +235,12 @@
 		case <-ticker.C:
 		case <-s.scheduler.changed:
 			// Charges that follow each other closely share a report.
-			pause(ctx, reportDelay)
+			node.Pause(ctx, reportDelay)
 		}
 		s.report()
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Sidecar) report() {
 	u, ok := s.upstream()
 	if !ok {
