--- a/dispatch/sidecar.go
+++ b/dispatch/sidecar.go
@@ -56,6 +56,8 @@
 	// lapsed is set when a grant expired unanswered, until the router is heard
 	// from again.
 	lapsed bool
+	// remote is set for a router of another region.
+	remote bool
 	// backoff multiplies the expiry of grants; it doubles when one lapses.
 	backoff int
 	// lastGrant is the id of the newest grant to this router.
@@ -91,7 +93,9 @@
 	switch ev := ev.(type) {
 	case RouterUp:
 		s.routerDown(ev.Router)
-		s.routers[ev.Router] = newRouterPeer(ev.Router)
+		peer := newRouterPeer(ev.Router)
+		peer.remote = ev.Location.Region != s.cfg.Location.Region
+		s.routers[ev.Router] = peer
 	case RouterDown:
 		s.routerDown(ev.Router)
 	case DemandReceived:
--- a/dispatch/sidecar_demand.go
+++ b/dispatch/sidecar_demand.go
@@ -122,6 +122,7 @@
 		if len(team.open) == 1 {
 			team.position = len(s.open)
 			s.open = append(s.open, team)
+			s.emit(TeamWaiting{Team: team.team, Waiting: true})
 		}
 		return
 	}
@@ -132,7 +133,14 @@
 	}
 }
 
+// Waiting reports whether requests of a team wait that can be granted.
+func (s *Sidecar) Waiting(team fleet.TeamID) bool {
+	t, ok := s.teams[team]
+	return ok && len(t.open) > 0
+}
+
 func (s *Sidecar) removeOpenTeam(team *teamDemand) {
+	s.emit(TeamWaiting{Team: team.team, Waiting: false})
 	last := len(s.open) - 1
 	moved := s.open[last]
 	s.open[team.position] = moved
@@ -163,21 +171,26 @@
 	return t.team < other.team
 }
 
+// remoteAgeDivisor is how many times longer a request of another region waits
+// before it goes ahead of one of the same team of the own region.
+const remoteAgeDivisor = 3
+
 // nextDemand returns the open demand whose oldest request waits longest; ties
 // go to the router that was granted least recently.
-func (t *teamDemand) nextDemand() *demand {
+func (t *teamDemand) nextDemand(now time.Time) *demand {
 	best := t.open[0]
 	for _, d := range t.open[1:] {
-		if d.before(best) {
+		if d.before(best, now) {
 			best = d
 		}
 	}
 	return best
 }
 
-func (d *demand) before(other *demand) bool {
-	if !d.oldest.Equal(other.oldest) {
-		return d.oldest.Before(other.oldest)
+func (d *demand) before(other *demand, now time.Time) bool {
+	age, otherAge := d.rankedAge(now), other.rankedAge(now)
+	if age != otherAge {
+		return age > otherAge
 	}
 	if d.router.lastGrant != other.router.lastGrant {
 		return d.router.lastGrant < other.router.lastGrant
@@ -185,6 +198,16 @@
 	return d.router.id < other.router.id
 }
 
+// rankedAge is the age of the demand's oldest request; a part of it for a router
+// of another region, as traffic between regions is slow and paid by volume.
+func (d *demand) rankedAge(now time.Time) time.Duration {
+	age := now.Sub(d.oldest)
+	if d.router.remote {
+		return age / remoteAgeDivisor
+	}
+	return age
+}
+
 // headGranted moves oldest on to the next request: the router tells only the
 // age of its head, so the arrivals are taken as evenly spaced.
 func (d *demand) headGranted() {
--- a/router/serve.go
+++ b/router/serve.go
@@ -76,6 +76,7 @@
 
 func (r *Router) newJob(req *caller.Request) *job {
 	snapshot := r.adoption.Snapshot()
+	now := time.Now()
 	return &job{
 		req: req,
 		queued: dispatch.Request{
@@ -84,14 +85,26 @@
 			Team:        req.Team,
 			Weight:      req.Weight,
 			Bytes:       int64(len(req.Body)) + overheadBytes,
-			Arrived:     time.Now(),
-			Deadline:    req.Deadline,
+			Arrived:     now,
+			Deadline:    queueDeadline(req, now),
 			AffinityKey: req.AffinityKey,
 			SpillAfter:  snapshot.Inventory.Rules.SpillAfter.Std(),
 		},
 	}
 }
 
+// queueDeadline returns when a request has waited for too long. Without the
+// caller's deadline only its wait is bounded: what runs is not cut by it. A
+// non-idempotent request never waits longer than MaxWait, because its claim
+// has to be kept until it has run.
+func queueDeadline(req *caller.Request, arrived time.Time) time.Time {
+	latest := arrived.Add(req.MaxWait)
+	if req.Deadline.IsZero() || req.NonIdempotent && req.Deadline.After(latest) {
+		return latest
+	}
+	return req.Deadline
+}
+
 // serveIdempotent runs a request that may be repeated.
 func (r *Router) serveIdempotent(ctx context.Context, j *job, w caller.Responder) error {
 	r.budget.request()
