--- /dev/null
+++ b/fairness/update_test.go
@@ -0,0 +1,158 @@
+package fairness_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/fairness"
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+var _ = Describe("Updates", func() {
+	var (
+		k    *fairness.Keeper
+		one  *fairness.Ledger
+		two  *fairness.Ledger
+		now  time.Time
+		next uint64
+	)
+
+	report := func(l *fairness.Ledger, name string) {
+		r, ok := l.Report(now)
+		Expect(ok).To(BeTrue())
+		l.Totals(k.Report(fleet.NodeID("sidecar-"+name), 1, r, now))
+	}
+	// update delivers what the keeper pushes and returns the reporters.
+	update := func() (reporters []string) {
+		for _, u := range k.Updates(now) {
+			reporters = append(reporters, string(u.Reporter))
+			if u.Reporter == "sidecar-one" {
+				one.Update(u.Update)
+				continue
+			}
+			two.Update(u.Update)
+		}
+		return reporters
+	}
+	charge := func(l *fairness.Ledger, cost float64) {
+		next++
+		l.Begin(next, "a", 0, now)
+		l.Settle(next, cost, now)
+	}
+
+	BeforeEach(func() {
+		now = epoch
+		k = fairness.NewKeeper(fairness.KeeperConfig{AnswerInterval: 2 * time.Second}, "noord", 7, now)
+		one = fairness.NewLedger(fairness.LedgerConfig{})
+		two = fairness.NewLedger(fairness.LedgerConfig{})
+		for _, l := range []*fairness.Ledger{one, two} {
+			l.SetActive("a", true, now)
+		}
+		report(one, "one")
+		report(two, "two")
+		update()
+	})
+
+	It("tells a sidecar of another's charge without a report of its own", func() {
+		charge(one, 100)
+		now = now.Add(10 * time.Millisecond)
+		report(one, "one")
+		Expect(two.Account("a")).To(BeZero())
+		Expect(update()).To(Equal([]string{"sidecar-two"}), "the one that charged knows")
+		Expect(two.Account("a")).To(BeNumerically("~", 100))
+		Expect(one.Account("a")).To(BeNumerically("~", 100))
+		Expect(update()).To(BeEmpty())
+	})
+
+	It("leaves small changes to the next answer", func() {
+		charge(one, 100)
+		now = now.Add(10 * time.Millisecond)
+		report(one, "one")
+		update()
+		charge(one, 10)
+		now = now.Add(10 * time.Millisecond)
+		report(one, "one")
+		Expect(update()).To(BeEmpty())
+		now = now.Add(3 * time.Second)
+		two.SetActive("a", true, now)
+		report(two, "two")
+		Expect(two.Account("a")).To(BeNumerically("~", 110))
+	})
+
+	It("does not take the lift from a team that has just come back", func() {
+		charge(one, 100)
+		now = now.Add(10 * time.Millisecond)
+		report(one, "one")
+		one.SetActive("a", false, now)
+		two.SetActive("a", false, now)
+		now = now.Add(time.Minute)
+		charge(two, 500)
+		two.SetActive("a", true, now)
+		lifted := two.Account("a")
+		update()
+		Expect(two.Account("a")).To(BeNumerically(">=", lifted))
+	})
+})
+
+var _ = Describe("A burst from idleness", func() {
+	It("is not charged where no other team waits, and only at once", func() {
+		l := fairness.NewLedger(fairness.LedgerConfig{Slots: 2})
+		l.SetActive("flood", true, epoch)
+		for id := range uint64(4) {
+			l.Begin(id, "flood", 0, epoch)
+			l.Settle(id, 100, epoch)
+		}
+		Expect(l.Account("flood")).To(BeZero(), "two slots, reserved and taken")
+		l.Begin(10, "flood", 0, epoch)
+		l.Settle(10, 100, epoch)
+		Expect(l.Account("flood")).To(BeNumerically("~", 100))
+
+		late := fairness.NewLedger(fairness.LedgerConfig{Slots: 2})
+		late.SetActive("flood", true, epoch)
+		late.Begin(1, "flood", 0, epoch.Add(time.Second))
+		late.Settle(1, 100, epoch.Add(time.Second))
+		Expect(late.Account("flood")).To(BeNumerically("~", 100))
+	})
+
+	It("is charged where another team waits", func() {
+		l := fairness.NewLedger(fairness.LedgerConfig{Slots: 2})
+		l.SetActive("other", true, epoch)
+		l.SetActive("flood", true, epoch)
+		l.Begin(1, "flood", 0, epoch)
+		l.Settle(1, 100, epoch)
+		Expect(l.Account("flood")).To(BeNumerically("~", 100))
+	})
+
+	It("gives back what a declined grant took", func() {
+		l := fairness.NewLedger(fairness.LedgerConfig{Slots: 1})
+		l.SetActive("flood", true, epoch)
+		for id := range uint64(10) {
+			l.Begin(id, "flood", 0, epoch)
+			l.Release(id, epoch)
+		}
+		l.Begin(20, "flood", 0, epoch)
+		l.Settle(20, 100, epoch)
+		Expect(l.Account("flood")).To(BeZero())
+	})
+})
+
+var _ = Describe("The debt ceiling", func() {
+	It("lets a waiting team make up for at most two windows", func() {
+		now := epoch
+		window := 10 * time.Second
+		k := fairness.NewKeeper(fairness.KeeperConfig{DebtWindow: window}, "noord", 7, now)
+		tell := func(seq uint64, virtualTime, charged float64) {
+			k.Report("s", 1, fairness.Report{Seq: seq, VirtualTime: virtualTime, Teams: []fairness.TeamReport{
+				{Team: "ahead", Charged: charged, Active: true}}}, now)
+		}
+		for seq := range uint64(4) {
+			now = now.Add(window)
+			tell(seq+1, float64(seq+1)*100, 100000)
+		}
+		account, ok := k.Account("ahead")
+		Expect(ok).To(BeTrue())
+		Expect(account).To(BeNumerically("<=", 400+200))
+	})
+})
