--- a/e2e/capacity/vmlist_test.go
+++ b/e2e/capacity/vmlist_test.go
@@ -26,8 +26,24 @@
 	began, start := time.Now(), count()
 	g.Eventually(count, "30s").Should(BeNumerically(">=", start+reads))
 	g.Expect(time.Since(began)).To(BeNumerically(">", reads/2*time.Second))
+
+	vms := f.LiveVMs()
+	for i := range vms {
+		if vms[i].ID == string(f.Upstreams[0].VM.ID) {
+			vms[i].State = "leaving"
+		}
+	}
+	g.Expect(f.Platform.SetVMs(t.Context(), vms)).To(Succeed())
+	// Each router learns of it, most from another one's read.
+	for _, r := range f.Routers {
+		g.Eventually(r.Process().Log, leavingBound).Should(ContainSubstring("leaving-vm"), string(r.ID))
+	}
 }
 
+// leavingBound is how long a router may give work to a VM that the list shows
+// as leaving.
+const leavingBound = 3 * time.Second
+
 func vmListReads(t testing.TB, f *harness.Fleet) float64 {
 	sum := 0.0
 	for _, r := range f.Routers {
