--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,15 @@
 BIN := $(CURDIR)/.bin
 MODULES := . ./e2e
 GO := go
+FUZZ_INPUTS := 20000x
 
-.PHONY: build test unit e2e lint format vet race demo bench measurements generate tools spin clean
+.PHONY: build test e2e lint format vet race fuzz demo bench measurements generate tools clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
 
 # Runs every check that CI runs.
-test: tools format lint vet race e2e
+test: tools format lint vet race fuzz e2e
 
 tools: $(BIN)/golangci-lint
 
@@ -37,6 +38,12 @@
 race:
 	$(GO) test -race $$($(GO) list ./... | grep -v /spec$$)
 
+# Runs each fuzz target for a bounded count of inputs.
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./peer
+	$(GO) test -run '^$$' -fuzz FuzzCallerHeaders -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./caller
+	$(GO) test -run '^$$' -fuzz FuzzParseInventory -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./config
+
 # Tests with real processes, and the model checker.
 e2e: build
 	$(GO) test -count=1 ./e2e/... ./spec/...
--- a/router/keeper.go
+++ b/router/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/fairness"
@@ -28,6 +29,9 @@
 	region      fleet.RegionID
 	incarnation fleet.Incarnation
 
+	// changed is set when an account may have changed since the last update.
+	changed atomic.Bool
+
 	mu        sync.Mutex
 	byService map[fleet.ServiceID]*fairness.Keeper
 }
@@ -57,6 +61,7 @@
 	k.mu.Lock()
 	totals := k.keeper(service, now).Report(s.ID(), s.Incarnation(), node.ReportFromWire(m), now)
 	k.mu.Unlock()
+	k.changed.Store(true)
 	if len(totals.Teams) == 0 {
 		return
 	}
@@ -69,6 +74,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.keeper(fleet.ServiceID(m.GetService()), now).MergeRegion(node.SumsFromWire(m), now)
+	k.changed.Store(true)
 }
 
 // exchange sends this region's sums to the keepers of the other regions until
@@ -84,6 +90,9 @@
 // update tells the sidecars of this region of changed accounts until ctx ends.
 func (k *keepers) update(ctx context.Context) {
 	every(ctx, updateInterval, func(now time.Time) {
+		if !k.changed.Swap(false) {
+			return
+		}
 		for _, u := range k.updates(now) {
 			m := node.UpdateToWire(u.Update)
 			k.sessions.Send(u.Reporter, &peerpb.Envelope{Body: &peerpb.Envelope_AccountUpdate{AccountUpdate: m}})
