--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // ErrSetup reports settings from which telemetry can't be set up.
@@ -21,7 +22,7 @@
 	cfg.Sampling = nil
 	cfg.DisableStacktrace = true
 	cfg.InitialFields = map[string]any{"process": process}
-	log, err := cfg.Build()
+	log, err := cfg.Build(zap.WrapCore(func(core zapcore.Core) zapcore.Core { return plainErrors{Core: core} }))
 	if err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
 	}
