Give models an idle timeout that whole answers fit into

A whole answer has its first byte at its end: at 39 ms a token the default of 30 s cut answers over some 770 tokens (computed). Models now default to 2 min. The dispatch test of accepting again expects the waiting team, and grants only.

--- a/config/defaults.go
+++ b/config/defaults.go
@@ -7,17 +7,19 @@
 
 // Defaults of an inventory's services, limits and rules.
 const (
-	defaultIdleTimeout    = Duration(30 * time.Second)
-	defaultMaxDuration    = Duration(10 * time.Minute)
-	defaultMaxBodyBytes   = 1 << 20
-	defaultTokenPrice     = 1.0
-	defaultSecondPrice    = 1.0
-	defaultRequestTokens  = 500
-	defaultTeamWaiting    = 1000
-	defaultRouterWaiting  = 10000
-	defaultRouterBytes    = 64 << 20
-	defaultSpillAfter     = Duration(250 * time.Millisecond)
-	defaultClaimRetention = Duration(24 * time.Hour)
+	defaultIdleTimeout = Duration(30 * time.Second)
+	// A whole answer of a model has its first byte at its end.
+	defaultModelIdleTimeout = Duration(2 * time.Minute)
+	defaultMaxDuration      = Duration(10 * time.Minute)
+	defaultMaxBodyBytes     = 1 << 20
+	defaultTokenPrice       = 1.0
+	defaultSecondPrice      = 1.0
+	defaultRequestTokens    = 500
+	defaultTeamWaiting      = 1000
+	defaultRouterWaiting    = 10000
+	defaultRouterBytes      = 64 << 20
+	defaultSpillAfter       = Duration(250 * time.Millisecond)
+	defaultClaimRetention   = Duration(24 * time.Hour)
 )
 
 // Defaults of the settings.
@@ -49,7 +51,7 @@
 }
 
 func serviceWithDefaults(s Service) Service {
-	s.IdleTimeout = cmp.Or(s.IdleTimeout, defaultIdleTimeout)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, defaultIdleOf(s.Kind))
 	s.MaxDuration = cmp.Or(s.MaxDuration, defaultMaxDuration)
 	s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, defaultMaxBodyBytes)
 	if s.Kind == KindPlain {
@@ -65,6 +67,13 @@
 	return s
 }
 
+func defaultIdleOf(kind ServiceKind) Duration {
+	if kind == KindModel {
+		return defaultModelIdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
 // DefaultRouterSettings returns the settings of an empty file.
 func DefaultRouterSettings() RouterSettings {
 	return RouterSettings{
--- a/dispatch/sidecar_test.go
+++ b/dispatch/sidecar_test.go
@@ -140,8 +140,10 @@
 	It("withholds no slot from waiting work when it accepts again", func() {
 		s.Step(start, SetSlots{8})
 		s.Step(start, SetAccepting{false})
-		Expect(s.Step(start, demandOf("r0", "a", 1, 9, 0))).To(BeEmpty())
-		Expect(s.Step(start, SetAccepting{true})).To(HaveLen(8))
+		Expect(s.Step(start, demandOf("r0", "a", 1, 9, 0))).To(Equal([]SidecarAction{TeamWaiting{Team: "a", Waiting: true}}))
+		granted := s.Step(start, SetAccepting{true})
+		Expect(granted).To(HaveLen(8))
+		Expect(granted).To(HaveEach(BeAssignableToTypeOf(SendGrant{})))
 		Expect(s.Load()).To(Equal(Load{Slots: 8, Accepting: true}))
 	})
 
