--- a/router/serve.go
+++ b/router/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -63,17 +62,6 @@
 	return nil
 }
 
-func quarantined() *caller.Refusal {
-	return caller.NotRun(http.StatusUnprocessableEntity, "quarantined",
-		"this request was running at two upstream crashes and is not run again")
-}
-
-func retryLater(code, message string) *caller.Refusal {
-	refusal := caller.NotRun(http.StatusServiceUnavailable, code, message)
-	refusal.RetryAfter = time.Second
-	return refusal
-}
-
 func (r *Router) newJob(req *caller.Request) *job {
 	snapshot := r.adoption.Snapshot()
 	now := time.Now()
@@ -191,40 +179,3 @@
 	}
 	return v.bind, nil
 }
-
-// refusalOf maps a queue's refusal to the caller's.
-func refusalOf(r *dispatch.Refuse) *caller.Refusal {
-	refused.Add(r.Reason.String(), 1)
-	status := http.StatusTooManyRequests
-	switch r.Reason {
-	case dispatch.ReasonDeadline, dispatch.ReasonExpectedWait:
-		status = http.StatusGatewayTimeout
-	case dispatch.ReasonStopping, dispatch.ReasonRouterLimit:
-		status = http.StatusServiceUnavailable
-	case dispatch.ReasonTeamLimit:
-	}
-	refusal := caller.NotRun(status, r.Reason.String(), "the request was not run: "+r.Reason.String())
-	refusal.RetryAfter = r.RetryAfter
-	return refusal
-}
-
-// refusal turns the error of a request that is no longer queued into the
-// caller's answer.
-func (r *Router) refusal(ctx context.Context, j *job, err error) error {
-	var refusal *caller.Refusal
-	if errors.As(err, &refusal) {
-		if j.retries > 0 {
-			// An earlier attempt may have run.
-			refusal.Outcome = caller.OutcomeUnknown
-		}
-		return refusal
-	}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return caller.ErrCallerGone
-	}
-	timeout := caller.Unknown(http.StatusGatewayTimeout, "deadline", "the deadline passed")
-	if !j.dispatched {
-		timeout.Outcome = caller.OutcomeNotRun
-	}
-	return timeout
-}
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -48,14 +48,6 @@
 	usage           slotUsage
 }
 
-const (
-	// accountLag is the time from a charge until sidecars of every region know
-	// of it.
-	accountLag = 100 * time.Millisecond
-	// runTimeSmoothing is the divisor of a new value in the average run time.
-	runTimeSmoothing = 16
-)
-
 // verdict tells a request that arrived whether it may run.
 type verdict struct {
 	start  bool
@@ -244,14 +236,6 @@
 	s.stepLocked(dispatch.RequestFinished{RequestID: id})
 }
 
-func (s *scheduler) observeRunTime(elapsed time.Duration) {
-	if s.runTime == 0 {
-		s.runTime = elapsed
-		return
-	}
-	s.runTime += (elapsed - s.runTime) / runTimeSmoothing
-}
-
 // accrue charges what a running request has cost so far.
 func (s *scheduler) accrue(id uint64, cost float64) {
 	s.mu.Lock()
@@ -298,55 +282,3 @@
 		s.step(dispatch.SetSlots{Slots: slots})
 	}
 }
-
-// reservations implements dispatch.Accounts on the ledger. The scheduler's
-// lock is held in every call.
-type reservations scheduler
-
-// Account implements dispatch.Accounts: it returns the team's score in the
-// present draw.
-func (r *reservations) Account(team fleet.TeamID) float64 {
-	if r.drawn {
-		return r.draw.Score(team, r.ledger.Account(team), r.weightOf(team))
-	}
-	r.drawn = true
-	shares := make([]fairness.Share, 0, len(r.waiting))
-	for waiting := range r.waiting {
-		shares = append(shares, fairness.Share{Account: r.ledger.Account(waiting), Weight: r.weightOf(waiting)})
-	}
-	r.draw.Next(shares, r.turnover())
-	return r.Account(team)
-}
-
-// turnover returns the cost that the service's upstreams grant while a charge is
-// on its way to all sidecars, at least that of one request.
-func (r *reservations) turnover() float64 {
-	grants := 1.0
-	if r.runTime > 0 {
-		grants = max(1, float64(r.serviceSlots)*accountLag.Seconds()/r.runTime.Seconds())
-	}
-	return grants * r.ledger.MeanCost()
-}
-
-// Reserve implements dispatch.Accounts.
-func (r *reservations) Reserve(team fleet.TeamID) {
-	r.drawn = false
-	r.nextID++
-	r.ledger.Begin(r.nextID, team, 0, r.now)
-	r.reserved[team] = append(r.reserved[team], r.nextID)
-}
-
-// Release implements dispatch.Accounts.
-func (r *reservations) Release(team fleet.TeamID) {
-	ids := r.reserved[team]
-	if len(ids) == 0 {
-		return
-	}
-	last := len(ids) - 1
-	r.ledger.Release(ids[last], r.now)
-	if last == 0 {
-		delete(r.reserved, team)
-		return
-	}
-	r.reserved[team] = ids[:last]
-}
