Wait for the killed sidecar before its next start

Two specs of e2e/answers and e2e/once killed a sidecar and started the next one at once. Under load the old process still held the port: the new one ended with "bind: address already in use". They wait for the end now, as the other specs do; what is asserted is unchanged.

--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -97,6 +97,7 @@
 				f.Links.Peer(u.VM.ID).Delay(0)
 				l.awaitWhole(80)
 				u.Sidecar().Kill()
+				_ = u.Sidecar().Wait(ctx)
 				Expect(f.StartSidecar(ctx, u)).To(Succeed())
 				l.awaitWhole(80)
 				u.Engine().Kill()
--- a/e2e/once/once_test.go
+++ b/e2e/once/once_test.go
@@ -303,6 +303,7 @@
 			b.awaitAnswered((2*n + 1) * b.total() / 6)
 			awaitRunning()
 			u.Sidecar().Kill()
+			_ = u.Sidecar().Wait(ctx)
 			Expect(f.StartSidecar(ctx, u)).To(Succeed())
 			b.awaitAnswered((2*n + 2) * b.total() / 6)
 			f.Links.Peer(u.VM.ID).Reset()
