--- a/e2e/poison/poison_test.go
+++ b/e2e/poison/poison_test.go
@@ -90,11 +90,7 @@
 		}
 		Expect(crashed(f)).To(BeNumerically("<=", maxCrashes))
 		Expect(crashed(f)).To(BeNumerically(">", 0))
-		for _, u := range f.Upstreams {
-			if !u.Engine().Running() {
-				Expect(f.StartUpstream(ctx, u)).To(Succeed())
-			}
-		}
+		startCrashed(ctx, f)
 		for n := range len(f.Routers) {
 			expectRefused(send(n, req))
 			awaitListed(ctx, f.Routers[n])
@@ -104,11 +100,7 @@
 	})
 
 	restartEngines := func() {
-		for _, u := range f.Upstreams {
-			if !u.Engine().Running() {
-				Expect(f.StartUpstream(ctx, u)).To(Succeed())
-			}
-		}
+		startCrashed(ctx, f)
 		awaitConnected(ctx, f)
 	}
 
@@ -208,6 +200,22 @@
 	return n
 }
 
+// startCrashed starts the engines that crashed. One that crashed just now may
+// not have been seen to end yet, but it does not answer.
+func startCrashed(ctx context.Context, f *harness.Fleet) {
+	GinkgoHelper()
+	for _, u := range f.Upstreams {
+		client := harness.NewClient(u.URL(), "")
+		answer := client.Do(ctx, http.MethodGet, "/health", nil, nil)
+		client.Close()
+		if answer.Status == http.StatusOK {
+			continue
+		}
+		Eventually(u.Engine().Running, specTimeout).Should(BeFalse())
+		Expect(f.StartUpstream(ctx, u)).To(Succeed())
+	}
+}
+
 // get reads a page of a router's admin API.
 func get(ctx context.Context, r *harness.Router, path string, into any) error {
 	data, err := operator.NewClient(r.AdminURL(), harness.AdminToken).Get(ctx, path)
