Drop the weights that dispatch carried and two functions without a caller

Sidecars take a team's weight from the configuration since it came off the wire; dispatch's Request, SendDemand and DemandReceived, and caller's Request, still passed it along and nothing read it. config.Index.LocationOf and claim.Answers.FinishUnkept had no caller. Tests lose the field where they built or compared those types; no other expectation changed.

--- a/caller/request.go
+++ b/caller/request.go
@@ -35,7 +35,6 @@
 type Request struct {
 	Service fleet.ServiceID
 	Team    fleet.TeamID
-	Weight  float64
 	Method  string
 	// Path is the upstream's path with its query.
 	Path   string
--- a/caller/server.go
+++ b/caller/server.go
@@ -181,7 +181,6 @@
 	if int64(len(req.Body)) > service.MaxBodyBytes {
 		return tooLarge(service.MaxBodyBytes)
 	}
-	req.Weight = index.Weight(req.Service, req.Team)
 	req.MaxWait = service.MaxDuration.Std()
 	req.Header = forwardHeader(c.Request().Header)
 	req.Digest = digest(req)
--- a/claim/answers.go
+++ b/claim/answers.go
@@ -141,11 +141,6 @@
 	a.end(id, AnswerKept, answer, size)
 }
 
-// FinishUnkept notes that an attempt ran and that its answer is not kept.
-func (a *Answers) FinishUnkept(id AttemptID) {
-	a.finishState(id, AnswerGone)
-}
-
 // FinishUnknown notes that the fate of an attempt's dispatch is unknown.
 func (a *Answers) FinishUnknown(id AttemptID) {
 	a.finishState(id, AnswerUnknown)
--- a/config/index.go
+++ b/config/index.go
@@ -188,12 +188,6 @@
 	return vm, ok
 }
 
-// LocationOf returns the place of a VM.
-func (x *Index) LocationOf(id fleet.VMID) (fleet.Location, bool) {
-	vm, ok := x.vms[id]
-	return fleet.Location{Region: vm.Region, FailureDomain: vm.FailureDomain}, ok
-}
-
 // Leaving returns the rule that takes a VM out of service, in the form that
 // fleet.Eligible takes; nil if there is none.
 func (x *Index) Leaving(id fleet.VMID) *fleet.LeavingRule {
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -173,7 +173,6 @@
 		Team:    q.team,
 		Seq:     r.seq,
 		Waiting: t.waiting,
-		Weight:  q.weight,
 	}
 	if oldest := q.oldestFor(t.sidecar.id); oldest != nil {
 		demand.OldestAge = max(r.now.Sub(oldest.Arrived), 0)
@@ -187,7 +186,7 @@
 		return
 	}
 	r.seq++
-	r.emit(SendDemand{Sidecar: t.sidecar.id, Team: q.team, Seq: r.seq, Weight: q.weight})
+	r.emit(SendDemand{Sidecar: t.sidecar.id, Team: q.team, Seq: r.seq})
 }
 
 // forgetSidecar drops a sidecar that is gone or takes no work.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -31,7 +31,6 @@
 	service    *service
 	team       fleet.TeamID
 	hash       uint64
-	weight     float64
 	head, tail *pending
 	len        int
 	bytes      int64
@@ -93,7 +92,6 @@
 	}
 	q.len++
 	q.bytes += p.Bytes
-	q.weight = p.Weight
 	q.countExcluded(p, 1)
 }
 
--- a/dispatch/router_api.go
+++ b/dispatch/router_api.go
@@ -14,8 +14,6 @@
 	ID      RequestID
 	Service fleet.ServiceID
 	Team    fleet.TeamID
-	// Weight is the team's share.
-	Weight float64
 	// Bytes is the memory that the waiting request holds.
 	Bytes int64
 	// Arrived is when the request came from its caller. Zero means the time of
@@ -141,7 +139,6 @@
 	Seq       uint64
 	Waiting   int
 	OldestAge time.Duration
-	Weight    float64
 }
 
 // Bind sends a request to the sidecar that granted the slot. The request has
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -14,7 +14,7 @@
 
 // request returns a request of a team for the service "chat".
 func request(id RequestID, team fleet.TeamID) Request {
-	return Request{ID: id, Service: worldService, Team: team, Weight: 1, Bytes: 10, SpillAfter: time.Second}
+	return Request{ID: id, Service: worldService, Team: team, Bytes: 10, SpillAfter: time.Second}
 }
 
 func withDeadline(req Request, d time.Duration) Request {
@@ -247,7 +247,7 @@
 		refresh := collect[SendDemand](tickUntil(r, at(500*time.Millisecond)))
 		Expect(refresh).To(HaveLen(1))
 		Expect(refresh[0]).To(Equal(SendDemand{
-			Sidecar: "s", Team: "a", Seq: refresh[0].Seq, Waiting: 1000, OldestAge: 500 * time.Millisecond, Weight: 1}))
+			Sidecar: "s", Team: "a", Seq: refresh[0].Seq, Waiting: 1000, OldestAge: 500 * time.Millisecond}))
 		Expect(refresh[0].Seq).To(BeNumerically(">", sent[len(sent)-1].Seq))
 		var last []RouterAction
 		for id := range RequestID(1000) {
--- a/dispatch/sidecar_api.go
+++ b/dispatch/sidecar_api.go
@@ -65,8 +65,6 @@
 	Seq       uint64
 	Waiting   int
 	OldestAge time.Duration
-	// Weight is for the accounts; the sidecar's choice takes it from there.
-	Weight float64
 }
 
 // GrantDeclined returns a grant and withdraws the team's demand until a higher
--- a/dispatch/sidecar_test.go
+++ b/dispatch/sidecar_test.go
@@ -13,7 +13,7 @@
 	var s *Sidecar
 	var l *ledger
 	demandOf := func(router fleet.NodeID, team fleet.TeamID, seq uint64, waiting int, age time.Duration) DemandReceived {
-		return DemandReceived{Router: router, Team: team, Seq: seq, Waiting: waiting, OldestAge: age, Weight: 1}
+		return DemandReceived{Router: router, Team: team, Seq: seq, Waiting: waiting, OldestAge: age}
 	}
 	grants := func(d time.Duration, ev SidecarEvent) []SendGrant { return collect[SendGrant](s.Step(at(d), ev)) }
 	setUp := func(cfg SidecarConfig) {
--- a/dispatch/world_prop_test.go
+++ b/dispatch/world_prop_test.go
@@ -52,7 +52,7 @@
 				req := Request{
 					ID:    RequestID(i + 1),
 					Team:  fleet.TeamID(fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "team"))),
-					Bytes: 100, Weight: 1, Solo: rapid.IntRange(0, 9).Draw(t, "solo") == 0,
+					Bytes: 100, Solo: rapid.IntRange(0, 9).Draw(t, "solo") == 0,
 				}
 				if rapid.Bool().Draw(t, "hasDeadline") {
 					req.Deadline = w.now.Add(ms("deadline", 1, 2000))
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -244,7 +244,7 @@
 		l := w.links[r.id][a.Sidecar]
 		w.send(l, 0, func() {
 			w.stepSidecar(l.sidecar, DemandReceived{
-				Router: r.id, Team: a.Team, Seq: a.Seq, Waiting: a.Waiting, OldestAge: a.OldestAge, Weight: a.Weight,
+				Router: r.id, Team: a.Team, Seq: a.Seq, Waiting: a.Waiting, OldestAge: a.OldestAge,
 			})
 		})
 	case DeclineGrant:
--- a/router/serve.go
+++ b/router/serve.go
@@ -71,7 +71,6 @@
 			ID:          r.queue.newRequest(),
 			Service:     req.Service,
 			Team:        req.Team,
-			Weight:      req.Weight,
 			Bytes:       int64(len(req.Body)) + overheadBytes,
 			Arrived:     now,
 			Deadline:    queueDeadline(req, now),
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -146,8 +146,7 @@
 	defer s.mu.Unlock()
 	team := fleet.TeamID(d.GetTeam())
 	s.now = time.Now()
-	weight := s.weightOf(team)
-	s.ledger.SetWeight(team, weight)
+	s.ledger.SetWeight(team, s.weightOf(team))
 	if d.GetWaiting() > 0 {
 		// The account is lifted before the first grant is charged to it.
 		s.setWaiting(team, true)
@@ -158,7 +157,6 @@
 		Seq:       d.GetSeq(),
 		Waiting:   int(d.GetWaiting()),
 		OldestAge: time.Duration(d.GetOldestAgeMs()) * time.Millisecond,
-		Weight:    weight,
 	})
 	s.setWaiting(team, s.machine.Waiting(team))
 }
