--- /dev/null
+++ b/admission/engine.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/placement"
+	"fulmarspindle.example/fulmarspindle/registry"
+)
+
+// run is a request that was sent to an upstream and has not ended.
+type run struct {
+	id       string
+	upstream *upstream
+	sent     time.Time
+	// prefill is the prompt tokens that the engine has to read for it.
+	prefill int
+	// ahead is the prompt tokens, its own included, that were to be read
+	// before its first token.
+	ahead float64
+	// memory is the tokens that it takes beside shared parts.
+	memory int
+	// started is set at the first event.
+	started bool
+}
+
+// UpstreamLoad is what one router has at an upstream.
+type UpstreamLoad struct {
+	// Prefill is the prompt tokens sent whose first token has not come.
+	Prefill int
+	Running int
+	// Memory is the tokens that its requests take.
+	Memory int
+}
+
+// peerLoad is another router's load at an upstream.
+type peerLoad struct {
+	UpstreamLoad
+	at time.Time
+}
+
+// upstream is what is known of one upstream.
+type upstream struct {
+	registry.Upstream
+	detector *outlier.Detector
+	cache    *placement.Cache
+	// pending is the requests without a first event, in the order of sending.
+	pending []*run
+	load    UpstreamLoad
+	peers   map[fleet.NodeID]peerLoad
+	// progressFrom is when the engine began with the first of pending.
+	progressFrom time.Time
+}
+
+// backlog returns the prompt tokens that the engine has to read before those of a
+// request that is sent now. Engines read prompts in order of arrival.
+func (u *upstream) backlog(now time.Time, rate float64, peerTTL time.Duration) float64 {
+	own := float64(u.load.Prefill)
+	if len(u.pending) > 0 {
+		done := rate * now.Sub(u.progressFrom).Seconds()
+		// The first one has tokens left until its first event says otherwise.
+		own -= min(done, float64(u.pending[0].prefill))
+	}
+	total := own
+	for _, peer := range u.peers {
+		age := now.Sub(peer.at)
+		if age < peerTTL {
+			total += max(0, float64(peer.Prefill)-rate*age.Seconds())
+		}
+	}
+	return total
+}
+
+// total returns the load of all routers.
+func (u *upstream) total(now time.Time, peerTTL time.Duration) UpstreamLoad {
+	sum := u.load
+	for _, peer := range u.peers {
+		if now.Sub(peer.at) >= peerTTL {
+			continue
+		}
+		sum.Running += peer.Running
+		sum.Memory += peer.Memory
+		sum.Prefill += peer.Prefill
+	}
+	return sum
+}
+
+func (u *upstream) begin(now time.Time, r *run) {
+	if len(u.pending) == 0 {
+		u.progressFrom = now
+	}
+	u.pending = append(u.pending, r)
+	u.load.Prefill += r.prefill
+	u.load.Running++
+	u.load.Memory += r.memory
+}
+
+// firstEvent takes a request off the backlog. Progress counts from now on.
+func (u *upstream) firstEvent(now time.Time, r *run) {
+	if r.started {
+		return
+	}
+	r.started = true
+	for i, pending := range u.pending {
+		if pending == r {
+			u.pending = append(u.pending[:i], u.pending[i+1:]...)
+			break
+		}
+	}
+	u.load.Prefill -= r.prefill
+	u.progressFrom = now
+}
+
+func (u *upstream) end(now time.Time, r *run) {
+	u.firstEvent(now, r)
+	u.load.Running--
+	u.load.Memory -= r.memory
+}
--- /dev/null
+++ b/admission/scheduler.go
@@ -0,0 +1,331 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/placement"
+	"fulmarspindle.example/fulmarspindle/registry"
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// NoUpstream means that no upstream of the service may get work.
+	NoUpstream Reason = "no_upstream"
+	// Overloaded means that no upstream would answer on time.
+	Overloaded Reason = "overloaded"
+	// OverShare means that the team received more than its share while there
+	// is more work than capacity.
+	OverShare Reason = "over_share"
+)
+
+// Options set up a Scheduler.
+type Options struct {
+	Local fleet.Location
+	// Regions maps the failure domains to their regions.
+	Regions map[fleet.FailureDomainID]fleet.RegionID
+	// Replicas is how many engines may get prompts with the same shared parts.
+	Replicas int
+	// PrefillRate is the initial estimate of an engine's rate in tokens per
+	// second, and Overhead that of the time beside it.
+	PrefillRate float64
+	Overhead    time.Duration
+	// MaxWait is the part of the objective that the predicted time to the
+	// first token may take, OverShareWait the same for teams over their share.
+	MaxWait       float64
+	OverShareWait float64
+	// SlotLimit and MemoryLimit are the parts of an engine's slots and memory
+	// that may be taken.
+	SlotLimit   float64
+	MemoryLimit float64
+	// RemoteCost is added to the predicted time at upstreams of other regions.
+	RemoteCost time.Duration
+	// Window is the span of the teams' accounts.
+	Window time.Duration
+	// PeerTTL is how long another router's report holds.
+	PeerTTL time.Duration
+	Outlier outlier.Options
+}
+
+// Capacity is what the configuration says of a service's upstreams.
+type Capacity struct {
+	// Slots is the number of requests that an engine runs at once; zero for
+	// plain services, whose upstreams tell it themselves.
+	Slots int
+	// MemoryTokens is an engine's memory; zero for plain services.
+	MemoryTokens int
+	// Connections is what an upstream accepts from all routers; zero means no
+	// limit.
+	Connections int
+}
+
+// Request is what a decision is made from.
+type Request struct {
+	ID           string
+	Team         fleet.TeamID
+	Prompt       placement.Prompt
+	OutputTokens int
+	Objective    time.Duration
+	// Elapsed is the time since the request arrived.
+	Elapsed time.Duration
+	// Exclude is the upstreams that the request was sent to before.
+	Exclude []fleet.UpstreamID
+}
+
+// Decision is the answer to a Request.
+type Decision struct {
+	Admitted bool
+	Upstream registry.Upstream
+	// Reason and RetryAfter tell of a refusal.
+	Reason     Reason
+	RetryAfter time.Duration
+	// Predicted is the time to the first token at the chosen upstream.
+	Predicted time.Duration
+	// Prefill is the prompt tokens that it has to read for the request.
+	Prefill int
+	// ShareRatio is what the team was served relative to its share; zero while
+	// there is no contention.
+	ShareRatio float64
+}
+
+// Scheduler decides for the requests of one service at one router.
+type Scheduler struct {
+	options   Options
+	capacity  Capacity
+	model     prefillModel
+	service   serviceTime
+	upstreams map[fleet.UpstreamID]*upstream
+	ids       []fleet.UpstreamID
+	runs      map[string]*run
+	accounts  *accounts
+	// peerUsage is the accounts of the other routers.
+	peerUsage map[fleet.NodeID]peerUsage
+}
+
+type peerUsage struct {
+	usage Usage
+	at    time.Time
+}
+
+// NewScheduler returns a scheduler that knows no upstream.
+func NewScheduler(options Options, capacity Capacity) *Scheduler {
+	return &Scheduler{
+		options:   options,
+		capacity:  capacity,
+		model:     newPrefillModel(options.PrefillRate, options.Overhead),
+		upstreams: make(map[fleet.UpstreamID]*upstream),
+		runs:      make(map[string]*run),
+		accounts:  newAccounts(options.Window),
+		peerUsage: make(map[fleet.NodeID]peerUsage),
+	}
+}
+
+// SetCapacity takes a new configuration of the service.
+func (s *Scheduler) SetCapacity(capacity Capacity) { s.capacity = capacity }
+
+// SetUpstreams replaces the upstreams that may get work. An upstream that started
+// again is a new one.
+func (s *Scheduler) SetUpstreams(list []registry.Upstream) {
+	next := make(map[fleet.UpstreamID]*upstream, len(list))
+	s.ids = s.ids[:0]
+	for _, entry := range list {
+		known := s.upstreams[entry.ID]
+		if known == nil || known.StartedUnixMs != entry.StartedUnixMs || known.Address != entry.Address {
+			known = s.newUpstream()
+		}
+		known.Upstream = entry
+		next[entry.ID] = known
+		s.ids = append(s.ids, entry.ID)
+	}
+	slices.Sort(s.ids)
+	s.upstreams = next
+}
+
+func (s *Scheduler) newUpstream() *upstream {
+	return &upstream{
+		detector: outlier.NewDetector(s.options.Outlier),
+		cache:    placement.NewCache(s.capacity.MemoryTokens),
+		peers:    make(map[fleet.NodeID]peerLoad),
+	}
+}
+
+// Admit decides on a request. An admitted one counts as sent until End.
+func (s *Scheduler) Admit(now time.Time, r Request) Decision {
+	cost := s.cost(r)
+	first := len(r.Exclude) == 0
+	if first {
+		s.accounts.add(now, r.Team, cost, 0)
+	}
+	ratio := s.shareRatio(now, r.Team)
+	best, refused := s.choose(now, r, ratio)
+	if best == nil {
+		refused.ShareRatio = ratio
+		return refused
+	}
+	if first {
+		s.accounts.add(now, r.Team, 0, cost)
+	}
+	s.begin(now, r, best)
+	return Decision{
+		Admitted: true, Upstream: best.upstream.Upstream, Predicted: best.predicted,
+		Prefill: best.prefill, ShareRatio: ratio,
+	}
+}
+
+// cost is the tokens that a request counts for in its team's account: each own
+// prompt token once, each generated one twice.
+func (s *Scheduler) cost(r Request) float64 {
+	if len(r.Prompt) == 0 {
+		return 1
+	}
+	return float64(r.Prompt.Tokens()-r.Prompt.SharedTokens()) + 2*float64(r.OutputTokens)
+}
+
+// shareRatio returns what the team was served relative to its max-min share;
+// zero without contention.
+func (s *Scheduler) shareRatio(now time.Time, team fleet.TeamID) float64 {
+	total := s.accounts.sum(now)
+	for _, peer := range s.peerUsage {
+		if now.Sub(peer.at) < s.options.PeerTTL {
+			total.add(peer.usage)
+		}
+	}
+	level, contended := total.waterLevel()
+	if !contended || level <= 0 {
+		return 0
+	}
+	return total[team].Served / level
+}
+
+// candidate is an upstream that a request may be sent to.
+type candidate struct {
+	upstream  *upstream
+	predicted time.Duration
+	// cost is predicted with the price of the place.
+	cost    time.Duration
+	prefill int
+	backlog float64
+	full    bool
+}
+
+// choose returns the best upstream that would answer on time, or the refusal.
+func (s *Scheduler) choose(now time.Time, r Request, ratio float64) (*candidate, Decision) {
+	candidates := s.candidates(now, r)
+	if len(candidates) == 0 {
+		return nil, Decision{Reason: NoUpstream, RetryAfter: s.options.Outlier.BaseEjection}
+	}
+	limit := s.waitLimit(r, ratio)
+	var best, nearest *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		if nearest == nil || c.cost < nearest.cost {
+			nearest = c
+		}
+		if c.full || !s.onTime(r, c, limit) {
+			continue
+		}
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best != nil {
+		return best, Decision{}
+	}
+	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(nearest, limit), Predicted: nearest.predicted}
+	if limit < s.waitLimit(r, 0) && s.onTime(r, nearest, s.waitLimit(r, 0)) {
+		refused.Reason = OverShare
+	}
+	return nil, refused
+}
+
+// waitLimit returns how long a request may wait for its first token. It narrows
+// from a team's share on.
+func (s *Scheduler) waitLimit(r Request, ratio float64) time.Duration {
+	const from, to = 0.9, 1.2
+	part := s.options.MaxWait
+	if ratio > from {
+		over := min(1, (ratio-from)/(to-from))
+		part -= over * (s.options.MaxWait - s.options.OverShareWait)
+	}
+	return time.Duration(part * float64(r.Objective))
+}
+
+// onTime reports whether a candidate would answer within limit. A request that
+// would be late on an idle engine is sent to one without a backlog.
+func (s *Scheduler) onTime(r Request, c *candidate, limit time.Duration) bool {
+	if r.Elapsed+c.predicted <= limit {
+		return true
+	}
+	alone := c.predicted - s.queueing(c)
+	return alone > limit && s.queueing(c) <= limit/4
+}
+
+// queueing is the part of the prediction that other requests cause.
+func (s *Scheduler) queueing(c *candidate) time.Duration {
+	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
+		return 0
+	}
+	return time.Duration(c.backlog / s.model.rate * float64(time.Second))
+}
+
+// retryAfter returns when the nearest candidate will have read enough.
+func (s *Scheduler) retryAfter(nearest *candidate, limit time.Duration) time.Duration {
+	return max(nearest.predicted-limit, s.options.Overhead)
+}
+
+func (s *Scheduler) begin(now time.Time, r Request, c *candidate) {
+	own := r.Prompt.Tokens() - r.Prompt.SharedTokens()
+	sent := &run{
+		id: r.ID, upstream: c.upstream, sent: now, prefill: c.prefill,
+		ahead: c.backlog + float64(c.prefill), memory: own + r.OutputTokens,
+	}
+	s.runs[r.ID] = sent
+	c.upstream.begin(now, sent)
+	if s.capacity.MemoryTokens > 0 {
+		c.upstream.cache.Add(r.Prompt)
+	}
+}
+
+// FirstEvent notes that the first token of a request has come.
+func (s *Scheduler) FirstEvent(now time.Time, id string) {
+	r := s.runs[id]
+	if r == nil || r.started {
+		return
+	}
+	if s.capacity.MemoryTokens > 0 {
+		s.model.observe(r.ahead, now.Sub(r.sent))
+	}
+	r.upstream.firstEvent(now, r)
+}
+
+// End notes that an attempt has ended. It reports whether its upstream was
+// ejected by the outcome.
+func (s *Scheduler) End(now time.Time, id string, outcome outlier.Outcome) bool {
+	r := s.runs[id]
+	if r == nil {
+		return false
+	}
+	delete(s.runs, id)
+	if s.capacity.MemoryTokens == 0 && outcome == outlier.Success {
+		s.service.observe(now.Sub(r.sent))
+	}
+	r.upstream.end(now, r)
+	ejected := r.upstream.detector.Observe(now, r.sent, outcome)
+	if ejected {
+		r.upstream.cache = placement.NewCache(s.capacity.MemoryTokens)
+	}
+	return ejected
+}
+
+// Cancel notes that an attempt ended without an outcome of its upstream.
+func (s *Scheduler) Cancel(now time.Time, id string) {
+	if r := s.runs[id]; r != nil {
+		delete(s.runs, id)
+		r.upstream.end(now, r)
+	}
+}
--- /dev/null
+++ b/admission/shares.go
@@ -0,0 +1,104 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// shareBuckets is the number of steps in which the window of accounts slides.
+const shareBuckets = 16
+
+// TeamUsage is a team's tokens within the window of accounts.
+type TeamUsage struct {
+	Asked  float64
+	Served float64
+}
+
+// Usage is the tokens of all teams at one router.
+type Usage map[fleet.TeamID]TeamUsage
+
+// accounts adds up what teams asked for and were served in a sliding window.
+type accounts struct {
+	step    time.Duration
+	origin  time.Time
+	last    int64
+	buckets [shareBuckets]Usage
+}
+
+func newAccounts(window time.Duration) *accounts {
+	return &accounts{step: max(window/shareBuckets, time.Millisecond)}
+}
+
+func (a *accounts) advance(now time.Time) {
+	if a.origin.IsZero() {
+		a.origin = now
+	}
+	step := int64(now.Sub(a.origin) / a.step)
+	if step-a.last >= shareBuckets {
+		a.buckets = [shareBuckets]Usage{}
+		a.last = step
+	}
+	for a.last < step {
+		a.last++
+		a.buckets[a.last%shareBuckets] = nil
+	}
+}
+
+func (a *accounts) add(now time.Time, team fleet.TeamID, asked, served float64) {
+	a.advance(now)
+	bucket := &a.buckets[a.last%shareBuckets]
+	if *bucket == nil {
+		*bucket = make(Usage)
+	}
+	usage := (*bucket)[team]
+	usage.Asked += asked
+	usage.Served += served
+	(*bucket)[team] = usage
+}
+
+func (a *accounts) sum(now time.Time) Usage {
+	a.advance(now)
+	total := make(Usage)
+	for _, bucket := range a.buckets {
+		total.add(bucket)
+	}
+	return total
+}
+
+func (u Usage) add(other Usage) {
+	for team, usage := range other {
+		sum := u[team]
+		sum.Asked += usage.Asked
+		sum.Served += usage.Served
+		u[team] = sum
+	}
+}
+
+// waterLevel returns the max-min share of the teams: with it as the most that a
+// team gets, all together get what is served now. It returns false if every team
+// gets what it asks for.
+func (u Usage) waterLevel() (float64, bool) {
+	asked := make([]float64, 0, len(u))
+	served, total := 0.0, 0.0
+	for _, usage := range u {
+		asked = append(asked, usage.Asked)
+		served += usage.Served
+		total += usage.Asked
+	}
+	if served >= total {
+		return 0, false
+	}
+	slices.SortFunc(asked, cmp.Compare[float64])
+	left := served
+	for i, amount := range asked {
+		level := left / float64(len(asked)-i)
+		if amount >= level {
+			return level, true
+		}
+		left -= amount
+	}
+	return 0, false
+}
--- /dev/null
+++ b/cmd/fulmarspindle/gateway.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/gateway"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/platform"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+const (
+	// peerReportTTL is how long another gateway's report of its load holds.
+	peerReportTTL = time.Second
+	// tombstoneTTL is how long the removal of an upstream is remembered.
+	tombstoneTTL = time.Minute
+)
+
+// serveGateway runs a gateway until ctx ends.
+func serveGateway(ctx context.Context, path string) error {
+	settings, err := config.LoadGatewaySettings(path)
+	if err != nil {
+		return err
+	}
+	log, flush, err := node.StartTelemetry(context.WithoutCancel(ctx), settings.ID, settings.Log, settings.Traces)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	store, err := platform.NewClient(platform.Options{
+		URL: settings.Platform.URL, Timeout: settings.Platform.Timeout.Std(),
+		WatchTimeout: settings.Platform.WatchTimeout.Std(), Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	callers, err := node.Listen(settings.Listen.Caller, nil)
+	if err != nil {
+		return err
+	}
+	ready, err := node.Listen(settings.Listen.Ready, nil)
+	if err != nil {
+		return err
+	}
+	options := gatewayOptions(settings)
+	options.Store, options.Log = store, log
+	return gateway.New(options).Run(ctx, gateway.Listeners{Caller: callers, Ready: ready})
+}
+
+func gatewayOptions(s config.GatewaySettings) gateway.Options {
+	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
+	return gateway.Options{
+		ID: s.ID, Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
+		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
+		StoreRetry: s.Platform.Retry.Std(),
+		Grace:      s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
+		Admission: admissionOptions(s, location),
+		Registry:  registry.Options{LapseGrace: s.Platform.LapseGrace.Std(), TombstoneTTL: tombstoneTTL},
+		Retry:     retry.BudgetOptions{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Std()},
+		Pool: upstream.PoolOptions{
+			DialTimeout: s.Upstreams.DialTimeout.Std(), UserTimeout: s.Upstreams.UserTimeout.Std(),
+			IdleTimeout: s.Upstreams.IdleTimeout.Std(),
+		},
+	}
+}
+
+func admissionOptions(s config.GatewaySettings, location fleet.Location) admission.Options {
+	a := s.Admission
+	return admission.Options{
+		Local: location, Regions: s.Regions, Replicas: a.Replicas,
+		PrefillRate: a.PrefillRate, Overhead: a.Overhead.Std(),
+		MaxWait: a.MaxWait, OverShareWait: a.OverShareWait, SlotLimit: a.SlotLimit, MemoryLimit: a.MemoryLimit,
+		RemoteCost: a.RemoteCost.Std(), Window: a.Window.Std(), PeerTTL: peerReportTTL,
+		Outlier: outlier.Options{
+			BaseEjection: s.Outlier.BaseEjection.Std(), MaxEjection: s.Outlier.MaxEjection.Std(),
+			BrokenInARow: s.Outlier.BrokenInARow, Smoothing: s.Outlier.Smoothing,
+		},
+	}
+}
--- a/cmd/fulmarspindle/main.go
+++ b/cmd/fulmarspindle/main.go
@@ -31,6 +31,10 @@
 	Settings string `arg:"--settings,required" help:"YAML file with the router's settings"`
 }
 
+type gatewayCmd struct {
+	Settings string `arg:"--settings,env:FULMARSPINDLE_CONFIG,required" help:"YAML file with the gateway's settings"`
+}
+
 type adminArgs struct {
 	Admin string `arg:"--admin,env:FULMARSPINDLE_ADMIN,required" help:"URL of a router's admin API"`
 	Token string `arg:"--token,env:FULMARSPINDLE_TOKEN,required" help:"admin token"`
@@ -75,6 +79,7 @@
 
 type arguments struct {
 	Serve    *serveCmd    `arg:"subcommand:serve" help:"run a router"`
+	Gateway  *gatewayCmd  `arg:"subcommand:gateway" help:"run a router that calls upstreams directly"`
 	Config   *configCmd   `arg:"subcommand:config" help:"check, apply, print or compare the configuration"`
 	Status   *statusCmd   `arg:"subcommand:status" help:"print a router's state"`
 	Upstream *upstreamCmd `arg:"subcommand:upstream" help:"drain or return an upstream"`
@@ -113,6 +118,8 @@
 	switch {
 	case args.Serve != nil:
 		return serve(ctx, args.Serve.Settings)
+	case args.Gateway != nil:
+		return serveGateway(ctx, args.Gateway.Settings)
 	case args.Config != nil:
 		return configCommand(ctx, args.Config)
 	case args.Status != nil:
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/route"
+)
+
+// followRouting keeps the configuration up to date until ctx ends.
+func (g *Gateway) followRouting(ctx context.Context) {
+	link := dependency{name: "store configuration", log: g.log}
+	var revision uint64
+	known := false
+	for ctx.Err() == nil {
+		var definition *route.Definition
+		var err error
+		if known {
+			definition, revision, err = g.options.Store.WatchRouting(ctx, revision)
+		} else {
+			var read route.Definition
+			read, revision, err = g.options.Store.ReadRouting(ctx)
+			definition = &read
+		}
+		known = err == nil
+		link.report(err)
+		if err != nil {
+			pause(ctx, g.options.StoreRetry)
+			continue
+		}
+		if definition != nil {
+			g.adopt(*definition, "store")
+		}
+	}
+}
+
+// adopt puts a configuration in force unless a later one is.
+func (g *Gateway) adopt(definition route.Definition, source string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held := g.table.Load()
+	if held != nil && held.Version() >= definition.Version {
+		return
+	}
+	table, err := route.NewTable(definition)
+	if err != nil {
+		g.log.Error("configuration refused", zap.Int64("version", definition.Version), zap.Error(err))
+		return
+	}
+	for i := range definition.Services {
+		g.configure(&definition.Services[i])
+	}
+	g.table.Store(table)
+	g.distribute(time.Now())
+	g.log.Info("configuration adopted", zap.Int64("version", definition.Version), zap.String("source", source),
+		zap.Int("routes", len(definition.Routes)), zap.Int("teams", len(definition.Teams)))
+}
+
+// configure takes a service's configuration. The caller holds mu.
+func (g *Gateway) configure(s *route.Service) {
+	known := g.services[s.ID]
+	if known == nil {
+		g.services[s.ID] = newService(s.ID, &g.options, capacityOf(s))
+		return
+	}
+	known.setCapacity(capacityOf(s))
+}
+
+// followUpstreams keeps the registered upstreams up to date until ctx ends.
+func (g *Gateway) followUpstreams(ctx context.Context) {
+	link := dependency{name: "store registrations", log: g.log}
+	var revision uint64
+	known := false
+	for ctx.Err() == nil {
+		outage := link.lost
+		var list []registry.Statement
+		var err error
+		if known {
+			list, revision, err = g.options.Store.WatchUpstreams(ctx, revision)
+		} else {
+			list, revision, err = g.options.Store.ListUpstreams(ctx)
+		}
+		link.report(err)
+		if err != nil {
+			known = false
+			pause(ctx, g.options.StoreRetry)
+			continue
+		}
+		g.register(list, revision, known, outage)
+		known = true
+	}
+}
+
+// register takes changes of the registered upstreams, or a whole list of them.
+func (g *Gateway) register(list []registry.Statement, revision uint64, changes, outage bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if changes {
+		for _, statement := range list {
+			g.registry.Apply(now, statement)
+			g.logStatement(statement)
+		}
+		g.registry.Advance(revision)
+		if len(list) == 0 {
+			return
+		}
+	} else {
+		g.registry.Replace(now, list, revision, outage)
+		g.log.Info("upstreams listed", zap.Int("upstreams", len(list)), zap.Uint64("revision", revision), zap.Bool("after_outage", outage))
+	}
+	g.distribute(now)
+}
+
+func (g *Gateway) logStatement(s registry.Statement) {
+	g.log.Info("upstream changed", zap.String("upstream", string(s.Upstream.ID)), zap.String("service", string(s.Upstream.Service)),
+		zap.Bool("draining", s.Upstream.Draining), zap.Bool("removed", s.Removed), zap.Uint64("revision", s.Revision))
+}
+
+// distribute tells each service its usable upstreams. The caller holds mu.
+func (g *Gateway) distribute(now time.Time) {
+	byService := make(map[fleet.ServiceID][]registry.Upstream)
+	usable := make(map[poolKey]bool)
+	for _, u := range g.registry.Usable(now) {
+		byService[u.Service] = append(byService[u.Service], u)
+		usable[keyOf(u)] = true
+	}
+	for id, s := range g.services {
+		s.setUpstreams(byService[id])
+	}
+	for key, pool := range g.pools {
+		if !usable[key] {
+			pool.Close()
+			delete(g.pools, key)
+		}
+	}
+	if wake, ok := g.registry.NextWake(now); ok {
+		time.AfterFunc(wake.Sub(now), g.redistribute)
+	}
+}
+
+// redistribute drops upstreams whose grace has ended.
+func (g *Gateway) redistribute() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.distribute(time.Now())
+}
+
+// dependency logs when something that this process needs is lost and regained.
+type dependency struct {
+	name string
+	log  *zap.Logger
+	lost bool
+}
+
+func (d *dependency) report(err error) {
+	switch {
+	case err != nil && !d.lost:
+		d.lost = true
+		d.log.Warn("dependency lost", zap.String("dependency", d.name), zap.Error(err))
+	case err == nil && d.lost:
+		d.lost = false
+		d.log.Info("dependency regained", zap.String("dependency", d.name))
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,97 @@
+// Package gateway is the driver of the path from callers straight to upstreams:
+// it binds the decisions of route, registry, admission and retry to sockets, the
+// clock and the store.
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/route"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+// ErrListen reports an address that can't be listened on, or a listener that
+// failed.
+var ErrListen = eris.New("gateway: listen failed")
+
+// Gateway serves callers.
+type Gateway struct {
+	options Options
+	log     *zap.Logger
+
+	table    atomic.Pointer[route.Table]
+	draining atomic.Bool
+	inFlight sync.WaitGroup
+	buffered atomic.Int64
+
+	// mu guards the registry and the set of services and pools.
+	mu       sync.Mutex
+	registry *registry.Registry
+	services map[fleet.ServiceID]*service
+	pools    map[poolKey]*upstream.Pool
+}
+
+// poolKey tells the incarnations of an upstream apart.
+type poolKey struct {
+	id      fleet.UpstreamID
+	address string
+	started int64
+}
+
+// New returns a gateway that knows neither a configuration nor upstreams.
+func New(options Options) *Gateway {
+	return &Gateway{
+		options:  options,
+		log:      options.Log,
+		registry: registry.New(options.Registry),
+		services: make(map[fleet.ServiceID]*service),
+		pools:    make(map[poolKey]*upstream.Pool),
+	}
+}
+
+// Ready reports whether this process wants callers' connections.
+func (g *Gateway) Ready() bool {
+	if g.draining.Load() || g.table.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Revision() > 0
+}
+
+// service returns the driver of a service's decisions.
+func (g *Gateway) service(id fleet.ServiceID) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services[id]
+}
+
+// pool returns the connections to an upstream.
+func (g *Gateway) pool(u registry.Upstream) *upstream.Pool {
+	key := keyOf(u)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pool := g.pools[key]
+	if pool == nil {
+		pool = upstream.NewPool(u.Address, g.options.Pool)
+		g.pools[key] = pool
+	}
+	return pool
+}
+
+func keyOf(u registry.Upstream) poolKey {
+	return poolKey{id: u.ID, address: u.Address, started: u.StartedUnixMs}
+}
+
+// Start follows the store until ctx ends.
+func (g *Gateway) Start(ctx context.Context) {
+	go g.followRouting(ctx)
+	go g.followUpstreams(ctx)
+}
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+// Options set up a Gateway.
+type Options struct {
+	ID       fleet.NodeID
+	Location fleet.Location
+	Dialect  Dialect
+	Store    Store
+	Log      *zap.Logger
+
+	// ReadyPath is where the balancer asks on the ready address.
+	ReadyPath string
+	// MaxHeaderBytes and MaxBodyBytes bound requests before a configuration
+	// says how much is allowed.
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	// MaxBufferedBytes bounds the bodies of all requests in flight.
+	MaxBufferedBytes int64
+	// MaxAnswerBytes is the size up to which an answer that is no stream is
+	// held until it is whole, so that a broken one can be asked for again.
+	MaxAnswerBytes int
+	HeaderTimeout  time.Duration
+	// DefaultTimeout bounds requests whose route has no timeout.
+	DefaultTimeout time.Duration
+
+	// StoreRetry is the pause after a failed call to the store.
+	StoreRetry time.Duration
+
+	// Grace bounds a graceful shutdown. Withdrawal is how long connections
+	// may still come after this process turned unready.
+	Grace      time.Duration
+	Withdrawal time.Duration
+
+	Admission admission.Options
+	Registry  registry.Options
+	Retry     retry.BudgetOptions
+	Pool      upstream.PoolOptions
+}
--- /dev/null
+++ b/gateway/receive.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/route"
+)
+
+// errDeadline is the cause of a context whose request ran out of time.
+var errDeadline = eris.New("gateway: request ran out of time")
+
+// errTooLarge reports a body over the limit.
+var errTooLarge = eris.New("gateway: body too large")
+
+// job is a request on its way through this process.
+type job struct {
+	in      Inbound
+	method  string
+	body    []byte
+	route   *route.Route
+	team    fleet.TeamID
+	service *service
+	version int64
+	arrived time.Time
+	// expires is when the caller or the route's timeout gives up.
+	expires time.Time
+
+	answer   *answer
+	attempts int
+	// tried is the upstreams that may have run the request, or refused it.
+	tried []fleet.UpstreamID
+	// ran is the number of upstreams that may have run it.
+	ran      int
+	progress progress
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	arrived := time.Now()
+	answer := newAnswer(w, g.draining.Load)
+	j, refused := g.receive(r, answer.control, arrived)
+	if refused != nil {
+		answer.refuse(refused)
+		g.logRefusal(j, refused, arrived)
+		return
+	}
+	defer g.buffered.Add(-int64(len(j.body)))
+	j.answer = answer
+	ctx, cancel := context.WithDeadlineCause(r.Context(), j.expires, errDeadline)
+	defer cancel()
+	g.serve(ctx, j)
+}
+
+// receive reads a request and looks up what holds for it.
+func (g *Gateway) receive(r *http.Request, control *http.ResponseController, arrived time.Time) (*job, *refusal) {
+	j := &job{method: r.Method, arrived: arrived}
+	table := g.table.Load()
+	if table == nil {
+		return j, notRun("no_configuration", "no configuration is known yet", g.options.StoreRetry)
+	}
+	j.version = table.Version()
+	var err error
+	if j.in, err = g.options.Dialect.Parse(r); err != nil {
+		return j, &refusal{status: http.StatusBadRequest, code: "malformed", message: err.Error()}
+	}
+	if refused := j.lookup(table); refused != nil {
+		return j, refused
+	}
+	j.expires = arrived.Add(j.timeout(g.options.DefaultTimeout))
+	if err := control.SetReadDeadline(j.expires); err != nil {
+		g.log.Warn("no read deadline", zap.Error(err))
+	}
+	if refused := g.readBody(r, j, table.Limits()); refused != nil {
+		return j, refused
+	}
+	// The connection is read on for as long as its caller stays.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		g.log.Warn("no read deadline", zap.Error(err))
+	}
+	if err := control.SetWriteDeadline(j.expires.Add(writeSlack)); err != nil {
+		g.log.Warn("no write deadline", zap.Error(err))
+	}
+	return j, nil
+}
+
+// writeSlack is how long after a request's end its caller may take to read.
+const writeSlack = time.Second
+
+// lookup finds the route, the team and the service.
+func (j *job) lookup(table *route.Table) *refusal {
+	found, ok := table.Lookup(j.in.Host, j.in.Path)
+	if !ok {
+		return &refusal{status: http.StatusNotFound, code: "no_route", message: "no route matches the host and path"}
+	}
+	j.route = found
+	team, known := table.Team(j.in.Key)
+	if table.HasTeams() && !found.Anonymous && !known {
+		return &refusal{status: http.StatusUnauthorized, code: "unknown_key", message: "the key is not known"}
+	}
+	j.team = team
+	return nil
+}
+
+// timeout returns how long the request may take.
+func (j *job) timeout(fallback time.Duration) time.Duration {
+	limit := j.route.Timeout
+	if limit <= 0 {
+		limit = fallback
+	}
+	if j.in.Deadline > 0 && j.in.Deadline < limit {
+		return j.in.Deadline
+	}
+	return limit
+}
+
+func (g *Gateway) readBody(r *http.Request, j *job, limits route.Limits) *refusal {
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = g.options.MaxBodyBytes
+	}
+	if r.ContentLength > limit {
+		return bodyTooLarge()
+	}
+	if g.buffered.Load()+max(r.ContentLength, 0) > g.options.MaxBufferedBytes {
+		return notRun("buffers_full", "too many bodies are in flight", time.Second)
+	}
+	body, err := readLimited(r.Body, r.ContentLength, limit)
+	if errors.Is(err, errTooLarge) {
+		return bodyTooLarge()
+	}
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, code: "body_not_read", message: "the body ended early"}
+	}
+	j.body = body
+	g.buffered.Add(int64(len(body)))
+	return nil
+}
+
+func readLimited(r io.Reader, length, limit int64) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
+func bodyTooLarge() *refusal {
+	return &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: "the body is over the limit"}
+}
+
+func (g *Gateway) logRefusal(j *job, refused *refusal, arrived time.Time) {
+	g.log.Info("request refused", zap.String("request", j.in.ID), zap.Int("status", refused.status), zap.String("code", refused.code),
+		zap.Int64("configuration", j.version), zap.Duration("retry_after", refused.retryAfter), zap.Duration("held", time.Since(arrived)))
+}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/eventstream"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+// relayBufferBytes is the size of a read of an answer's body.
+const relayBufferBytes = 16 << 10
+
+// resultKind is how an attempt ended.
+type resultKind int
+
+const (
+	// complete means that the caller has the whole answer.
+	complete resultKind = iota
+	// notSent means that nothing reached the upstream.
+	notSent
+	// refusedByUpstream means that the upstream says that it has not run it.
+	refusedByUpstream
+	// failedByUpstream means that the upstream ran it and failed.
+	failedByUpstream
+	// broken means that the answer did not come whole: it may have run.
+	broken
+	// callerGone means that the caller's connection failed.
+	callerGone
+)
+
+// String returns the kind as it is logged.
+func (k resultKind) String() string {
+	return [...]string{"complete", "not_sent", "refused", "failed", "broken", "caller_gone"}[k]
+}
+
+// result is how an attempt ended.
+type result struct {
+	kind   resultKind
+	status int
+	// held is the upstream's answer if it was not passed on.
+	held *heldAnswer
+	// first is the time to the answer's first byte or event.
+	first time.Duration
+	err   error
+}
+
+func (r result) mayHaveRun() bool { return r.kind != notSent && r.kind != refusedByUpstream }
+
+// heldAnswer is a whole answer that has not been passed on.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (h *heldAnswer) send(a *answer) {
+	h.header.Set("Content-Length", strconv.Itoa(len(h.body)))
+	a.head(h.status, h.header)
+	_, _ = a.w.Write(h.body) // A caller that left is noticed by its context.
+}
+
+// progress is how much of a stream the caller has.
+type progress struct {
+	lastID int64
+	// any is set once an event was passed on.
+	any bool
+}
+
+// relay passes an upstream's answer on.
+func (g *Gateway) relay(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
+	status, header := x.Response.StatusCode, x.Response.Header
+	switch g.options.Dialect.Verdict(status, header) {
+	case NotRun:
+		_, _ = io.Copy(io.Discard, io.LimitReader(x, relayBufferBytes)) // So that the connection can be kept.
+		j.service.cancel(id)
+		return result{kind: refusedByUpstream, status: status}
+	case Spoiled:
+		g.ended(j, id, outlier.Broken)
+		return result{kind: broken, status: status, err: eris.New("not an answer of the upstream")}
+	case Failed:
+		return g.relayFailure(ctx, j, id, x)
+	case Ran:
+	}
+	if isEventStream(header) && status == http.StatusOK {
+		return g.relayStream(ctx, j, id, x)
+	}
+	return g.relayWhole(ctx, j, id, x)
+}
+
+func isEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
+// relayFailure holds an upstream's own failure: the request may be tried again.
+func (g *Gateway) relayFailure(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
+	held, err := g.hold(x)
+	if err != nil {
+		return g.broke(ctx, j, id, x, err)
+	}
+	g.ended(j, id, outlier.Failure)
+	return result{kind: failedByUpstream, status: held.status, held: held, first: time.Since(j.arrived)}
+}
+
+// hold reads a whole answer.
+func (g *Gateway) hold(x *upstream.Exchange) (*heldAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(x, int64(g.options.MaxAnswerBytes)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > g.options.MaxAnswerBytes {
+		return &heldAnswer{status: x.Response.StatusCode, header: g.options.Dialect.Relayed(x.Response.Header), body: body}, errTooLarge
+	}
+	return &heldAnswer{status: x.Response.StatusCode, header: g.options.Dialect.Relayed(x.Response.Header), body: body}, nil
+}
+
+// relayWhole passes an answer on when it is whole, or as it comes if it is long.
+func (g *Gateway) relayWhole(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
+	held, err := g.hold(x)
+	first := time.Since(j.arrived)
+	j.service.firstEvent(id)
+	if err != nil && !errors.Is(err, errTooLarge) {
+		return g.broke(ctx, j, id, x, err)
+	}
+	if j.answer.started {
+		// A stream can't go on with an answer of another form.
+		g.ended(j, id, outlier.Failure)
+		return result{kind: broken, status: held.status, err: eris.New("not an event stream")}
+	}
+	if err == nil {
+		g.ended(j, id, outlier.Success)
+		held.send(j.answer)
+		return result{kind: complete, status: held.status, first: first}
+	}
+	return g.relayLong(ctx, j, id, x, held)
+}
+
+// relayLong passes an answer on as it comes. The connection breaks off if the
+// answer does.
+func (g *Gateway) relayLong(ctx context.Context, j *job, id string, x *upstream.Exchange, held *heldAnswer) result {
+	j.answer.head(held.status, held.header)
+	buf := held.body
+	for {
+		if err := j.answer.write(buf); err != nil {
+			j.service.cancel(id)
+			return result{kind: callerGone, err: err}
+		}
+		buf = make([]byte, relayBufferBytes)
+		n, err := x.Read(buf)
+		buf = buf[:n]
+		if errors.Is(err, io.EOF) && n == 0 {
+			g.ended(j, id, outlier.Success)
+			return result{kind: complete, status: held.status}
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return g.broke(ctx, j, id, x, err)
+		}
+	}
+}
+
+// broke judges an answer that broke off.
+func (g *Gateway) broke(ctx context.Context, j *job, id string, x *upstream.Exchange, err error) result {
+	if ctx.Err() != nil {
+		j.service.cancel(id)
+	} else {
+		g.ended(j, id, outlier.Broken)
+	}
+	return result{kind: broken, status: x.Response.StatusCode, err: err}
+}
+
+// relayStream passes events on, each as soon as it is whole. On a repeated
+// attempt the caller already has the head and some events.
+func (g *Gateway) relayStream(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
+	var splitter eventstream.Splitter
+	res := result{kind: complete, status: http.StatusOK}
+	buf := make([]byte, relayBufferBytes)
+	for {
+		n, err := x.Read(buf)
+		if n > 0 {
+			if res.first == 0 {
+				res.first = time.Since(j.arrived)
+				j.service.firstEvent(id)
+			}
+			if splitErr := splitter.Write(buf[:n]); splitErr != nil {
+				return g.broke(ctx, j, id, x, splitErr)
+			}
+			if goneErr := g.passEvents(j, x, &splitter); goneErr != nil {
+				j.service.cancel(id)
+				return result{kind: callerGone, err: goneErr, first: res.first}
+			}
+		}
+		if errors.Is(err, io.EOF) && len(splitter.Pending()) > 0 {
+			err = eris.New("stream ended within an event")
+		}
+		if errors.Is(err, io.EOF) {
+			return g.streamEnded(j, id, x, res)
+		}
+		if err != nil {
+			broke := g.broke(ctx, j, id, x, err)
+			broke.first = res.first
+			return broke
+		}
+	}
+}
+
+func (g *Gateway) streamEnded(j *job, id string, x *upstream.Exchange, res result) result {
+	g.ended(j, id, outlier.Success)
+	if !j.answer.started {
+		j.answer.head(x.Response.StatusCode, g.options.Dialect.Relayed(x.Response.Header))
+	}
+	return res
+}
+
+// passEvents writes the whole events that the caller does not have yet.
+func (g *Gateway) passEvents(j *job, x *upstream.Exchange, splitter *eventstream.Splitter) error {
+	wrote := false
+	for {
+		event, ok := splitter.Next()
+		if !ok {
+			break
+		}
+		if event.HasID && j.progress.any && event.ID <= j.progress.lastID {
+			continue
+		}
+		if !j.answer.started {
+			j.answer.head(x.Response.StatusCode, g.options.Dialect.Relayed(x.Response.Header))
+		}
+		if _, err := j.answer.w.Write(event.Raw); err != nil {
+			return err
+		}
+		wrote = true
+		if event.HasID {
+			j.progress = progress{lastID: event.ID, any: true}
+		}
+	}
+	if !wrote {
+		return nil
+	}
+	return j.answer.control.Flush()
+}
+
+// resumeAfter returns the last event that the caller has of this answer.
+func (j *job) resumeAfter() string {
+	if !j.progress.any {
+		return ""
+	}
+	return strconv.FormatInt(j.progress.lastID, 10)
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+const (
+	// abortMargin is how much earlier than the grace ends the rest is cut, so
+	// that callers see it from this process and not from its death.
+	abortMargin = 300 * time.Millisecond
+	// adminHeaderTimeout bounds the heads of the balancer's questions.
+	adminHeaderTimeout = 2 * time.Second
+)
+
+// Listeners are the sockets of a gateway.
+type Listeners struct {
+	Caller net.Listener
+	Ready  net.Listener
+}
+
+// Run serves until ctx ends, then stops gracefully within the grace.
+func (g *Gateway) Run(ctx context.Context, listeners Listeners) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g.Start(background)
+	callers := &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: g.options.HeaderTimeout,
+		MaxHeaderBytes:    g.options.MaxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(g.log.Named("http")),
+	}
+	ready := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: adminHeaderTimeout}
+	defer ready.Close()
+	failed := make(chan error, 2)
+	go func() { failed <- ready.Serve(listeners.Ready) }()
+	go func() { failed <- callers.Serve(listeners.Caller) }()
+	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
+	select {
+	case <-ctx.Done():
+		g.stop(callers)
+		return nil
+	case err := <-failed:
+		return eris.Wrap(ErrListen, err.Error())
+	}
+}
+
+func (g *Gateway) readiness() http.Handler {
+	server := echo.New()
+	server.GET(g.options.ReadyPath, func(c echo.Context) error {
+		if !g.Ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return server
+}
+
+// stop turns unready, serves on while the balancer still sends connections, and
+// finishes what is in flight.
+func (g *Gateway) stop(callers *http.Server) {
+	started := time.Now()
+	g.log.Info("gateway stopping")
+	g.draining.Store(true)
+	pause(context.Background(), g.options.Withdrawal)
+	left := g.options.Grace - abortMargin - time.Since(started)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Warn("requests cut at the end of the grace", zap.Error(err))
+		if err := callers.Close(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			g.log.Warn("connections not closed", zap.Error(err))
+		}
+	}
+	g.log.Info("gateway stopped", zap.Duration("took", time.Since(started)))
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+// serve sends a request to upstreams until it has its final answer.
+func (g *Gateway) serve(ctx context.Context, j *job) {
+	id, ok := j.route.Pick(j.in.ID)
+	if ok {
+		j.service = g.service(id)
+	}
+	if j.service == nil {
+		g.finish(j, notRun("no_service", "the route has no service", g.options.StoreRetry))
+		return
+	}
+	j.service.request()
+	var last result
+	for {
+		j.attempts++
+		decision := j.service.admit(j.admission())
+		if !decision.Admitted {
+			g.logDecision(j, "request not admitted", decision)
+			g.finishRefused(j, last, decision)
+			return
+		}
+		g.logDecision(j, "request sent", decision)
+		last = g.attempt(ctx, j, decision)
+		j.tried = append(j.tried, decision.Upstream.ID)
+		if last.mayHaveRun() {
+			j.ran++
+		}
+		g.logResult(j, decision, last)
+		if !g.again(ctx, j, last) {
+			g.conclude(ctx, j, last)
+			return
+		}
+	}
+}
+
+func (j *job) attemptID() string { return fmt.Sprintf("%s/%d", j.in.ID, j.attempts) }
+
+func (j *job) admission() admission.Request {
+	return admission.Request{
+		ID: j.attemptID(), Team: j.team, Prompt: j.in.Prompt, OutputTokens: j.in.OutputTokens,
+		Objective: j.objective(), Elapsed: time.Since(j.arrived), Exclude: j.tried,
+	}
+}
+
+// objective is the time in which the answer is to come.
+func (j *job) objective() time.Duration {
+	if j.route.Objective > 0 {
+		return j.route.Objective
+	}
+	return time.Until(j.expires)
+}
+
+// again decides whether an attempt is followed by another one.
+func (g *Gateway) again(ctx context.Context, j *job, last result) bool {
+	if ctx.Err() != nil || last.kind == complete || last.kind == callerGone {
+		return false
+	}
+	if last.kind == notSent {
+		// Nothing arrived anywhere: no budget is spent.
+		return len(j.tried) < maxUnsent
+	}
+	if j.ran >= j.route.MaxAttempts && last.mayHaveRun() {
+		return false
+	}
+	if last.mayHaveRun() && !j.route.Repeatable() {
+		return false
+	}
+	return j.service.takeRetry(g.routers())
+}
+
+// maxUnsent bounds the upstreams that are tried for one request.
+const maxUnsent = 4
+
+// conclude answers with the last attempt's result.
+func (g *Gateway) conclude(ctx context.Context, j *job, last result) {
+	switch {
+	case last.kind == complete:
+		return
+	case last.kind == callerGone || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+		j.answer.abort()
+	case j.answer.started:
+		j.answer.abort()
+	case last.held != nil:
+		last.held.send(j.answer)
+	case j.ran == 0:
+		g.finish(j, notRun("not_run", "no upstream took the request", g.options.Admission.Outlier.BaseEjection))
+	case ctx.Err() != nil:
+		g.finish(j, &refusal{status: http.StatusGatewayTimeout, code: "timeout", message: "the request ran out of time"})
+	default:
+		g.finish(j, unknownOutcome("upstream_failed", "the upstream broke off; the request may have run"))
+	}
+}
+
+// finishRefused answers a request for which no upstream was found.
+func (g *Gateway) finishRefused(j *job, last result, d admission.Decision) {
+	switch {
+	case j.answer.started:
+		j.answer.abort()
+	case last.held != nil:
+		last.held.send(j.answer)
+	case j.ran > 0:
+		g.finish(j, unknownOutcome("upstream_failed", "the upstream broke off and no other is free"))
+	default:
+		g.finish(j, notRun(string(d.Reason), "no upstream would answer on time", d.RetryAfter))
+	}
+}
+
+func (g *Gateway) finish(j *job, r *refusal) {
+	j.answer.refuse(r)
+	g.logRefusal(j, r, j.arrived)
+}
+
+// attempt sends the request to one upstream and relays its answer.
+func (g *Gateway) attempt(ctx context.Context, j *job, d admission.Decision) result {
+	id := j.attemptID()
+	exchange, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
+	if err != nil {
+		return g.failed(ctx, j, id, err)
+	}
+	defer exchange.Close()
+	return g.relay(ctx, j, id, exchange)
+}
+
+func (g *Gateway) message(j *job, d admission.Decision) *upstream.Message {
+	out := Outbound{
+		Upstream: d.Upstream.ID, Team: j.team, Deadline: time.Until(j.expires), ResumeAfter: j.resumeAfter(),
+	}
+	return &upstream.Message{
+		Method: j.method, URI: j.in.URI, Host: j.in.Host, Body: j.body,
+		Header: g.options.Dialect.Outbound(j.in, out),
+		Answers: func(status int, header http.Header) bool {
+			return g.options.Dialect.Answers(j.in, status, header)
+		},
+	}
+}
+
+// failed judges an attempt without an answer.
+func (g *Gateway) failed(ctx context.Context, j *job, id string, err error) result {
+	if ctx.Err() != nil {
+		j.service.cancel(id)
+		kind := broken
+		if errors.Is(err, upstream.ErrNotSent) {
+			kind = notSent
+		}
+		return result{kind: kind, err: err}
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		g.ended(j, id, outlier.Unreachable)
+		return result{kind: notSent, err: err}
+	}
+	g.ended(j, id, outlier.Broken)
+	return result{kind: broken, err: err}
+}
+
+// ended takes the outcome of an attempt.
+func (g *Gateway) ended(j *job, id string, outcome outlier.Outcome) {
+	if j.service.end(id, outcome) {
+		g.log.Warn("upstream ejected", zap.String("request", j.in.ID), zap.String("service", string(j.service.id)))
+	}
+}
+
+func (g *Gateway) logDecision(j *job, message string, d admission.Decision) {
+	g.log.Info(message, zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("team", string(j.team)),
+		zap.Int64("configuration", j.version), zap.String("upstream", string(d.Upstream.ID)), zap.String("reason", string(d.Reason)),
+		zap.Duration("predicted", d.Predicted), zap.Int("prefill", d.Prefill), zap.Float64("share_ratio", d.ShareRatio))
+}
+
+func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
+	g.log.Info("attempt ended", zap.String("request", j.in.ID), zap.String("upstream", string(d.Upstream.ID)),
+		zap.Stringer("result", r.kind), zap.Int("status", r.status), zap.Duration("first", r.first),
+		zap.Duration("elapsed", time.Since(j.arrived)), zap.Error(r.err))
+}
+
+// routers returns the number of routers that share the retry budgets.
+func (g *Gateway) routers() int { return 1 }
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/route"
+)
+
+// service binds the decisions for one service to the clock.
+type service struct {
+	id fleet.ServiceID
+
+	mu        sync.Mutex
+	scheduler *admission.Scheduler
+	budget    *retry.Budget
+}
+
+func newService(id fleet.ServiceID, options *Options, capacity admission.Capacity) *service {
+	return &service{
+		id:        id,
+		scheduler: admission.NewScheduler(options.Admission, capacity),
+		budget:    retry.NewBudget(options.Retry),
+	}
+}
+
+func capacityOf(s *route.Service) admission.Capacity {
+	capacity := admission.Capacity{Connections: s.MaxConnections}
+	if s.Engine != nil {
+		capacity.Slots = s.Engine.Slots
+		capacity.MemoryTokens = s.Engine.MemoryTokens
+	}
+	return capacity
+}
+
+func (s *service) setCapacity(capacity admission.Capacity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetCapacity(capacity)
+}
+
+func (s *service) setUpstreams(list []registry.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetUpstreams(list)
+}
+
+// request counts a request of a caller.
+func (s *service) request() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(time.Now())
+}
+
+func (s *service) takeRetry(routers int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Take(time.Now(), routers)
+}
+
+func (s *service) admit(r admission.Request) admission.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Admit(time.Now(), r)
+}
+
+func (s *service) firstEvent(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.FirstEvent(time.Now(), id)
+}
+
+func (s *service) end(id string, outcome outlier.Outcome) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.End(time.Now(), id, outcome)
+}
+
+func (s *service) cancel(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Cancel(time.Now(), id)
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,87 @@
+// Package retry decides whether a request is sent to another upstream. The
+// budget of a service is shared by all routers: each spends its part.
+package retry
+
+import "time"
+
+// bucketCount is the number of steps in which a window slides.
+const bucketCount = 20
+
+// BudgetOptions set up a Budget.
+type BudgetOptions struct {
+	// Ratio is the allowed number of retries for each request.
+	Ratio float64
+	// Slack is the number of retries that all routers together may send in a
+	// window beyond the ratio.
+	Slack float64
+	// Window is the span in which retries are counted.
+	Window time.Duration
+}
+
+// Budget counts requests and retries of one service in a sliding window.
+type Budget struct {
+	options  BudgetOptions
+	requests window
+	retries  window
+}
+
+// NewBudget returns an empty budget.
+func NewBudget(options BudgetOptions) *Budget {
+	step := options.Window / bucketCount
+	return &Budget{options: options, requests: window{step: step}, retries: window{step: step}}
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(now time.Time) { b.requests.add(now) }
+
+// Take takes a retry out of the budget of a router among routers. It returns
+// false if none is left.
+func (b *Budget) Take(now time.Time, routers int) bool {
+	allowed := b.options.Ratio*b.requests.sum(now) + b.options.Slack/float64(max(routers, 1))
+	if b.retries.sum(now)+1 > allowed {
+		return false
+	}
+	b.retries.add(now)
+	return true
+}
+
+// window is a counter over the last bucketCount steps.
+type window struct {
+	step    time.Duration
+	buckets [bucketCount]float64
+	// origin is the time of the first use. Steps are counted from it by the
+	// monotonic clock.
+	origin time.Time
+	// last is the number of the newest step.
+	last int64
+}
+
+func (w *window) advance(now time.Time) {
+	if w.origin.IsZero() {
+		w.origin = now
+	}
+	step := int64(now.Sub(w.origin) / max(w.step, 1))
+	if step-w.last >= bucketCount {
+		w.buckets = [bucketCount]float64{}
+		w.last = step
+		return
+	}
+	for w.last < step {
+		w.last++
+		w.buckets[w.last%bucketCount] = 0
+	}
+}
+
+func (w *window) add(now time.Time) {
+	w.advance(now)
+	w.buckets[w.last%bucketCount]++
+}
+
+func (w *window) sum(now time.Time) float64 {
+	w.advance(now)
+	total := 0.0
+	for _, n := range w.buckets {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,126 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// ErrInvalid reports a definition that can't be put to use.
+var ErrInvalid = eris.New("route: invalid definition")
+
+// Table answers lookups in one Definition. It is safe for concurrent use.
+type Table struct {
+	definition Definition
+	// byHost holds the routes of a host, longest prefix first.
+	byHost   map[string][]*Route
+	services map[fleet.ServiceID]*Service
+	teams    map[string]fleet.TeamID
+}
+
+// NewTable returns the table of a definition, or ErrInvalid.
+func NewTable(d Definition) (*Table, error) {
+	t := &Table{
+		definition: d,
+		byHost:     make(map[string][]*Route),
+		services:   make(map[fleet.ServiceID]*Service, len(d.Services)),
+		teams:      make(map[string]fleet.TeamID),
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].ID] = &d.Services[i]
+	}
+	for i := range d.Routes {
+		route := &d.Routes[i]
+		if err := check(route); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(route.Host)
+		t.byHost[host] = append(t.byHost[host], route)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, team := range d.Teams {
+		for _, key := range team.Keys {
+			t.teams[key] = team.ID
+		}
+	}
+	return t, nil
+}
+
+func check(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return eris.Wrapf(ErrInvalid, "route %s: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+	}
+	for _, share := range r.Split {
+		if share.Weight < 0 {
+			return eris.Wrapf(ErrInvalid, "route %s: negative weight", r.Name)
+		}
+	}
+	return nil
+}
+
+// Version returns the definition's version.
+func (t *Table) Version() int64 { return t.definition.Version }
+
+// Definition returns what the table was made from. It must not be changed.
+func (t *Table) Definition() Definition { return t.definition }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.definition.Limits }
+
+// Lookup returns the route of the longest prefix that begins the path.
+func (t *Table) Lookup(host, path string) (*Route, bool) {
+	for _, route := range t.byHost[strings.ToLower(hostname(host))] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// hostname strips a port.
+func hostname(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
+// Team returns the holder of a key.
+func (t *Table) Team(key string) (fleet.TeamID, bool) {
+	team, ok := t.teams[key]
+	return team, ok
+}
+
+// HasTeams reports whether callers must show keys.
+func (t *Table) HasTeams() bool { return len(t.definition.Teams) > 0 }
+
+// Service returns a service, or nil.
+func (t *Table) Service(id fleet.ServiceID) *Service { return t.services[id] }
+
+// Pick returns the service of a request by the route's weights. The same
+// request gets the same service.
+func (r *Route) Pick(requestID string) (fleet.ServiceID, bool) {
+	total := 0.0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return "", false
+	}
+	// 53 bits make a uniform fraction that a float64 holds exactly.
+	point := float64(xxhash.Sum64String(requestID)>>11) / (1 << 53) * total
+	for _, share := range r.Split {
+		if point < share.Weight {
+			return share.Service, true
+		}
+		point -= share.Weight
+	}
+	return r.Split[len(r.Split)-1].Service, true
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,115 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBufferSize holds the head of most answers.
+	readBufferSize = 4 << 10
+	// keepAliveInterval finds connections whose peer is gone.
+	keepAliveInterval = time.Second
+	// keepAliveCount is the number of probes without an answer.
+	keepAliveCount = 2
+	// idleMargin is how much earlier than the upstream announces a kept
+	// connection is given up.
+	idleMargin = time.Second
+)
+
+// conn is a connection to an upstream that carries one request at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// reused is set once a request has been answered on it.
+	reused bool
+	// idleUntil is when it must not be used again.
+	idleUntil time.Time
+	// written counts the bytes of the present request.
+	written int64
+}
+
+// Write counts what was written.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// dial opens a connection that notices a peer that is gone.
+func dial(ctx context.Context, address string, timeout, userTimeout time.Duration) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
+	}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// quiet reports whether the upstream has neither closed an idle connection nor
+// sent bytes that nobody asked for.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepUntil returns until when an answer lets its connection be used again; zero
+// if it must be closed.
+func keepUntil(now time.Time, resp *http.Response, idle time.Duration) time.Time {
+	if resp.Close {
+		return time.Time{}
+	}
+	for field := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil {
+			return time.Time{}
+		}
+		return now.Add(time.Duration(seconds)*time.Second - idleMargin)
+	}
+	return now.Add(idle)
+}
--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,169 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxForeignAnswers bounds the answers to other requests that are skipped
+	// on one connection.
+	maxForeignAnswers = 3
+	// maxForeignBytes bounds the body of an answer that is skipped.
+	maxForeignBytes = 1 << 20
+	// writeBufferSize holds the head of most requests.
+	writeBufferSize = 4 << 10
+)
+
+// Message is a request as it is sent.
+type Message struct {
+	Method string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Answers tells whether an answer belongs to this request.
+	Answers func(status int, header http.Header) bool
+}
+
+// Exchange is a request whose answer's head has come. Close must be called.
+type Exchange struct {
+	Response *http.Response
+
+	pool *Pool
+	conn *conn
+	// written is closed when the request has been written.
+	written chan error
+	stop    func() bool
+	whole   bool
+}
+
+// Do sends a request and waits for the head of its answer. It returns ErrNotSent
+// only if no byte of it was sent, otherwise ErrBroken. When ctx ends, the
+// connection is closed.
+func (p *Pool) Do(ctx context.Context, m *Message) (*Exchange, error) {
+	c, err := p.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c.written = 0
+	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	go func() { x.written <- m.write(c) }()
+	x.Response, err = readAnswer(c.reader, m)
+	if err == nil {
+		return x, nil
+	}
+	c.Close()
+	writeErr := <-x.written
+	x.Close()
+	if writeErr != nil && c.written == 0 {
+		return nil, eris.Wrap(ErrNotSent, writeErr.Error())
+	}
+	return nil, eris.Wrap(ErrBroken, err.Error())
+}
+
+// write sends the head and the body.
+func (m *Message) write(w io.Writer) error {
+	buffered := bufio.NewWriterSize(w, writeBufferSize)
+	head := m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n"
+	if _, err := buffered.WriteString(head); err != nil {
+		return err
+	}
+	if err := m.Header.Write(buffered); err != nil {
+		return err
+	}
+	if len(m.Body) > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead {
+		length := "Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n"
+		if _, err := buffered.WriteString(length); err != nil {
+			return err
+		}
+	}
+	if _, err := buffered.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if _, err := buffered.Write(m.Body); err != nil {
+		return err
+	}
+	return buffered.Flush()
+}
+
+// readAnswer reads heads until one answers the request. Answers to requests
+// before it may come late and are skipped.
+func readAnswer(r *bufio.Reader, m *Message) (*http.Response, error) {
+	request := &http.Request{Method: m.Method}
+	foreign := 0
+	for {
+		resp, err := http.ReadResponse(r, request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		if m.Answers(resp.StatusCode, resp.Header) {
+			return resp, nil
+		}
+		foreign++
+		if foreign > maxForeignAnswers || resp.Close || !skip(resp) {
+			return nil, eris.New("answer to another request")
+		}
+	}
+}
+
+// skip reads the body of an answer to another request.
+func skip(resp *http.Response) bool {
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes+1))
+	return err == nil && n <= maxForeignBytes
+}
+
+// Read reads the answer's body. io.EOF means that it is whole; every other error
+// is ErrBroken.
+func (x *Exchange) Read(p []byte) (int, error) {
+	n, err := x.Response.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		x.whole = true
+		return n, io.EOF
+	default:
+		return n, eris.Wrap(ErrBroken, err.Error())
+	}
+}
+
+// Close keeps the connection if the answer was read whole and nothing else is on
+// it, and closes it otherwise.
+func (x *Exchange) Close() {
+	canceled := !x.stop()
+	if canceled || !x.whole || !x.sent() || x.conn.reader.Buffered() > 0 {
+		x.pool.discard(x.conn)
+		return
+	}
+	x.conn.idleUntil = keepUntil(time.Now(), x.Response, x.pool.options.IdleTimeout)
+	if !time.Now().Before(x.conn.idleUntil) {
+		x.pool.discard(x.conn)
+		return
+	}
+	x.conn.reused = true
+	x.pool.put(x.conn)
+}
+
+// sent reports whether the whole request has been written.
+func (x *Exchange) sent() bool {
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// PoolOptions set up a Pool.
+type PoolOptions struct {
+	DialTimeout time.Duration
+	// UserTimeout bounds how long sent bytes may stay unacknowledged.
+	UserTimeout time.Duration
+	// IdleTimeout is how long a connection is kept if the upstream does not say.
+	IdleTimeout time.Duration
+	// MaxConnections bounds the open connections; zero means no bound.
+	MaxConnections int
+}
+
+// Pool holds the connections of this process to one upstream. It sends nothing by
+// itself: whether a request is sent again is its caller's decision.
+type Pool struct {
+	address string
+
+	mu      sync.Mutex
+	options PoolOptions
+	idle    []*conn
+	open    int
+	closed  bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(address string, options PoolOptions) *Pool {
+	return &Pool{address: address, options: options}
+}
+
+// SetMaxConnections bounds the open connections from now on.
+func (p *Pool) SetMaxConnections(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.options.MaxConnections = n
+}
+
+// Close closes the idle connections, and those in use when their request ends.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// get returns a kept connection or a new one. Errors are ErrNotSent.
+func (p *Pool) get(ctx context.Context) (*conn, error) {
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.idleUntil) && c.quiet() {
+			return c, nil
+		}
+		p.discard(c)
+	}
+	if !p.reserve() {
+		return nil, eris.Wrap(ErrNotSent, "connection limit reached")
+	}
+	c, err := dial(ctx, p.address, p.options.DialTimeout, p.options.UserTimeout)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Pool) takeIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.options.MaxConnections > 0 && p.open >= p.options.MaxConnections {
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+func (p *Pool) discard(c *conn) {
+	c.Close()
+	p.release()
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	if !p.closed {
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	p.discard(c)
+}
