--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -29,7 +29,9 @@
 	if err != nil {
 		return err
 	}
-	log, flush, err := node.StartTelemetry(context.WithoutCancel(ctx), settings.ID, settings.Log, settings.Traces)
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	log, flush, err := node.StartTelemetry(background, settings.ID, settings.Log, settings.Traces)
 	if err != nil {
 		return err
 	}
@@ -50,15 +52,21 @@
 	if err != nil {
 		return err
 	}
+	peers, err := node.Listen(settings.Listen.Peer, nil)
+	if err != nil {
+		return err
+	}
 	options := gatewayOptions(settings)
 	options.Store, options.Log = store, log
-	return gateway.New(options).Run(ctx, gateway.Listeners{Caller: callers, Ready: ready})
+	return gateway.New(background, options).Run(ctx, gateway.Listeners{Caller: callers, Ready: ready, Peer: peers})
 }
 
 func gatewayOptions(s config.GatewaySettings) gateway.Options {
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
 	return gateway.Options{
-		ID: s.ID, Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		ID: s.ID, Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		PeerAddress: s.Listen.Peer, Seeds: s.Peers, ReportInterval: s.ReportInterval.Std(),
+		Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -12,17 +12,22 @@
 	Region        fleet.RegionID        `yaml:"region" validate:"id"`
 	FailureDomain fleet.FailureDomainID `yaml:"failure_domain" validate:"id"`
 	// Regions maps each failure domain to its region.
-	Regions   map[fleet.FailureDomainID]fleet.RegionID `yaml:"regions"`
-	Listen    GatewayListen                            `yaml:"listen"`
-	Platform  GatewayPlatform                          `yaml:"platform"`
-	Limits    GatewayLimits                            `yaml:"limits,omitempty"`
-	Stop      StopSettings                             `yaml:"stop,omitempty"`
-	Retry     RetrySettings                            `yaml:"retry,omitempty"`
-	Upstreams UpstreamLinks                            `yaml:"upstreams,omitempty"`
-	Admission AdmissionSettings                        `yaml:"admission,omitempty"`
-	Outlier   OutlierSettings                          `yaml:"outlier,omitempty"`
-	Log       LogSettings                              `yaml:"log,omitempty"`
-	Traces    TraceSettings                            `yaml:"traces,omitempty"`
+	Regions map[fleet.FailureDomainID]fleet.RegionID `yaml:"regions"`
+	Listen  GatewayListen                            `yaml:"listen"`
+	// Peers are the peer addresses of routers to ask first.
+	Peers []string `yaml:"peers,omitempty" validate:"dive,ip_port"`
+	// ReportInterval is the time between two reports of a changing load to the
+	// other routers.
+	ReportInterval Duration          `yaml:"report_interval,omitempty" validate:"gt=0"`
+	Platform       GatewayPlatform   `yaml:"platform"`
+	Limits         GatewayLimits     `yaml:"limits,omitempty"`
+	Stop           StopSettings      `yaml:"stop,omitempty"`
+	Retry          RetrySettings     `yaml:"retry,omitempty"`
+	Upstreams      UpstreamLinks     `yaml:"upstreams,omitempty"`
+	Admission      AdmissionSettings `yaml:"admission,omitempty"`
+	Outlier        OutlierSettings   `yaml:"outlier,omitempty"`
+	Log            LogSettings       `yaml:"log,omitempty"`
+	Traces         TraceSettings     `yaml:"traces,omitempty"`
 }
 
 // GatewayListen holds a gateway's listening addresses as host:port.
@@ -118,6 +123,7 @@
 // DefaultGatewaySettings returns the settings of an empty file.
 func DefaultGatewaySettings() GatewaySettings {
 	return GatewaySettings{
+		ReportInterval: Duration(50 * time.Millisecond),
 		Platform: GatewayPlatform{
 			Timeout: Duration(time.Second), WatchTimeout: Duration(2 * time.Second),
 			Retry: Duration(300 * time.Millisecond), LapseGrace: Duration(2 * time.Second),
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 )
@@ -29,7 +30,7 @@
 		known = err == nil
 		link.report(err)
 		if err != nil {
-			pause(ctx, g.options.StoreRetry)
+			node.Pause(ctx, g.options.StoreRetry)
 			continue
 		}
 		if definition != nil {
@@ -64,7 +65,7 @@
 func (g *Gateway) configure(s *route.Service) {
 	known := g.services[s.ID]
 	if known == nil {
-		g.services[s.ID] = newService(s.ID, &g.options, capacityOf(s))
+		g.services[s.ID] = newService(s.ID, &g.options, capacityOf(s), &g.changed)
 		return
 	}
 	known.setCapacity(capacityOf(s))
@@ -87,7 +88,7 @@
 		link.report(err)
 		if err != nil {
 			known = false
-			pause(ctx, g.options.StoreRetry)
+			node.Pause(ctx, g.options.StoreRetry)
 			continue
 		}
 		g.register(list, revision, known, outage)
@@ -103,7 +104,7 @@
 	if changes {
 		for _, statement := range list {
 			g.registry.Apply(now, statement)
-			g.logStatement(statement)
+			g.logStatement(statement, "store")
 		}
 		g.registry.Advance(revision)
 		if len(list) == 0 {
@@ -116,9 +117,9 @@
 	g.distribute(now)
 }
 
-func (g *Gateway) logStatement(s registry.Statement) {
+func (g *Gateway) logStatement(s registry.Statement, source string) {
 	g.log.Info("upstream changed", zap.String("upstream", string(s.Upstream.ID)), zap.String("service", string(s.Upstream.Service)),
-		zap.Bool("draining", s.Upstream.Draining), zap.Bool("removed", s.Removed), zap.Uint64("revision", s.Revision))
+		zap.Bool("draining", s.Upstream.Draining), zap.Bool("removed", s.Removed), zap.Uint64("revision", s.Revision), zap.String("source", source))
 }
 
 // distribute tells each service its usable upstreams. The caller holds mu.
@@ -167,13 +168,3 @@
 		d.log.Info("dependency regained", zap.String("dependency", d.name))
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 
@@ -36,6 +37,12 @@
 	registry *registry.Registry
 	services map[fleet.ServiceID]*service
 	pools    map[poolKey]*upstream.Pool
+
+	peers *peers
+	// changed is set when the load changed since the last report.
+	changed atomic.Bool
+	// background ends with the process.
+	background context.Context
 }
 
 // poolKey tells the incarnations of an upstream apart.
@@ -45,15 +52,19 @@
 	started int64
 }
 
-// New returns a gateway that knows neither a configuration nor upstreams.
-func New(options Options) *Gateway {
-	return &Gateway{
-		options:  options,
-		log:      options.Log,
-		registry: registry.New(options.Registry),
-		services: make(map[fleet.ServiceID]*service),
-		pools:    make(map[poolKey]*upstream.Pool),
+// New returns a gateway that knows neither a configuration nor upstreams. Its
+// background work ends with ctx.
+func New(ctx context.Context, options Options) *Gateway {
+	g := &Gateway{
+		options:    options,
+		log:        options.Log,
+		registry:   registry.New(options.Registry),
+		services:   make(map[fleet.ServiceID]*service),
+		pools:      make(map[poolKey]*upstream.Pool),
+		background: ctx,
 	}
+	g.peers = newPeers(g)
+	return g
 }
 
 // Ready reports whether this process wants callers' connections.
@@ -90,8 +101,15 @@
 	return poolKey{id: u.ID, address: u.Address, started: u.StartedUnixMs}
 }
 
-// Start follows the store until ctx ends.
-func (g *Gateway) Start(ctx context.Context) {
-	go g.followRouting(ctx)
-	go g.followUpstreams(ctx)
+// start runs the background work.
+func (g *Gateway) start(peerListener net.Listener) {
+	go g.followRouting(g.background)
+	go g.followUpstreams(g.background)
+	go g.peers.followMembers(g.background)
+	go g.peers.report(g.background)
+	go func() {
+		if err := g.peers.network.Serve(g.background, peerListener); err != nil {
+			g.log.Error("peer listener failed", zap.Error(err))
+		}
+	}()
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -14,11 +14,13 @@
 
 // Options set up a Gateway.
 type Options struct {
-	ID       fleet.NodeID
-	Location fleet.Location
-	Dialect  Dialect
-	Store    Store
-	Log      *zap.Logger
+	ID fleet.NodeID
+	// Incarnation tells the starts of this process apart.
+	Incarnation fleet.Incarnation
+	Location    fleet.Location
+	Dialect     Dialect
+	Store       Store
+	Log         *zap.Logger
 
 	// ReadyPath is where the balancer asks on the ready address.
 	ReadyPath string
@@ -35,6 +37,14 @@
 	// DefaultTimeout bounds requests whose route has no timeout.
 	DefaultTimeout time.Duration
 
+	// PeerAddress is where this process accepts sessions, Seeds the addresses
+	// of other routers to ask first.
+	PeerAddress string
+	Seeds       []string
+	// ReportInterval is the time between two reports of a changing load to the
+	// other routers.
+	ReportInterval time.Duration
+
 	// StoreRetry is the pause after a failed call to the store.
 	StoreRetry time.Duration
 
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+const (
+	// idleReportInterval is the time between reports without a change.
+	idleReportInterval = 500 * time.Millisecond
+	// catchUpDelay is how long a router waits for the store to tell it what
+	// another one knows already, before it asks that one.
+	catchUpDelay = 150 * time.Millisecond
+	// membersInterval is the time between two looks at the other routers'
+	// registrations.
+	membersInterval = 10 * time.Second
+)
+
+// peers exchanges load, configuration and registrations with the other routers.
+type peers struct {
+	gateway  *Gateway
+	sessions *node.Sessions
+	network  *peer.Network
+
+	mu sync.Mutex
+	// addresses are the known peer addresses of other routers.
+	addresses map[fleet.NodeID]string
+	// behindSince is since when another router knows more of the registry.
+	behindSince time.Time
+}
+
+func newPeers(g *Gateway) *peers {
+	p := &peers{gateway: g, sessions: node.NewSessions(), addresses: make(map[fleet.NodeID]string)}
+	local := &peer.Local{
+		Hello: &peerpb.Hello{
+			ProtocolVersion: peer.ProtocolVersion,
+			Id:              string(g.options.ID),
+			Incarnation:     uint64(g.options.Incarnation),
+			Role:            peerpb.Role_ROLE_ROUTER,
+			Region:          string(g.options.Location.Region),
+			FailureDomain:   string(g.options.Location.FailureDomain),
+			PeerAddress:     g.options.PeerAddress,
+		},
+		Source:     node.DialSource(g.options.PeerAddress),
+		Generation: g.generation,
+		Draining:   g.draining.Load,
+	}
+	p.network = peer.NewNetwork(local, p, g.log, nil, nil)
+	return p
+}
+
+// generation returns the version of the configuration in force.
+func (g *Gateway) generation() uint64 {
+	if table := g.table.Load(); table != nil {
+		return uint64(table.Version())
+	}
+	return 0
+}
+
+// count returns the number of connected routers.
+func (p *peers) count() int { return len(p.sessions.All(peerpb.Role_ROLE_ROUTER)) }
+
+// learn adds the addresses of other routers to those that are dialed.
+func (p *peers) learn(ctx context.Context, found map[fleet.NodeID]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, address := range found {
+		if id != p.gateway.options.ID && address != "" {
+			p.addresses[id] = address
+		}
+	}
+	targets := make([]peer.Target, 0, len(p.addresses)+len(p.gateway.options.Seeds))
+	known := map[string]bool{p.gateway.options.PeerAddress: true}
+	for id, address := range p.addresses {
+		known[address] = true
+		targets = append(targets, peer.Target{ID: id, Address: address})
+	}
+	for _, seed := range p.gateway.options.Seeds {
+		if !known[seed] {
+			targets = append(targets, peer.Target{Address: seed})
+		}
+	}
+	p.network.SetTargets(ctx, targets)
+}
+
+// followMembers registers this router and looks for the others until ctx ends.
+func (p *peers) followMembers(ctx context.Context) {
+	link := dependency{name: "store routers", log: p.gateway.log}
+	p.learn(ctx, nil)
+	registered := false
+	for ctx.Err() == nil {
+		var err error
+		if !registered {
+			err = p.gateway.options.Store.RegisterRouter(ctx, p.gateway.options.ID, p.gateway.options.PeerAddress)
+			registered = err == nil
+		}
+		var found map[fleet.NodeID]string
+		if err == nil {
+			found, err = p.gateway.options.Store.ListRouters(ctx)
+		}
+		link.report(err)
+		if err != nil {
+			node.Pause(ctx, p.gateway.options.StoreRetry)
+			continue
+		}
+		p.learn(ctx, found)
+		node.Pause(ctx, membersInterval)
+	}
+}
+
+// report tells the other routers this one's load until ctx ends.
+func (p *peers) report(ctx context.Context) {
+	ticker := time.NewTicker(p.gateway.options.ReportInterval)
+	defer ticker.Stop()
+	last := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !p.gateway.takeChanged() && time.Since(last) < idleReportInterval {
+			continue
+		}
+		last = time.Now()
+		message := p.gateway.loadReport(p.routers())
+		for _, s := range p.sessions.All(peerpb.Role_ROLE_ROUTER) {
+			s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: message}})
+		}
+	}
+}
+
+func (p *peers) routers() map[fleet.NodeID]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[fleet.NodeID]string, len(p.addresses))
+	for id, address := range p.addresses {
+		out[id] = address
+	}
+	return out
+}
+
+// SessionUp implements peer.Handler.
+func (p *peers) SessionUp(s *peer.Session) {
+	if !p.sessions.Add(s) {
+		return
+	}
+	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
+	if address := s.Address(); address != "" {
+		p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): address})
+	}
+	s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: p.gateway.loadReport(p.routers())}})
+}
+
+// SessionDown implements peer.Handler.
+func (p *peers) SessionDown(s *peer.Session, _ error) {
+	if p.sessions.Remove(s) {
+		p.gateway.peerLost(s.ID())
+	}
+}
+
+// Stream implements peer.Handler. Gateways send no requests to each other.
+func (p *peers) Stream(_ *peer.Session, st *peer.Stream) { st.Close() }
+
+// Message implements peer.Handler.
+func (p *peers) Message(s *peer.Session, env *peerpb.Envelope) {
+	if env.GetGeneration() > p.gateway.generation() && env.GetRoutingSnapshot() == nil {
+		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RoutingRequest{RoutingRequest: &peerpb.RoutingRequest{}}})
+	}
+	switch b := env.Body.(type) {
+	case *peerpb.Envelope_LoadReport:
+		p.loadReport(s, b.LoadReport)
+	case *peerpb.Envelope_RoutingRequest:
+		p.sendRouting(s)
+	case *peerpb.Envelope_RoutingSnapshot:
+		p.gateway.routingFromPeer(s.ID(), b.RoutingSnapshot)
+	case *peerpb.Envelope_RegistryRequest:
+		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RegistryUpdate{
+			RegistryUpdate: p.gateway.registryUpdate(b.RegistryRequest.GetAfter()),
+		}})
+	case *peerpb.Envelope_RegistryUpdate:
+		p.gateway.registryFromPeer(s.ID(), b.RegistryUpdate)
+	}
+}
+
+func (p *peers) loadReport(s *peer.Session, m *peerpb.LoadReport) {
+	p.gateway.peerLoad(s.ID(), m)
+	found := make(map[fleet.NodeID]string)
+	p.mu.Lock()
+	for _, router := range m.GetRouters() {
+		id := fleet.NodeID(router.GetId())
+		if _, ok := p.addresses[id]; !ok && id != p.gateway.options.ID {
+			found[id] = router.GetAddress()
+		}
+	}
+	p.mu.Unlock()
+	if len(found) > 0 {
+		p.learn(p.gateway.background, found)
+	}
+	p.catchUp(s, m.GetRegistryRevision())
+}
+
+// catchUp asks a router that knows newer registrations for them, if the store
+// does not tell them.
+func (p *peers) catchUp(s *peer.Session, revision uint64) {
+	held := p.gateway.registryRevision()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision <= held {
+		return
+	}
+	now := time.Now()
+	if p.behindSince.IsZero() {
+		p.behindSince = now
+	}
+	if now.Sub(p.behindSince) < catchUpDelay {
+		return
+	}
+	p.behindSince = time.Time{}
+	s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RegistryRequest{RegistryRequest: &peerpb.RegistryRequest{After: held}}})
+}
+
+func (p *peers) sendRouting(s *peer.Session) {
+	if definition := p.gateway.encodedRouting(); definition != nil {
+		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RoutingSnapshot{
+			RoutingSnapshot: &peerpb.RoutingSnapshot{Definition: definition},
+		}})
+	}
+}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/route"
 )
@@ -22,7 +23,7 @@
 
 // job is a request on its way through this process.
 type job struct {
-	in      Inbound
+	in      exchange.Inbound
 	method  string
 	body    []byte
 	route   *route.Route
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"fulmarspindle.example/fulmarspindle/eventstream"
+	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
@@ -79,16 +80,16 @@
 func (g *Gateway) relay(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	status, header := x.Response.StatusCode, x.Response.Header
 	switch g.options.Dialect.Verdict(status, header) {
-	case NotRun:
+	case exchange.NotRun:
 		_, _ = io.Copy(io.Discard, io.LimitReader(x, relayBufferBytes)) // So that the connection can be kept.
 		j.service.cancel(id)
 		return result{kind: refusedByUpstream, status: status}
-	case Spoiled:
+	case exchange.Spoiled:
 		g.ended(j, id, outlier.Broken)
 		return result{kind: broken, status: status, err: eris.New("not an answer of the upstream")}
-	case Failed:
+	case exchange.Failed:
 		return g.relayFailure(ctx, j, id, x)
-	case Ran:
+	case exchange.Ran:
 	}
 	if isEventStream(header) && status == http.StatusOK {
 		return g.relayStream(ctx, j, id, x)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,8 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/node"
 )
 
 const (
@@ -24,13 +26,12 @@
 type Listeners struct {
 	Caller net.Listener
 	Ready  net.Listener
+	Peer   net.Listener
 }
 
 // Run serves until ctx ends, then stops gracefully within the grace.
 func (g *Gateway) Run(ctx context.Context, listeners Listeners) error {
-	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	g.Start(background)
+	g.start(listeners.Peer)
 	callers := &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: g.options.HeaderTimeout,
@@ -69,7 +70,7 @@
 	started := time.Now()
 	g.log.Info("gateway stopping")
 	g.draining.Store(true)
-	pause(context.Background(), g.options.Withdrawal)
+	node.Pause(context.Background(), g.options.Withdrawal)
 	left := g.options.Grace - abortMargin - time.Since(started)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
@@ -128,16 +129,16 @@
 // attempt sends the request to one upstream and relays its answer.
 func (g *Gateway) attempt(ctx context.Context, j *job, d admission.Decision) result {
 	id := j.attemptID()
-	exchange, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
+	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
 	if err != nil {
 		return g.failed(ctx, j, id, err)
 	}
-	defer exchange.Close()
-	return g.relay(ctx, j, id, exchange)
+	defer x.Close()
+	return g.relay(ctx, j, id, x)
 }
 
 func (g *Gateway) message(j *job, d admission.Decision) *upstream.Message {
-	out := Outbound{
+	out := exchange.Outbound{
 		Upstream: d.Upstream.ID, Team: j.team, Deadline: time.Until(j.expires), ResumeAfter: j.resumeAfter(),
 	}
 	return &upstream.Message{
@@ -187,4 +188,4 @@
 }
 
 // routers returns the number of routers that share the retry budgets.
-func (g *Gateway) routers() int { return 1 }
+func (g *Gateway) routers() int { return 1 + g.peers.count() }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/admission"
@@ -15,15 +16,37 @@
 // service binds the decisions for one service to the clock.
 type service struct {
 	id fleet.ServiceID
+	// changed is set when the load changes.
+	changed *atomic.Bool
 
 	mu        sync.Mutex
 	scheduler *admission.Scheduler
 	budget    *retry.Budget
 }
 
-func newService(id fleet.ServiceID, options *Options, capacity admission.Capacity) *service {
+// report returns this router's load.
+func (s *service) report() admission.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Report(time.Now())
+}
+
+func (s *service) peerReport(node fleet.NodeID, r admission.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.PeerReport(time.Now(), node, r)
+}
+
+func (s *service) peerLost(node fleet.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.PeerLost(node)
+}
+
+func newService(id fleet.ServiceID, options *Options, capacity admission.Capacity, changed *atomic.Bool) *service {
 	return &service{
 		id:        id,
+		changed:   changed,
 		scheduler: admission.NewScheduler(options.Admission, capacity),
 		budget:    retry.NewBudget(options.Retry),
 	}
@@ -66,23 +89,27 @@
 func (s *service) admit(r admission.Request) admission.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changed.Store(true)
 	return s.scheduler.Admit(time.Now(), r)
 }
 
 func (s *service) firstEvent(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changed.Store(true)
 	s.scheduler.FirstEvent(time.Now(), id)
 }
 
 func (s *service) end(id string, outcome outlier.Outcome) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changed.Store(true)
 	return s.scheduler.End(time.Now(), id, outcome)
 }
 
 func (s *service) cancel(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changed.Store(true)
 	s.scheduler.Cancel(time.Now(), id)
 }
--- /dev/null
+++ b/gateway/share.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/route"
+)
+
+// takeChanged reports whether the load changed since the last call.
+func (g *Gateway) takeChanged() bool { return g.changed.Swap(false) }
+
+// loadReport returns what this router tells the others.
+func (g *Gateway) loadReport(routers map[fleet.NodeID]string) *peerpb.LoadReport {
+	g.mu.Lock()
+	services := make([]*service, 0, len(g.services))
+	for _, s := range g.services {
+		services = append(services, s)
+	}
+	message := &peerpb.LoadReport{RegistryRevision: g.registry.Newest()}
+	g.mu.Unlock()
+	for _, s := range services {
+		message.Services = append(message.Services, reportToWire(s.id, s.report()))
+	}
+	for id, address := range routers {
+		message.Routers = append(message.Routers, &peerpb.RouterAddress{Id: string(id), Address: address})
+	}
+	return message
+}
+
+func reportToWire(id fleet.ServiceID, r admission.Report) *peerpb.ServiceLoad {
+	out := &peerpb.ServiceLoad{Service: string(id)}
+	for upstream, load := range r.Upstreams {
+		out.Upstreams = append(out.Upstreams, &peerpb.UpstreamLoad{
+			Upstream: string(upstream), Prefill: uint32(load.Prefill), Running: uint32(load.Running), Memory: uint32(load.Memory),
+		})
+	}
+	for team, usage := range r.Teams {
+		out.Teams = append(out.Teams, &peerpb.TeamUsage{Team: string(team), Asked: float32(usage.Asked), Served: float32(usage.Served)})
+	}
+	return out
+}
+
+func reportFromWire(m *peerpb.ServiceLoad) admission.Report {
+	r := admission.Report{Upstreams: make(map[fleet.UpstreamID]admission.UpstreamLoad), Teams: make(admission.Usage)}
+	for _, u := range m.GetUpstreams() {
+		r.Upstreams[fleet.UpstreamID(u.GetUpstream())] = admission.UpstreamLoad{
+			Prefill: int(u.GetPrefill()), Running: int(u.GetRunning()), Memory: int(u.GetMemory()),
+		}
+	}
+	for _, t := range m.GetTeams() {
+		r.Teams[fleet.TeamID(t.GetTeam())] = admission.TeamUsage{Asked: float64(t.GetAsked()), Served: float64(t.GetServed())}
+	}
+	return r
+}
+
+// peerLoad takes another router's report.
+func (g *Gateway) peerLoad(node fleet.NodeID, m *peerpb.LoadReport) {
+	for _, load := range m.GetServices() {
+		if s := g.service(fleet.ServiceID(load.GetService())); s != nil {
+			s.peerReport(node, reportFromWire(load))
+		}
+	}
+}
+
+func (g *Gateway) peerLost(node fleet.NodeID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.services {
+		s.peerLost(node)
+	}
+}
+
+// encodedRouting returns the configuration in force, or nil before the first.
+func (g *Gateway) encodedRouting() []byte {
+	table := g.table.Load()
+	if table == nil {
+		return nil
+	}
+	encoded, err := json.Marshal(table.Definition())
+	if err != nil {
+		g.log.Error("configuration not encoded", zap.Error(err))
+		return nil
+	}
+	return encoded
+}
+
+func (g *Gateway) routingFromPeer(from fleet.NodeID, m *peerpb.RoutingSnapshot) {
+	var definition route.Definition
+	if err := json.Unmarshal(m.GetDefinition(), &definition); err != nil {
+		g.log.Error("configuration refused", zap.String("from", string(from)), zap.Error(err))
+		return
+	}
+	g.adopt(definition, string(from))
+}
+
+func (g *Gateway) registryRevision() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Revision()
+}
+
+// registryUpdate returns the registrations that changed after a revision.
+func (g *Gateway) registryUpdate(after uint64) *peerpb.RegistryUpdate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := &peerpb.RegistryUpdate{Revision: g.registry.Newest()}
+	for _, s := range g.registry.Statements() {
+		if s.Revision > after {
+			out.Registrations = append(out.Registrations, statementToWire(s))
+		}
+	}
+	return out
+}
+
+func (g *Gateway) registryFromPeer(from fleet.NodeID, m *peerpb.RegistryUpdate) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, wire := range m.GetRegistrations() {
+		statement := statementFromWire(wire)
+		if g.registry.Apply(now, statement) {
+			g.logStatement(statement, string(from))
+		}
+	}
+	g.registry.Advance(m.GetRevision())
+	g.distribute(now)
+}
+
+func statementToWire(s registry.Statement) *peerpb.Registration {
+	return &peerpb.Registration{
+		Upstream: string(s.Upstream.ID), Service: string(s.Upstream.Service), Address: s.Upstream.Address,
+		FailureDomain: string(s.Upstream.Domain), Slots: uint32(s.Upstream.Slots), Draining: s.Upstream.Draining,
+		StartedUnixMs: s.Upstream.StartedUnixMs, Version: s.Upstream.Version, Revision: s.Revision, Removed: s.Removed,
+	}
+}
+
+func statementFromWire(m *peerpb.Registration) registry.Statement {
+	return registry.Statement{
+		Upstream: registry.Upstream{
+			ID: fleet.UpstreamID(m.GetUpstream()), Service: fleet.ServiceID(m.GetService()), Address: m.GetAddress(),
+			Domain: fleet.FailureDomainID(m.GetFailureDomain()), Slots: int(m.GetSlots()), Draining: m.GetDraining(),
+			StartedUnixMs: m.GetStartedUnixMs(), Version: m.GetVersion(),
+		},
+		Revision: m.GetRevision(), Removed: m.GetRemoved(),
+	}
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// Address returns where the peer accepts sessions, empty if it does not say.
+func (s *Session) Address() string { return s.remote.GetPeerAddress() }
+
 // VMIncarnation returns the platform's incarnation of the peer's VM, zero if
 // the peer does not know it.
 func (s *Session) VMIncarnation() uint64 { return s.remote.GetVmIncarnation() }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -161,12 +161,11 @@
 	return out
 }
 
-// Digest sums up what is known: two registries with the same digest need not
-// exchange statements.
-func (r *Registry) Digest() uint64 {
-	var digest uint64
+// Newest returns the revision of the newest statement.
+func (r *Registry) Newest() uint64 {
+	var newest uint64
 	for _, rec := range r.records {
-		digest = max(digest, rec.Revision)
+		newest = max(newest, rec.Revision)
 	}
-	return digest
+	return newest
 }
