Time a repeated attempt from its own start

Cause: a stream of a crashed engine was judged by the time since its request arrived, found late anywhere and cut.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -42,12 +42,24 @@
 	homes := placement.Homes(r.Prompt.SharedKey(), usable)
 	homes = homes[:placement.HomeCount(r.Prompt, s.options.Replicas, len(homes))]
 	out := make([]candidate, 0, len(homes))
+	known := false
 	for _, id := range homes {
-		out = append(out, s.engineCandidate(now, r, s.upstreams[id]))
+		c := s.engineCandidate(now, r, s.upstreams[id])
+		known = known || c.prefill < r.Prompt.Tokens()
+		out = append(out, c)
+	}
+	if !known && len(out) > 0 {
+		// Other routers prefer the first home too and may have filled it.
+		out[0].cost -= s.reading(r.Prompt.SharedTokens())
 	}
 	return out
 }
 
+// reading is the time that an engine takes to read prompt tokens.
+func (s *Scheduler) reading(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.model.rate * float64(time.Second))
+}
+
 // usable returns the upstreams that are neither excluded nor ejected. If all are
 // ejected, the outcomes tell nothing about which to prefer.
 func (s *Scheduler) usable(now time.Time, exclude []fleet.UpstreamID) []fleet.UpstreamID {
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -255,14 +255,15 @@
 	return time.Duration(part * float64(r.Objective))
 }
 
-// onTime reports whether a candidate would answer within limit. A request that
-// would be late on an idle engine is sent to one without a backlog.
+// onTime reports whether a candidate would answer within limit. A request whose
+// own prompt takes long is sent where it has not to wait long for others.
 func (s *Scheduler) onTime(r Request, c *candidate, limit time.Duration) bool {
 	if r.Elapsed+c.predicted <= limit {
 		return true
 	}
-	alone := c.predicted - s.queueing(c)
-	return alone > limit && s.queueing(c) <= limit/4
+	queueing := s.queueing(c)
+	alone := c.predicted - queueing
+	return alone > limit && r.Elapsed+queueing <= limit/4
 }
 
 // queueing is the part of the prediction that other requests cause.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -52,10 +52,15 @@
 func (j *job) attemptID() string { return fmt.Sprintf("%s/%d", j.in.ID, j.attempts) }
 
 func (j *job) admission() admission.Request {
-	return admission.Request{
+	request := admission.Request{
 		ID: j.attemptID(), Team: j.team, Prompt: j.in.Prompt, OutputTokens: j.in.OutputTokens,
 		Objective: j.objective(), Elapsed: time.Since(j.arrived), Exclude: j.tried,
 	}
+	if j.attempts > 1 {
+		// An upstream has worked on it already: late is better than never.
+		request.Elapsed = 0
+	}
+	return request
 }
 
 // objective is the time in which the answer is to come.
