--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -42,24 +42,56 @@
 	homes := placement.Homes(r.Prompt.SharedKey(), usable)
 	homes = homes[:placement.HomeCount(r.Prompt, s.options.Replicas, len(homes))]
 	out := make([]candidate, 0, len(homes))
-	known := false
-	for _, id := range homes {
+	source, kept := s.source(r, usable)
+	for rank, id := range homes {
 		c := s.engineCandidate(now, r, s.upstreams[id])
-		known = known || c.prefill < r.Prompt.Tokens()
+		// All routers take an unknown prompt to its first home, so that one of
+		// them fills its cache and the others find it there.
+		c.ranked = source == nil && len(homes) < len(usable)
+		c.cold = c.ranked && rank > 0
+		if source != nil {
+			s.copy(&c, r, source, kept)
+		} else if c.cold && s.capacity.TransferRate > 0 {
+			c.copyFrom = s.upstreams[homes[0]].Address
+		}
 		out = append(out, c)
 	}
-	if !known && len(out) > 0 {
-		// Other routers prefer the first home too and may have filled it.
-		out[0].cost -= s.reading(r.Prompt.SharedTokens())
-	}
 	return out
 }
 
-// reading is the time that an engine takes to read prompt tokens.
-func (s *Scheduler) reading(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.model.rate * float64(time.Second))
+// source returns the engine that keeps most of a prompt, and how many tokens.
+func (s *Scheduler) source(r Request, usable []fleet.UpstreamID) (*upstream, int) {
+	var best *upstream
+	most := 0
+	if s.capacity.TransferRate == 0 {
+		return nil, 0
+	}
+	for _, id := range usable {
+		u := s.upstreams[id]
+		if kept := u.cache.Cached(r.Prompt); kept > most {
+			best, most = u, kept
+		}
+	}
+	return best, most
 }
 
+// copy lets a candidate copy what another engine keeps instead of reading it. The
+// time is counted as tokens that are read meanwhile.
+func (s *Scheduler) copy(c *candidate, r Request, source *upstream, kept int) {
+	missing := kept - (r.Prompt.Tokens() - c.prefill)
+	if source == nil || source == c.upstream || missing < minCopyTokens {
+		return
+	}
+	c.copyFrom = source.Address
+	c.prefill -= missing
+	copying := time.Duration(float64(missing) / s.capacity.TransferRate * float64(time.Second))
+	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + copying
+	c.cost = c.predicted + copying + s.placeCost(c.upstream)
+}
+
+// minCopyTokens is the least that is worth a copy.
+const minCopyTokens = 1000
+
 // usable returns the upstreams that are neither excluded nor ejected. If all are
 // ejected, the outcomes tell nothing about which to prefer.
 func (s *Scheduler) usable(now time.Time, exclude []fleet.UpstreamID) []fleet.UpstreamID {
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -59,6 +59,9 @@
 	Slots int
 	// MemoryTokens is an engine's memory; zero for plain services.
 	MemoryTokens int
+	// TransferRate is the cached tokens that an engine copies from another one
+	// in a second; zero if it can't.
+	TransferRate float64
 	// Connections is what an upstream accepts from all routers; zero means no
 	// limit.
 	Connections int
@@ -81,6 +84,9 @@
 type Decision struct {
 	Admitted bool
 	Upstream registry.Upstream
+	// CopyFrom is the address of the engine from which the chosen one is to
+	// copy cached parts; empty if it is not worth it.
+	CopyFrom string
 	// Reason and RetryAfter tell of a refusal.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -172,8 +178,8 @@
 	}
 	s.begin(now, r, best)
 	return Decision{
-		Admitted: true, Upstream: best.upstream.Upstream, Predicted: best.predicted,
-		Prefill: best.prefill, ShareRatio: ratio,
+		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
+		Predicted: best.predicted, Prefill: best.prefill, ShareRatio: ratio,
 	}
 }
 
@@ -211,6 +217,13 @@
 	prefill int
 	backlog float64
 	full    bool
+	// copyFrom is the address of an engine to copy cached parts from.
+	copyFrom string
+	// cold candidates would have to read the shared parts, which another one
+	// keeps.
+	cold bool
+	// ranked candidates are taken in their order, others by their cost.
+	ranked bool
 }
 
 // choose returns the best upstream that would answer on time, or the refusal.
@@ -220,6 +233,7 @@
 		return nil, Decision{Reason: NoUpstream, RetryAfter: s.options.Outlier.BaseEjection}
 	}
 	limit := s.waitLimit(r, ratio)
+	busy := s.meanQueueing(now) > limit/busyPart
 	var best, nearest *candidate
 	for i := range candidates {
 		c := &candidates[i]
@@ -229,7 +243,10 @@
 		if c.full || !s.onTime(r, c, limit) {
 			continue
 		}
-		if best == nil || c.cost < best.cost {
+		if c.cold && (busy || s.queueing(c) > limit/coldPart) {
+			continue
+		}
+		if best == nil || !c.ranked && c.cost < best.cost {
 			best = c
 		}
 	}
@@ -243,6 +260,28 @@
 	return nil, refused
 }
 
+// coldPart is the part of the limit that a request may wait for others at an
+// engine that has to read shared parts that another one keeps: reading them costs
+// more than the request itself, so that only idle engines do it.
+const coldPart = 8
+
+// busyPart is the part of the limit from which on the mean wait at all engines
+// leaves no room for reading shared parts twice.
+const busyPart = 12
+
+// meanQueueing returns how long a prompt waits for others, over all engines.
+func (s *Scheduler) meanQueueing(now time.Time) time.Duration {
+	if len(s.ids) == 0 {
+		return 0
+	}
+	total := 0.0
+	for _, id := range s.ids {
+		total += s.upstreams[id].backlog(now, s.model.rate, s.options.PeerTTL)
+	}
+	mean := total / float64(len(s.ids))
+	return time.Duration(mean / s.model.rate * float64(time.Second))
+}
+
 // waitLimit returns how long a request may wait for its first token. It narrows
 // from a team's share on.
 func (s *Scheduler) waitLimit(r Request, ratio float64) time.Duration {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,6 +35,9 @@
 	Deadline time.Duration
 	// ResumeAfter is the last event that the caller has; empty for none.
 	ResumeAfter string
+	// CopyFrom is the address of an engine from which cached prompt parts are
+	// to be copied; empty for none.
+	CopyFrom string
 }
 
 // Verdict is what an answer's head says of its request.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -145,6 +145,7 @@
 func (g *Gateway) message(j *job, d admission.Decision) *upstream.Message {
 	out := exchange.Outbound{
 		Upstream: d.Upstream.ID, Team: j.team, Deadline: time.Until(j.expires), ResumeAfter: j.resumeAfter(),
+		CopyFrom: d.CopyFrom,
 	}
 	return &upstream.Message{
 		Method: j.method, URI: j.in.URI, Host: j.in.Host, Body: j.body,
@@ -183,7 +184,7 @@
 func (g *Gateway) logDecision(j *job, message string, d admission.Decision) {
 	g.log.Info(message, zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("team", string(j.team)),
 		zap.Int64("configuration", j.version), zap.String("upstream", string(d.Upstream.ID)), zap.String("reason", string(d.Reason)),
-		zap.Duration("predicted", d.Predicted), zap.Int("prefill", d.Prefill), zap.Float64("share_ratio", d.ShareRatio))
+		zap.Duration("predicted", d.Predicted), zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom), zap.Float64("share_ratio", d.ShareRatio))
 }
 
 func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -57,6 +57,7 @@
 	if s.Engine != nil {
 		capacity.Slots = s.Engine.Slots
 		capacity.MemoryTokens = s.Engine.MemoryTokens
+		capacity.TransferRate = s.Engine.TransferRate
 	}
 	return capacity
 }
--- a/route/route.go
+++ b/route/route.go
@@ -81,6 +81,9 @@
 	// MemoryTokens bounds the tokens that running requests and cached prompt
 	// parts take together.
 	MemoryTokens int
+	// TransferRate is the cached tokens that engines copy from each other in a
+	// second; zero if they don't.
+	TransferRate float64
 }
 
 // Service is a set of interchangeable upstreams.
