--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -240,7 +240,7 @@
 		if nearest == nil || c.cost < nearest.cost {
 			nearest = c
 		}
-		if c.full || !s.onTime(r, c, limit) {
+		if c.full || !s.onTime(r, c, limit, busy) {
 			continue
 		}
 		if c.cold && (busy || s.queueing(c) > limit/coldPart) {
@@ -254,7 +254,7 @@
 		return best, Decision{}
 	}
 	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(nearest, limit), Predicted: nearest.predicted}
-	if limit < s.waitLimit(r, 0) && s.onTime(r, nearest, s.waitLimit(r, 0)) {
+	if limit < s.waitLimit(r, 0) && s.onTime(r, nearest, s.waitLimit(r, 0), busy) {
 		refused.Reason = OverShare
 	}
 	return nil, refused
@@ -296,15 +296,24 @@
 
 // onTime reports whether a candidate would answer within limit. A request whose
 // own prompt takes long is sent where it has not to wait long for others.
-func (s *Scheduler) onTime(r Request, c *candidate, limit time.Duration) bool {
+func (s *Scheduler) onTime(r Request, c *candidate, limit time.Duration, busy bool) bool {
 	if r.Elapsed+c.predicted <= limit {
 		return true
 	}
 	queueing := s.queueing(c)
 	alone := c.predicted - queueing
-	return alone > limit && r.Elapsed+queueing <= limit/4
+	room := limit
+	if busy {
+		room = limit / busyRoom
+	}
+	return alone > limit && r.Elapsed+queueing <= room
 }
 
+// busyRoom divides the limit for prompts that are late by themselves while other
+// requests wait.
+const busyRoom = 4
+
+
 // queueing is the part of the prediction that other requests cause.
 func (s *Scheduler) queueing(c *candidate) time.Duration {
 	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
