Tell the other routers which prompts engines were sent

Cause: a router knew only its own sends, took prompts that others had cached for unread ones, predicted 0.4 s where 0.1 s was seen, and refused or copied them.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -78,17 +78,24 @@
 // copy lets a candidate copy what another engine keeps instead of reading it. The
 // time is counted as tokens that are read meanwhile.
 func (s *Scheduler) copy(c *candidate, r Request, source *upstream, kept int) {
-	missing := kept - (r.Prompt.Tokens() - c.prefill)
+	missing := kept - c.upstream.cache.Cached(r.Prompt)
 	if source == nil || source == c.upstream || missing < minCopyTokens {
 		return
 	}
 	c.copyFrom = source.Address
-	c.prefill -= missing
+	c.prefill = s.work(r.Prompt.Tokens()-kept, kept)
 	copying := time.Duration(float64(missing) / s.capacity.TransferRate * float64(time.Second))
 	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + copying
 	c.cost = c.predicted + copying + s.placeCost(c.upstream)
 }
 
+// work returns how many tokens at the start of a prompt take as long to read as
+// count tokens behind cached ones: each attends to all before it.
+func (s *Scheduler) work(count, cached int) int {
+	context := float64(cached) + float64(count)/2
+	return int(float64(count) * (1 + context/s.options.AttentionTokens))
+}
+
 // minCopyTokens is the least that is worth a copy.
 const minCopyTokens = 1000
 
@@ -115,7 +122,8 @@
 func (s *Scheduler) engineCandidate(now time.Time, r Request, u *upstream) candidate {
 	backlog := u.backlog(now, s.model.rate, s.options.PeerTTL)
 	// The last part may be cached too, if the session has been there before.
-	prefill := r.Prompt.Tokens() - u.cache.Cached(r.Prompt)
+	cached := u.cache.Cached(r.Prompt)
+	prefill := s.work(r.Prompt.Tokens()-cached, cached)
 	total := u.total(now, s.options.PeerTTL)
 	own := r.Prompt.Tokens() - r.Prompt.SharedTokens() + r.OutputTokens
 	c := candidate{
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -35,6 +35,9 @@
 	// second, and Overhead that of the time beside it.
 	PrefillRate float64
 	Overhead    time.Duration
+	// AttentionTokens is the length of context at which reading a token takes
+	// twice as long as at the start of a prompt.
+	AttentionTokens float64
 	// MaxWait is the part of the objective that the predicted time to the
 	// first token may take, OverShareWait the same for teams over their share.
 	MaxWait       float64
@@ -111,8 +114,13 @@
 	accounts  *accounts
 	// peerUsage is the accounts of the other routers.
 	peerUsage map[fleet.NodeID]peerUsage
+	// sent is the prompts that the other routers have not been told of.
+	sent []SentPrompt
 }
 
+// maxUnreported bounds the prompts that are kept for the next report.
+const maxUnreported = 512
+
 type peerUsage struct {
 	usage Usage
 	at    time.Time
@@ -313,7 +321,6 @@
 // requests wait.
 const busyRoom = 4
 
-
 // queueing is the part of the prediction that other requests cause.
 func (s *Scheduler) queueing(c *candidate) time.Duration {
 	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
@@ -336,7 +343,11 @@
 	s.runs[r.ID] = sent
 	c.upstream.begin(now, sent)
 	if s.capacity.MemoryTokens > 0 {
-		c.upstream.cache.Add(r.Prompt)
+		parts := r.Prompt.Keys()
+		c.upstream.cache.Add(parts)
+		if len(s.sent) < maxUnreported {
+			s.sent = append(s.sent, SentPrompt{Upstream: c.upstream.ID, Parts: parts})
+		}
 	}
 }
 
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -86,7 +86,8 @@
 	a := s.Admission
 	return admission.Options{
 		Local: location, Regions: s.Regions, Replicas: a.Replicas,
-		PrefillRate: a.PrefillRate, Overhead: a.Overhead.Std(),
+		AttentionTokens: a.AttentionTokens,
+		PrefillRate:     a.PrefillRate, Overhead: a.Overhead.Std(),
 		MaxWait: a.MaxWait, OverShareWait: a.OverShareWait, SlotLimit: a.SlotLimit, MemoryLimit: a.MemoryLimit,
 		RemoteCost: a.RemoteCost.Std(), Window: a.Window.Std(), PeerTTL: peerReportTTL,
 		Outlier: outlier.Options{
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -100,6 +100,9 @@
 	// Overhead is the initial estimate of the time to the first token beside
 	// prefill.
 	Overhead Duration `yaml:"overhead,omitempty" validate:"gt=0"`
+	// AttentionTokens is the length of context at which reading a prompt token
+	// takes twice as long as at its start.
+	AttentionTokens float64 `yaml:"attention_tokens,omitempty" validate:"gt=0"`
 	// MaxWait is the part of the objective that the predicted time to the first
 	// token may take.
 	MaxWait float64 `yaml:"max_wait,omitempty" validate:"gt=0,lte=1"`
@@ -140,7 +143,7 @@
 			IdleTimeout: Duration(4 * time.Second),
 		},
 		Admission: AdmissionSettings{
-			Replicas: 2, PrefillRate: 40000, Overhead: Duration(50 * time.Millisecond),
+			Replicas: 2, PrefillRate: 40000, AttentionTokens: 50000, Overhead: Duration(50 * time.Millisecond),
 			MaxWait: 0.75, OverShareWait: 0.35, SlotLimit: 0.95, MemoryLimit: 0.7,
 			RemoteCost: Duration(30 * time.Millisecond), Window: Duration(4 * time.Second),
 		},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -157,7 +157,7 @@
 	if address := s.Address(); address != "" {
 		p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): address})
 	}
-	s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: p.gateway.loadReport(p.routers())}})
+	p.gateway.changed.Store(true)
 }
 
 // SessionDown implements peer.Handler.
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -9,6 +9,7 @@
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 )
@@ -44,6 +45,14 @@
 	for team, usage := range r.Teams {
 		out.Teams = append(out.Teams, &peerpb.TeamUsage{Team: string(team), Asked: float32(usage.Asked), Served: float32(usage.Served)})
 	}
+	for _, prompt := range r.Prompts {
+		wire := &peerpb.SentPrompt{Upstream: string(prompt.Upstream)}
+		for _, part := range prompt.Parts {
+			wire.Keys = append(wire.Keys, part.Key)
+			wire.Tokens = append(wire.Tokens, uint32(part.Tokens))
+		}
+		out.Prompts = append(out.Prompts, wire)
+	}
 	return out
 }
 
@@ -57,6 +66,13 @@
 	for _, t := range m.GetTeams() {
 		r.Teams[fleet.TeamID(t.GetTeam())] = admission.TeamUsage{Asked: float64(t.GetAsked()), Served: float64(t.GetServed())}
 	}
+	for _, p := range m.GetPrompts() {
+		prompt := admission.SentPrompt{Upstream: fleet.UpstreamID(p.GetUpstream())}
+		for i := range min(len(p.GetKeys()), len(p.GetTokens())) {
+			prompt.Parts = append(prompt.Parts, placement.PartKey{Key: p.GetKeys()[i], Tokens: int(p.GetTokens()[i])})
+		}
+		r.Prompts = append(r.Prompts, prompt)
+	}
 	return r
 }
 
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -67,11 +67,6 @@
 	entries  map[uint64]*list.Element
 }
 
-type cachedPart struct {
-	key    uint64
-	tokens int
-}
-
 // NewCache returns an empty cache of capacity tokens.
 func NewCache(capacity int) *Cache {
 	return &Cache{capacity: capacity, order: list.New(), entries: make(map[uint64]*list.Element)}
@@ -79,10 +74,9 @@
 
 // Cached returns the tokens of the leading parts that are kept.
 func (c *Cache) Cached(p Prompt) int {
-	key, tokens := uint64(0), 0
-	for _, part := range p {
-		key = chain(key, part.ID)
-		if _, ok := c.entries[key]; !ok {
+	tokens := 0
+	for _, part := range p.Keys() {
+		if _, ok := c.entries[part.Key]; !ok {
 			break
 		}
 		tokens += part.Tokens
@@ -90,30 +84,45 @@
 	return tokens
 }
 
-// Add notes that the engine was sent a prompt.
-func (c *Cache) Add(p Prompt) {
+// PartKey identifies a part with all parts before it.
+type PartKey struct {
+	Key    uint64
+	Tokens int
+}
+
+// Keys returns the keys of a prompt's parts, in order.
+func (p Prompt) Keys() []PartKey {
+	keys := make([]PartKey, len(p))
 	key := uint64(0)
-	for _, part := range p {
+	for i, part := range p {
 		key = chain(key, part.ID)
-		c.touch(key, part.Tokens)
+		keys[i] = PartKey{Key: key, Tokens: part.Tokens}
+	}
+	return keys
+}
+
+// Add notes that the engine was sent a prompt with these parts.
+func (c *Cache) Add(parts []PartKey) {
+	for _, part := range parts {
+		c.touch(part)
 	}
 	for c.used > c.capacity {
 		c.evict()
 	}
 }
 
-func (c *Cache) touch(key uint64, tokens int) {
-	if element, ok := c.entries[key]; ok {
+func (c *Cache) touch(part PartKey) {
+	if element, ok := c.entries[part.Key]; ok {
 		c.order.MoveToBack(element)
 		return
 	}
-	c.entries[key] = c.order.PushBack(cachedPart{key: key, tokens: tokens})
-	c.used += tokens
+	c.entries[part.Key] = c.order.PushBack(part)
+	c.used += part.Tokens
 }
 
 func (c *Cache) evict() {
 	oldest := c.order.Front()
-	part := c.order.Remove(oldest).(cachedPart)
-	delete(c.entries, part.key)
-	c.used -= part.tokens
+	part := c.order.Remove(oldest).(PartKey)
+	delete(c.entries, part.Key)
+	c.used -= part.Tokens
 }
