--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -86,7 +86,7 @@
 	c.prefill = s.work(r.Prompt.Tokens()-kept, kept)
 	copying := time.Duration(float64(missing) / s.capacity.TransferRate * float64(time.Second))
 	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + copying
-	c.cost = c.predicted + copying + s.placeCost(c.upstream)
+	c.cost = c.predicted + copyCost + s.placeCost(c.upstream)
 }
 
 // work returns how many tokens at the start of a prompt take as long to read as
@@ -96,6 +96,9 @@
 	return int(float64(count) * (1 + context/s.options.AttentionTokens))
 }
 
+// copyCost is the wait that is preferred to a copy.
+const copyCost = 100 * time.Millisecond
+
 // minCopyTokens is the least that is worth a copy.
 const minCopyTokens = 1000
 
