--- a/config/gateway.go
+++ b/config/gateway.go
@@ -145,7 +145,7 @@
 		Admission: AdmissionSettings{
 			Replicas: 2, PrefillRate: 40000, AttentionTokens: 50000, Overhead: Duration(50 * time.Millisecond),
 			MaxWait: 0.75, OverShareWait: 0.35, SlotLimit: 0.95, MemoryLimit: 0.7,
-			RemoteCost: Duration(30 * time.Millisecond), Window: Duration(4 * time.Second),
+			RemoteCost: Duration(120 * time.Millisecond), Window: Duration(4 * time.Second),
 		},
 		Outlier: OutlierSettings{
 			BaseEjection: Duration(time.Second), MaxEjection: Duration(8 * time.Second), BrokenInARow: 2, Smoothing: 0.1,
