--- a/cmd/fulmarside/main.go
+++ b/cmd/fulmarside/main.go
@@ -80,5 +80,5 @@
 	if err != nil {
 		return err
 	}
-	return sidecar.New(background, settings, links, log).Run(ctx, ln, adminLn)
+	return sidecar.New(background, settings, links, log.Logger).Run(ctx, ln, adminLn)
 }
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/fleet"
@@ -13,6 +18,7 @@
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/telemetry"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -25,6 +31,9 @@
 
 // serveGateway runs a gateway until ctx ends.
 func serveGateway(ctx context.Context, path string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, err := config.LoadGatewaySettings(path)
 	if err != nil {
 		return err
@@ -38,7 +47,7 @@
 	defer flush()
 	store, err := platform.NewClient(platform.Options{
 		URL: settings.Platform.URL, Timeout: settings.Platform.Timeout.Std(),
-		WatchTimeout: settings.Platform.WatchTimeout.Std(), Log: log,
+		WatchTimeout: settings.Platform.WatchTimeout.Std(), Log: log.Logger,
 	})
 	if err != nil {
 		return err
@@ -56,11 +65,33 @@
 	if err != nil {
 		return err
 	}
+	go reload(background, hangups, path, log)
 	options := gatewayOptions(settings)
-	options.Store, options.Log = store, log
+	options.Store, options.Log = store, log.Logger
 	return gateway.New(background, options).Run(ctx, gateway.Listeners{Caller: callers, Ready: ready, Peer: peers})
 }
 
+// reload checks the settings file again at each SIGHUP and puts its log level in
+// force. Other changes need a restart.
+func reload(ctx context.Context, hangups <-chan os.Signal, path string, log *telemetry.Log) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		settings, err := config.LoadGatewaySettings(path)
+		if err == nil {
+			err = log.SetLevel(settings.Log.Level)
+		}
+		if err != nil {
+			log.Error("settings not reloaded", zap.Error(err))
+			continue
+		}
+		log.Info("settings reloaded", zap.String("level", settings.Log.Level))
+	}
+}
+
 func gatewayOptions(s config.GatewaySettings) gateway.Options {
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
 	return gateway.Options{
--- a/cmd/fulmarspindle/main.go
+++ b/cmd/fulmarspindle/main.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	return router.New(background, settings, links, store, log).Run(ctx, listeners)
+	return router.New(background, settings, links, store, log.Logger).Run(ctx, listeners)
 }
 
 func links(t config.RouterTLS) (router.TLS, error) {
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"go.uber.org/zap"
-
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/telemetry"
@@ -15,8 +13,8 @@
 // are those of package telemetry.
 func StartTelemetry(
 	ctx context.Context, id fleet.NodeID, logs config.LogSettings, traces config.TraceSettings,
-) (*zap.Logger, func(), error) {
-	log, err := telemetry.NewLogger(logs.Level, string(id))
+) (*telemetry.Log, func(), error) {
+	log, err := telemetry.NewLog(logs.Level, string(id))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -27,7 +25,7 @@
 	}
 	flush := func() {
 		_ = shutdown(ctx)
-		_ = log.Sync()
+		log.Close()
 	}
 	return log, flush, nil
 }
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -19,8 +19,8 @@
 	g.Expect(logs.All()[0].ContextMap()).To(Equal(map[string]any{"error": "outer", "cause": "inner", "n": int64(1)}))
 }
 
-func TestNewLoggerRefusesAnUnknownLevel(t *testing.T) {
+func TestNewLogRefusesAnUnknownLevel(t *testing.T) {
 	g := NewWithT(t)
-	_, err := NewLogger("loud", "p")
+	_, err := NewLog("loud", "p")
 	g.Expect(err).To(MatchError(ErrSetup))
 }
