Move the store's client and its stand-in to the platform's protocol

One client speaks it: keys are kinds and names, values are kept in the spec, conditions are revisions; lists are read in pages and give the revision to watch from, a watch whose history is gone (410) starts over with a list. The VM list is read from the servers' entries; /v1/objects, /v1/watch and /v1/vms are gone from client and stand-in. Failed once in a parallel run and traced: e2e/answers took a refusal for a caller that left, since sidecars still took engines of the spec before for down (upstream is up at 704.5 s, callers at 702.6 s of the log). It waits for all upstreams now and shows the answer.

--- a/config/collect.go
+++ b/config/collect.go
@@ -43,7 +43,7 @@
 	if err != nil || current.head.Generation == 0 {
 		return err
 	}
-	shards, err := p.store.List(ctx, ShardPrefix)
+	shards, _, err := p.store.List(ctx, ShardPrefix)
 	if err != nil {
 		return eris.Wrap(err, "config: cannot list shards")
 	}
@@ -68,7 +68,7 @@
 // collectHistory deletes old superseded heads and returns the shards that the
 // kept ones name.
 func (p *Publisher) collectHistory(ctx context.Context, c *collector, current uint64) (map[Hash]bool, error) {
-	entries, err := p.store.List(ctx, HistoryPrefix)
+	entries, _, err := p.store.List(ctx, HistoryPrefix)
 	if err != nil {
 		return nil, eris.Wrap(err, "config: cannot list the history")
 	}
--- a/config/helpers_test.go
+++ b/config/helpers_test.go
@@ -132,7 +132,7 @@
 	return nil
 }
 
-func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.Entry, error) {
+func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.Entry, platform.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var entries []platform.Entry
@@ -141,7 +141,7 @@
 			entries = append(entries, platform.Entry{Key: key, Version: object.Version, Modified: object.Modified})
 		}
 	}
-	return entries, nil
+	return entries, s.version, nil
 }
 
 // encode returns an inventory as a head of the given generation and shards.
--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -143,6 +143,8 @@
 
 	It("is given up when its caller leaves, and its slot is free again", func() {
 		client := newClient(0)
+		// Sidecars take the engines that the spec before cut off for down.
+		awaitUpstreams(ctx, f, len(f.Inventory.Upstreams))
 		setAll(map[string]any{"token_interval_ms": 50})
 		before := totals(ctx, f)
 		total := 0
@@ -161,7 +163,9 @@
 		Eventually(func() int { return totals(ctx, f).Running }, specTimeout).Should(Equal(total))
 		leave()
 		for range callers {
-			Eventually(done, specTimeout).Should(Receive(HaveField("Err", HaveOccurred())))
+			var answer harness.Answer
+			Eventually(done, specTimeout).Should(Receive(&answer))
+			Expect(answer.Err).To(HaveOccurred(), "status %d, outcome %s: %s", answer.Status, answer.Outcome, answer.Body)
 		}
 		Eventually(func(g Gomega) {
 			now := totals(ctx, f)
--- a/e2e/configuration/configuration_test.go
+++ b/e2e/configuration/configuration_test.go
@@ -96,7 +96,7 @@
 	})
 
 	It("is accepted once when the platform's answer is lost", func() {
-		Expect(f.Platform.Set(ctx, map[string]any{"lose_answers": 1, "lose_answers_prefix": config.HeadKey})).To(Succeed())
+		Expect(f.Platform.Set(ctx, map[string]any{"lose_answers": 1, "lose_answers_prefix": "spindle-config/head"})).To(Succeed())
 		Expect(apply(300, "-1")).To(ContainSubstring("accepted: generation 2"))
 		watch.expectInForce(2, inForceBound)
 	})
--- a/e2e/once/once_test.go
+++ b/e2e/once/once_test.go
@@ -97,7 +97,7 @@
 	})
 
 	It("runs once though the platform loses its answers to claims", func() {
-		setPlatform(map[string]any{"lose_answers": 20, "lose_answers_prefix": "claims/"})
+		setPlatform(map[string]any{"lose_answers": 20, "lose_answers_prefix": "spindle-claims"})
 		b := &batch{name: "lost-claim", workers: 6, each: 10}
 		b.start(ctx, f)
 		Expect(b.finish(ctx, f)).To(Equal(b.total()))
@@ -160,7 +160,7 @@
 
 	It("runs once while the platform is slow, fails and loses answers in turn", func() {
 		b := &batch{name: "platform", workers: 6, each: 10}
-		setPlatform(map[string]any{"delay_ms": 30, "lose_answers": 10, "lose_answers_prefix": "claims/"})
+		setPlatform(map[string]any{"delay_ms": 30, "lose_answers": 10, "lose_answers_prefix": "spindle-claims"})
 		b.start(ctx, f)
 		b.awaitAnswered(b.total() / 4)
 		setPlatform(map[string]any{"outage": true})
--- /dev/null
+++ b/e2e/standin/objects.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// serversKind is the kind of the entries that servers keep of themselves.
+	serversKind = "servers"
+	// pageObjects bounds a page of a list.
+	pageObjects = 500
+)
+
+// Metadata is what the store keeps beside an object's spec.
+type Metadata struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// Object is an object of the store.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// Page is a page of a list. At is the store's revision.
+type Page struct {
+	Items   []Object `json:"items"`
+	HasMore bool     `json:"hasMore"`
+	At      uint64   `json:"at"`
+}
+
+// Change is an object that was written or deleted.
+type Change struct {
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+// Changes answers a watch.
+type Changes struct {
+	Events []Change `json:"events"`
+	At     uint64   `json:"at"`
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	obj, err := p.store.get(r.PathValue("kind"), r.PathValue("name"))
+	if err != nil {
+		writeError(w, http.StatusNotFound, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, obj)
+}
+
+func (p *Platform) create(w http.ResponseWriter, r *http.Request) {
+	p.write(w, r, p.store.create)
+}
+
+func (p *Platform) replace(w http.ResponseWriter, r *http.Request) {
+	p.write(w, r, p.store.replace)
+}
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, apply func(kind string, obj Object) (Object, error)) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxObjectBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	var obj Object
+	if err := json.Unmarshal(body, &obj); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	kind := r.PathValue("kind")
+	obj.Metadata.Name = r.PathValue("name")
+	written, err := apply(kind, obj)
+	if err != nil {
+		p.writeFailure(w, err, written)
+		return
+	}
+	p.loseAnswer(kind, written.Metadata.Name)
+	writeJSON(w, http.StatusOK, written)
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	revision := uint64(0)
+	if text := r.URL.Query().Get("revision"); text != "" {
+		var err error
+		if revision, err = strconv.ParseUint(text, 10, 64); err != nil {
+			writeError(w, http.StatusBadRequest, "revision: want a whole number")
+			return
+		}
+	}
+	kind := r.PathValue("kind")
+	removed, err := p.store.remove(kind, r.PathValue("name"), revision)
+	if err != nil {
+		p.writeFailure(w, err, removed)
+		return
+	}
+	p.loseAnswer(kind, removed.Metadata.Name)
+	writeJSON(w, http.StatusOK, removed)
+}
+
+// list answers a list, or a watch if the query names a revision.
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		p.watch(w, r)
+		return
+	}
+	kind := r.PathValue("kind")
+	if kind == serversKind && p.vms.known() {
+		switches, _ := p.switches.get()
+		writeJSON(w, http.StatusOK, p.vms.page(time.Now(), milliseconds(switches.VMLagMs)))
+		return
+	}
+	writeJSON(w, http.StatusOK, p.store.list(kind, r.URL.Query().Get("after")))
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, err := strconv.ParseUint(query.Get("watch"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "watch: want a revision")
+		return
+	}
+	waitMs, err := strconv.Atoi(query.Get("waitMs"))
+	if err != nil || waitMs < 0 {
+		writeError(w, http.StatusBadRequest, "waitMs: want a count of milliseconds")
+		return
+	}
+	timer := time.NewTimer(min(milliseconds(waitMs), maxWatchTime))
+	defer timer.Stop()
+	for {
+		switches, switched := p.switches.get()
+		if switches.Outage {
+			p.unavailable(w)
+			return
+		}
+		if since < switches.HistoryFrom {
+			writeError(w, http.StatusGone, "the history is gone")
+			return
+		}
+		changes, changed := p.store.since(r.PathValue("kind"), since)
+		if len(changes.Events) > 0 {
+			writeJSON(w, http.StatusOK, changes)
+			return
+		}
+		select {
+		case <-changed:
+		case <-switched:
+		case <-timer.C:
+			writeJSON(w, http.StatusOK, changes)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- a/e2e/standin/platform.go
+++ b/e2e/standin/platform.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -29,12 +28,15 @@
 	// LoseAnswers counts the next writes that take effect and whose connection
 	// is then closed without an answer.
 	LoseAnswers int `json:"lose_answers"`
-	// LoseAnswersPrefix limits LoseAnswers to keys with this prefix.
+	// HistoryFrom is the revision before which the changes are gone.
+	HistoryFrom uint64 `json:"history_from"`
+	// LoseAnswersPrefix limits LoseAnswers to objects whose kind/name starts
+	// with it.
 	LoseAnswersPrefix string `json:"lose_answers_prefix"`
 	// WritesPerSecond and ReadsPerSecond limit the calls; 0 means no limit.
 	WritesPerSecond float64 `json:"writes_per_second"`
 	ReadsPerSecond  float64 `json:"reads_per_second"`
-	// VMLagMs is the lag of the VM list.
+	// VMLagMs is the lag of the servers' entries.
 	VMLagMs int `json:"vm_lag_ms"`
 }
 
@@ -53,7 +55,7 @@
 	Lost        uint64 `json:"lost"`
 }
 
-// Platform is a stand-in for the platform's object API and VM list.
+// Platform is a stand-in for the platform's store.
 type Platform struct {
 	switches *switchSet[PlatformSwitches]
 	store    *store
@@ -75,7 +77,7 @@
 	}
 }
 
-// Handler serves the object API and the VM list.
+// Handler serves the store.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	read := func(count func(*PlatformCounters), next http.HandlerFunc) http.HandlerFunc {
@@ -84,15 +86,30 @@
 	write := func(count func(*PlatformCounters), next http.HandlerFunc) http.HandlerFunc {
 		return p.admit(count, p.writes, func(s PlatformSwitches) float64 { return s.WritesPerSecond }, next)
 	}
-	mux.HandleFunc("GET /v1/objects/{key...}", read(func(c *PlatformCounters) { c.Get++ }, p.get))
-	mux.HandleFunc("PUT /v1/objects/{key...}", write(func(c *PlatformCounters) { c.Put++ }, p.put))
-	mux.HandleFunc("DELETE /v1/objects/{key...}", write(func(c *PlatformCounters) { c.Delete++ }, p.remove))
-	mux.HandleFunc("GET /v1/objects", read(func(c *PlatformCounters) { c.List++ }, p.list))
-	mux.HandleFunc("GET /v1/watch", read(func(c *PlatformCounters) { c.Watch++ }, p.watch))
-	mux.HandleFunc("GET /v1/vms", read(func(c *PlatformCounters) { c.VMs++ }, p.listVMs))
+	const kind, object = "/fulmarspindle/objects/{kind}", "/fulmarspindle/objects/{kind}/{name}"
+	put := func(c *PlatformCounters) { c.Put++ }
+	mux.HandleFunc("GET "+object, read(func(c *PlatformCounters) { c.Get++ }, p.get))
+	mux.HandleFunc("POST "+object, write(put, p.create))
+	mux.HandleFunc("PUT "+object, write(put, p.replace))
+	mux.HandleFunc("DELETE "+object, write(func(c *PlatformCounters) { c.Delete++ }, p.remove))
+	mux.HandleFunc("GET "+kind, func(w http.ResponseWriter, r *http.Request) {
+		read(countList(r), p.list)(w, r)
+	})
 	return mux
 }
 
+// countList returns how a call for the objects of a kind is counted.
+func countList(r *http.Request) func(*PlatformCounters) {
+	switch {
+	case r.URL.Query().Has("watch"):
+		return func(c *PlatformCounters) { c.Watch++ }
+	case r.PathValue("kind") == serversKind:
+		return func(c *PlatformCounters) { c.VMs++ }
+	default:
+		return func(c *PlatformCounters) { c.List++ }
+	}
+}
+
 // ControlHandler serves the control port.
 func (p *Platform) ControlHandler() http.Handler {
 	mux := controlMux(p.switches, p.Counters)
@@ -162,68 +179,22 @@
 	writeError(w, http.StatusServiceUnavailable, "outage")
 }
 
-func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	obj, err := p.store.get(r.PathValue("key"))
-	if err != nil {
-		writeError(w, http.StatusNotFound, err.Error())
-		return
-	}
-	setVersion(w, obj.Entry)
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(obj.body)
-}
-
-func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	expected, err := condition(r)
-	if err != nil {
-		writeError(w, http.StatusPreconditionRequired, err.Error())
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxObjectBytes))
-	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
-		return
-	}
-	key := r.PathValue("key")
-	entry, err := p.store.put(key, expected, body, time.Now())
-	if err != nil {
-		p.writeFailure(w, err)
-		return
-	}
-	p.loseAnswer(key)
-	setVersion(w, entry)
-	w.WriteHeader(http.StatusOK)
-}
-
-func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
-	expected, err := condition(r)
-	if err != nil || expected == 0 {
-		writeError(w, http.StatusPreconditionRequired, "If-Match is required")
-		return
-	}
-	key := r.PathValue("key")
-	if err := p.store.remove(key, expected, time.Now()); err != nil {
-		p.writeFailure(w, err)
-		return
-	}
-	p.loseAnswer(key)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) writeFailure(w http.ResponseWriter, err error) {
+// writeFailure answers a write that was not applied; a conflict with the object as
+// it is.
+func (p *Platform) writeFailure(w http.ResponseWriter, err error, held Object) {
 	if errors.Is(err, ErrNotFound) {
 		writeError(w, http.StatusNotFound, err.Error())
 		return
 	}
 	p.count(func(c *PlatformCounters) { c.Conflicts++ })
-	writeError(w, http.StatusPreconditionFailed, err.Error())
+	writeJSON(w, http.StatusConflict, held)
 }
 
-// loseAnswer aborts the connection if the answer to a write of key is to be
+// loseAnswer aborts the connection if the answer to a write of an object is to be
 // lost.
-func (p *Platform) loseAnswer(key string) {
+func (p *Platform) loseAnswer(kind, name string) {
 	lost := p.switches.update(func(s *PlatformSwitches) bool {
-		if s.LoseAnswers <= 0 || !strings.HasPrefix(key, s.LoseAnswersPrefix) {
+		if s.LoseAnswers <= 0 || !strings.HasPrefix(kind+"/"+name, s.LoseAnswersPrefix) {
 			return false
 		}
 		s.LoseAnswers--
@@ -234,71 +205,3 @@
 		abort()
 	}
 }
-
-func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, p.store.list(r.URL.Query().Get("prefix")))
-}
-
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	since, err := strconv.ParseUint(query.Get("since"), 10, 64)
-	if err != nil {
-		writeError(w, http.StatusBadRequest, "since: want a version")
-		return
-	}
-	timeoutMs, err := strconv.Atoi(query.Get("timeout_ms"))
-	if err != nil || timeoutMs < 0 {
-		writeError(w, http.StatusBadRequest, "timeout_ms: want a count of milliseconds")
-		return
-	}
-	timer := time.NewTimer(min(milliseconds(timeoutMs), maxWatchTime))
-	defer timer.Stop()
-	for {
-		listing, changed := p.store.since(query.Get("prefix"), since)
-		if len(listing.Entries) > 0 {
-			writeJSON(w, http.StatusOK, listing)
-			return
-		}
-		switches, switched := p.switches.get()
-		if switches.Outage {
-			p.unavailable(w)
-			return
-		}
-		select {
-		case <-changed:
-		case <-switched:
-		case <-timer.C:
-			writeJSON(w, http.StatusOK, listing)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
-	switches, _ := p.switches.get()
-	writeJSON(w, http.StatusOK, p.vms.visible(time.Now(), milliseconds(switches.VMLagMs)))
-}
-
-func setVersion(w http.ResponseWriter, entry Entry) {
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(entry.Version, 10)))
-	w.Header().Set("X-Modified-Unix-Ms", strconv.FormatInt(entry.ModifiedUnixMs, 10))
-}
-
-// condition returns the version that a write expects; 0 means that the key
-// must not exist.
-func condition(r *http.Request) (uint64, error) {
-	if r.Header.Get("If-None-Match") == "*" {
-		return 0, nil
-	}
-	tag, err := strconv.Unquote(r.Header.Get("If-Match"))
-	if err != nil {
-		return 0, errors.New("If-Match or If-None-Match is required")
-	}
-	version, err := strconv.ParseUint(tag, 10, 64)
-	if err != nil || version == 0 {
-		return 0, errors.New("If-Match: want a quoted version")
-	}
-	return version, nil
-}
--- a/e2e/standin/platform_test.go
+++ b/e2e/standin/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -45,6 +46,13 @@
 	return value
 }
 
+const objects = "/fulmarspindle/objects/"
+
+// spec is the body of a write. A revision of zero holds for any.
+func spec(value string, revision uint64) string {
+	return fmt.Sprintf(`{"metadata":{"revision":%d},"spec":%q}`, revision, value)
+}
+
 var _ = Describe("the platform", func() {
 	var url, control string
 
@@ -53,28 +61,38 @@
 	})
 
 	It("lets one of two racing writers win", func() {
-		created := mustCall("PUT", url+"/v1/objects/a/b", "1", "If-None-Match", "*")
+		object := url + objects + "a/b"
+		created := mustCall("POST", object, spec("1", 0))
 		Expect(created.StatusCode).To(Equal(200))
-		version := created.Header.Get("ETag")
-		Expect(mustCall("PUT", url+"/v1/objects/a/b", "2", "If-None-Match", "*").StatusCode).To(Equal(412))
-		Expect(mustCall("PUT", url+"/v1/objects/a/b", "2", "If-Match", version).StatusCode).To(Equal(200))
-		Expect(mustCall("PUT", url+"/v1/objects/a/b", "3", "If-Match", version).StatusCode).To(Equal(412))
-		Expect(mustCall("GET", url+"/v1/objects/a/b", "")).To(HaveHTTPBody("2"))
-		Expect(mustCall("DELETE", url+"/v1/objects/a/b", "", "If-Match", version).StatusCode).To(Equal(412))
-		Expect(mustCall("DELETE", url+"/v1/objects/a/b", "", "If-Match", `"2"`).StatusCode).To(Equal(204))
-		Expect(mustCall("GET", url+"/v1/objects/a/b", "").StatusCode).To(Equal(404))
-		Expect(mustCall("PUT", url+"/v1/objects/a/b", "4", "If-None-Match", "*").StatusCode).To(Equal(200))
+		revision := decode[standin.Object](created).Metadata.Revision
+		conflict := mustCall("POST", object, spec("2", 0))
+		Expect(conflict.StatusCode).To(Equal(409))
+		Expect(decode[standin.Object](conflict).Spec).To(MatchJSON(`"1"`))
+		Expect(mustCall("PUT", object, spec("2", revision)).StatusCode).To(Equal(200))
+		Expect(mustCall("PUT", object, spec("3", revision)).StatusCode).To(Equal(409))
+		Expect(decode[standin.Object](mustCall("GET", object, "")).Spec).To(MatchJSON(`"2"`))
+		Expect(mustCall("DELETE", object+"?revision=1", "").StatusCode).To(Equal(409))
+		Expect(mustCall("DELETE", object+"?revision=2", "").StatusCode).To(Equal(200))
+		Expect(mustCall("GET", object, "").StatusCode).To(Equal(404))
+		Expect(mustCall("PUT", object, spec("4", 0)).StatusCode).To(Equal(404))
+		Expect(mustCall("POST", object, spec("4", 0)).StatusCode).To(Equal(200))
 		large := strings.Repeat("x", standin.MaxObjectBytes+1)
-		Expect(mustCall("PUT", url+"/v1/objects/a/b", large, "If-Match", `"4"`).StatusCode).To(Equal(413))
+		Expect(mustCall("PUT", object, spec(large, 0)).StatusCode).To(Equal(413))
+	})
+
+	It("gives a write without a change no revision", func() {
+		object := url + objects + "a/b"
+		mustCall("POST", object, spec("1", 0))
+		Expect(decode[standin.Object](mustCall("PUT", object, spec("1", 0))).Metadata.Revision).To(BeEquivalentTo(1))
 	})
 
-	It("applies a write whose answer it loses, for the named keys only", func() {
+	It("applies a write whose answer it loses, for the named objects only", func() {
 		mustCall("POST", control+"/control", `{"lose_answers":1,"lose_answers_prefix":"claims/"}`)
-		Expect(mustCall("PUT", url+"/v1/objects/config/head", "a", "If-None-Match", "*").StatusCode).To(Equal(200))
-		_, err := call("PUT", url+"/v1/objects/claims/1", "b", "If-None-Match", "*")
+		Expect(mustCall("POST", url+objects+"config/head", spec("a", 0)).StatusCode).To(Equal(200))
+		_, err := call("POST", url+objects+"claims/1", spec("b", 0))
 		Expect(err).To(HaveOccurred())
-		Expect(mustCall("GET", url+"/v1/objects/claims/1", "")).To(HaveHTTPBody("b"))
-		Expect(mustCall("PUT", url+"/v1/objects/claims/2", "c", "If-None-Match", "*").StatusCode).To(Equal(200))
+		Expect(decode[standin.Object](mustCall("GET", url+objects+"claims/1", "")).Spec).To(MatchJSON(`"b"`))
+		Expect(mustCall("POST", url+objects+"claims/2", spec("c", 0)).StatusCode).To(Equal(200))
 		counters := decode[standin.Control[standin.PlatformSwitches, standin.PlatformCounters]](
 			mustCall("GET", control+"/control", "")).Counters
 		Expect(counters.Put).To(BeEquivalentTo(3))
@@ -82,50 +100,70 @@
 	})
 
 	It("ends a watch at a change, with deletions, and lists live objects only", func() {
-		answers := make(chan standin.Listing, 1)
+		answers := make(chan standin.Changes, 1)
 		go func() {
 			defer GinkgoRecover()
-			answers <- decode[standin.Listing](mustCall("GET", url+"/v1/watch?prefix=a/&since=0&timeout_ms=10000", ""))
+			answers <- decode[standin.Changes](mustCall("GET", url+objects+"a?watch=0&waitMs=10000", ""))
 		}()
-		mustCall("PUT", url+"/v1/objects/b/1", "x", "If-None-Match", "*")
-		mustCall("PUT", url+"/v1/objects/a/1", "x", "If-None-Match", "*")
-		var listing standin.Listing
-		Eventually(answers, 5*time.Second).Should(Receive(&listing))
-		Expect(listing.Version).To(BeEquivalentTo(2))
-		Expect(listing.Entries).To(HaveLen(1))
-		mustCall("DELETE", url+"/v1/objects/a/1", "", "If-Match", `"2"`)
-		listing = decode[standin.Listing](mustCall("GET", url+"/v1/watch?prefix=a/&since=2&timeout_ms=10000", ""))
-		Expect(listing.Entries).To(HaveLen(1))
-		Expect(listing.Entries[0].Deleted).To(BeTrue())
-		listing = decode[standin.Listing](mustCall("GET", url+"/v1/objects?prefix=a/", ""))
-		Expect(listing.Entries).To(BeEmpty())
-		Expect(listing.Version).To(BeEquivalentTo(3))
+		mustCall("POST", url+objects+"b/1", spec("x", 0))
+		mustCall("POST", url+objects+"a/1", spec("x", 0))
+		var changes standin.Changes
+		Eventually(answers, 5*time.Second).Should(Receive(&changes))
+		Expect(changes.At).To(BeEquivalentTo(2))
+		Expect(changes.Events).To(HaveLen(1))
+		mustCall("DELETE", url+objects+"a/1?revision=2", "")
+		changes = decode[standin.Changes](mustCall("GET", url+objects+"a?watch=2&waitMs=10000", ""))
+		Expect(changes.Events).To(HaveLen(1))
+		Expect(changes.Events[0].Deleted).To(BeTrue())
+		page := decode[standin.Page](mustCall("GET", url+objects+"a", ""))
+		Expect(page.Items).To(BeEmpty())
+		Expect(page.At).To(BeEquivalentTo(3))
+	})
+
+	It("lists in pages", func() {
+		for i := range 501 {
+			mustCall("POST", url+objects+fmt.Sprintf("a/%03d", i), spec("x", 0))
+		}
+		first := decode[standin.Page](mustCall("GET", url+objects+"a", ""))
+		Expect(first.Items).To(HaveLen(500))
+		Expect(first.HasMore).To(BeTrue())
+		second := decode[standin.Page](mustCall("GET", url+objects+"a?after=499", ""))
+		Expect(second.Items).To(HaveLen(1))
+		Expect(second.HasMore).To(BeFalse())
+	})
+
+	It("refuses a watch from a history that is gone", func() {
+		mustCall("POST", control+"/control", `{"history_from":7}`)
+		Expect(mustCall("GET", url+objects+"a?watch=6&waitMs=10", "").StatusCode).To(Equal(410))
+		Expect(mustCall("GET", url+objects+"a?watch=7&waitMs=10", "").StatusCode).To(Equal(200))
 	})
 
 	It("ends waiting watches by an outage", func() {
 		statuses := make(chan int, 1)
 		go func() {
 			defer GinkgoRecover()
-			statuses <- mustCall("GET", url+"/v1/watch?prefix=&since=0&timeout_ms=30000", "").StatusCode
+			statuses <- mustCall("GET", url+objects+"a?watch=0&waitMs=30000", "").StatusCode
 		}()
 		mustCall("POST", control+"/control", `{"outage":true}`)
 		Eventually(statuses, 5*time.Second).Should(Receive(Equal(503)))
-		Expect(mustCall("GET", url+"/v1/vms", "").StatusCode).To(Equal(503))
+		Expect(mustCall("GET", url+objects+"servers", "").StatusCode).To(Equal(503))
 	})
 
 	It("limits writes apart from reads", func() {
 		mustCall("POST", control+"/control", `{"writes_per_second":0.001}`)
-		Expect(mustCall("PUT", url+"/v1/objects/a", "x", "If-None-Match", "*").StatusCode).To(Equal(200))
-		Expect(mustCall("PUT", url+"/v1/objects/a", "x", "If-Match", `"1"`).StatusCode).To(Equal(429))
-		Expect(mustCall("GET", url+"/v1/objects/a", "").StatusCode).To(Equal(200))
+		Expect(mustCall("POST", url+objects+"a/1", spec("x", 0)).StatusCode).To(Equal(200))
+		Expect(mustCall("PUT", url+objects+"a/1", spec("y", 0)).StatusCode).To(Equal(429))
+		Expect(mustCall("GET", url+objects+"a/1", "").StatusCode).To(Equal(200))
 	})
 
-	It("shows the VM list with its lag", func() {
+	It("shows the servers' entries with their lag", func() {
 		mustCall("POST", control+"/vms", `{"vms":[{"id":"v1","incarnation":1,"address":"127.0.0.1","state":"live"}]}`)
 		mustCall("POST", control+"/control", `{"vm_lag_ms":3600000}`)
-		Expect(decode[standin.VMListing](mustCall("GET", url+"/v1/vms", "")).VMs).To(BeEmpty())
+		Expect(decode[standin.Page](mustCall("GET", url+objects+"servers", "")).Items).To(BeEmpty())
 		mustCall("POST", control+"/control", `{"vm_lag_ms":0}`)
-		Expect(decode[standin.VMListing](mustCall("GET", url+"/v1/vms", "")).VMs).To(HaveLen(1))
+		items := decode[standin.Page](mustCall("GET", url+objects+"servers", "")).Items
+		Expect(items).To(HaveLen(1))
+		Expect(string(items[0].Spec)).To(ContainSubstring(`"state":"ready"`))
 	})
 
 	It("refuses an unknown switch", func() {
--- a/e2e/standin/store.go
+++ b/e2e/standin/store.go
@@ -1,134 +1,145 @@
 package standin
 
 import (
+	"bytes"
 	"sort"
-	"strings"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
 
 // Errors of the store.
 var (
-	ErrConflict = eris.New("standin: version conflict")
+	ErrConflict = eris.New("standin: revision conflict")
 	ErrNotFound = eris.New("standin: no such object")
 )
 
-// Entry is the state of one key, without its body.
-type Entry struct {
-	Key            string `json:"key"`
-	Version        uint64 `json:"version"`
-	ModifiedUnixMs int64  `json:"modified_unix_ms"`
-	Deleted        bool   `json:"deleted"`
+// stored is an object, or what is left of a deleted one.
+type stored struct {
+	Object
+	deleted bool
 }
 
-// Listing is the answer of a list or a watch. Version is that of the store.
-type Listing struct {
-	Version uint64  `json:"version"`
-	Entries []Entry `json:"entries"`
-}
-
-type object struct {
-	Entry
-	body []byte
-}
-
-// store keeps versioned objects in memory. Versions increase store-wide.
-// Deleted keys stay as tombstones, so that a watch from any version is exact.
+// store keeps objects by kind and name in memory. Revisions increase store-wide.
+// Deleted objects stay as tombstones, so that a watch from any revision is exact.
 type store struct {
-	mu      sync.Mutex
-	version uint64
-	objects map[string]object
-	changed chan struct{}
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]stored
+	changed  chan struct{}
 }
 
 func newStore() *store {
-	return &store{objects: map[string]object{}, changed: make(chan struct{})}
+	return &store{kinds: map[string]map[string]stored{}, changed: make(chan struct{})}
 }
 
-func (s *store) get(key string) (object, error) {
+func (s *store) get(kind, name string) (Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	obj, ok := s.objects[key]
-	if !ok || obj.Deleted {
-		return object{}, ErrNotFound
+	obj, ok := s.live(kind, name)
+	if !ok {
+		return Object{}, ErrNotFound
 	}
 	return obj, nil
 }
 
-// put writes body if the key is at version expected; 0 means that it must not
-// exist.
-func (s *store) put(key string, expected uint64, body []byte, now time.Time) (Entry, error) {
+func (s *store) live(kind, name string) (Object, bool) {
+	obj, ok := s.kinds[kind][name]
+	return obj.Object, ok && !obj.deleted
+}
+
+// create writes a new object.
+func (s *store) create(kind string, obj Object) (Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.liveVersion(key) != expected {
-		return Entry{}, ErrConflict
+	if held, ok := s.live(kind, obj.Metadata.Name); ok {
+		return held, ErrConflict
 	}
-	return s.write(key, body, false, now), nil
+	return s.write(kind, obj, false), nil
 }
 
-// remove deletes the key if it is at version expected.
-func (s *store) remove(key string, expected uint64, now time.Time) error {
+// replace writes an object's spec if it is at the revision that obj names; zero
+// holds for any. A write without a change has no revision of its own.
+func (s *store) replace(kind string, obj Object) (Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := s.liveVersion(key)
-	if live == 0 {
-		return ErrNotFound
+	held, ok := s.live(kind, obj.Metadata.Name)
+	if !ok {
+		return Object{}, ErrNotFound
+	}
+	if obj.Metadata.Revision != 0 && obj.Metadata.Revision != held.Metadata.Revision {
+		return held, ErrConflict
 	}
-	if live != expected {
-		return ErrConflict
+	if bytes.Equal(held.Spec, obj.Spec) {
+		return held, nil
 	}
-	s.write(key, nil, true, now)
-	return nil
+	return s.write(kind, obj, false), nil
 }
 
-func (s *store) liveVersion(key string) uint64 {
-	obj, ok := s.objects[key]
-	if !ok || obj.Deleted {
-		return 0
+// remove deletes an object if it is at revision; zero holds for any.
+func (s *store) remove(kind, name string, revision uint64) (Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.live(kind, name)
+	if !ok {
+		return Object{}, ErrNotFound
 	}
-	return obj.Version
+	if revision != 0 && revision != held.Metadata.Revision {
+		return held, ErrConflict
+	}
+	return s.write(kind, held, true), nil
 }
 
-func (s *store) write(key string, body []byte, deleted bool, now time.Time) Entry {
-	s.version++
-	entry := Entry{Key: key, Version: s.version, ModifiedUnixMs: now.UnixMilli(), Deleted: deleted}
-	s.objects[key] = object{Entry: entry, body: body}
+func (s *store) write(kind string, obj Object, deleted bool) Object {
+	s.revision++
+	obj.Metadata.Revision = s.revision
+	obj.Metadata.Finalizers = []string{}
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]stored{}
+	}
+	s.kinds[kind][obj.Metadata.Name] = stored{Object: obj, deleted: deleted}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return entry
+	return obj
 }
 
-// list returns the live objects below prefix, by key.
-func (s *store) list(prefix string) Listing {
+// list returns a page of the live objects of a kind behind a name.
+func (s *store) list(kind, after string) Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.selectLocked(func(e Entry) bool {
-		return !e.Deleted && strings.HasPrefix(e.Key, prefix)
-	})
+	page := Page{Items: []Object{}, At: s.revision}
+	for _, obj := range s.sorted(kind) {
+		if obj.deleted || obj.Metadata.Name <= after {
+			continue
+		}
+		if len(page.Items) == pageObjects {
+			page.HasMore = true
+			break
+		}
+		page.Items = append(page.Items, obj.Object)
+	}
+	return page
 }
 
-// since returns the objects below prefix that changed after version, deleted
-// ones too, and a channel that is closed at the store's next change.
-func (s *store) since(prefix string, version uint64) (Listing, <-chan struct{}) {
+// since returns the changes of a kind after revision, and a channel that is closed
+// at the store's next change.
+func (s *store) since(kind string, revision uint64) (Changes, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing := s.selectLocked(func(e Entry) bool {
-		return e.Version > version && strings.HasPrefix(e.Key, prefix)
-	})
-	return listing, s.changed
+	changes := Changes{Events: []Change{}, At: s.revision}
+	for _, obj := range s.sorted(kind) {
+		if obj.Metadata.Revision > revision {
+			changes.Events = append(changes.Events, Change{Object: obj.Object, Deleted: obj.deleted})
+		}
+	}
+	return changes, s.changed
 }
 
-func (s *store) selectLocked(keep func(Entry) bool) Listing {
-	listing := Listing{Version: s.version, Entries: []Entry{}}
-	for _, obj := range s.objects {
-		if keep(obj.Entry) {
-			listing.Entries = append(listing.Entries, obj.Entry)
-		}
+func (s *store) sorted(kind string) []stored {
+	out := make([]stored, 0, len(s.kinds[kind]))
+	for _, obj := range s.kinds[kind] {
+		out = append(out, obj)
 	}
-	sort.Slice(listing.Entries, func(i, j int) bool {
-		return listing.Entries[i].Key < listing.Entries[j].Key
-	})
-	return listing
+	sort.Slice(out, func(i, j int) bool { return out[i].Metadata.Name < out[j].Metadata.Name })
+	return out
 }
--- a/e2e/standin/vmlist.go
+++ b/e2e/standin/vmlist.go
@@ -1,11 +1,13 @@
 package standin
 
 import (
+	"encoding/json"
+	"net"
 	"sync"
 	"time"
 )
 
-// VM is one entry of the platform's VM list.
+// VM is what a control call says of a server's VM.
 type VM struct {
 	ID          string `json:"id"`
 	Incarnation uint64 `json:"incarnation"`
@@ -14,7 +16,7 @@
 	State string `json:"state"`
 }
 
-// VMListing is the answer of the VM list.
+// VMListing is the body of the control call.
 type VMListing struct {
 	VMs []VM `json:"vms"`
 }
@@ -24,7 +26,7 @@
 	vms   []VM
 }
 
-// vmList keeps the versions of the VM list, to show them with a lag.
+// vmList keeps the versions of the servers' entries, to show them with a lag.
 type vmList struct {
 	mu       sync.Mutex
 	versions []vmVersion
@@ -36,16 +38,52 @@
 	l.versions = append(l.versions, vmVersion{since: now, vms: vms})
 }
 
-// visible returns the list as it stood lag before now.
-func (l *vmList) visible(now time.Time, lag time.Duration) VMListing {
+// known reports whether a list was ever set.
+func (l *vmList) known() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	listing := VMListing{VMs: []VM{}}
-	for _, version := range l.versions {
+	return len(l.versions) > 0
+}
+
+// page returns the servers' entries as they stood lag before now.
+func (l *vmList) page(now time.Time, lag time.Duration) Page {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := Page{Items: []Object{}}
+	for i, version := range l.versions {
 		if version.since.After(now.Add(-lag)) {
 			break
 		}
-		listing.VMs = version.vms
+		page.At = uint64(i + 1)
+		page.Items = entries(version.vms, page.At)
+	}
+	return page
+}
+
+// serverEntry is what a server says of itself.
+type serverEntry struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	Sequence int    `json:"sequence"`
+	Born     uint64 `json:"born"`
+}
+
+// entries returns the entries of the servers on VMs.
+func entries(vms []VM, revision uint64) []Object {
+	states := map[string]string{"live": "ready", "leaving": "draining"}
+	out := make([]Object, 0, len(vms))
+	for _, vm := range vms {
+		spec, err := json.Marshal(serverEntry{
+			Service: "service", Address: net.JoinHostPort(vm.Address, "80"), Zone: "zone", Slots: 1,
+			State: states[vm.State], Born: vm.Incarnation,
+		})
+		if err != nil {
+			panic(err) // The type always encodes.
+		}
+		out = append(out, Object{Metadata: Metadata{Name: vm.ID, Revision: revision}, Spec: spec})
 	}
-	return listing
+	return out
 }
--- /dev/null
+++ b/eventstream/splitter_test.go
@@ -0,0 +1,91 @@
+package eventstream_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/eventstream"
+)
+
+func collect(s *eventstream.Splitter) (raw []byte, ids []int64) {
+	for {
+		event, ok := s.Next()
+		if !ok {
+			return raw, ids
+		}
+		raw = append(raw, event.Raw...)
+		if event.HasID {
+			ids = append(ids, event.ID)
+		}
+	}
+}
+
+func TestEventsAreWholeHoweverBytesArrive(t *testing.T) {
+	stream := []byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid:30\ndata: x\ndata: y\n\nid: 4\ndata: cut")
+	whole := stream[:bytes.LastIndex(stream, []byte("id: 4"))]
+	for size := 1; size <= len(stream); size++ {
+		g := NewWithT(t)
+		var s eventstream.Splitter
+		var raw []byte
+		var ids []int64
+		for rest := stream; len(rest) > 0; {
+			n := min(size, len(rest))
+			g.Expect(s.Write(rest[:n])).To(Succeed())
+			rest = rest[n:]
+			r, i := collect(&s)
+			raw, ids = append(raw, r...), append(ids, i...)
+		}
+		g.Expect(raw).To(Equal(whole))
+		g.Expect(ids).To(Equal([]int64{1, 2, 30}))
+		g.Expect(string(s.Pending())).To(Equal("id: 4\ndata: cut"))
+	}
+}
+
+func TestIDThatIsNoNumberIsNone(t *testing.T) {
+	g := NewWithT(t)
+	var s eventstream.Splitter
+	g.Expect(s.Write([]byte("id: x\ndata: a\n\n"))).To(Succeed())
+	event, ok := s.Next()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(event.HasID).To(BeFalse())
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	var s eventstream.Splitter
+	chunk := bytes.Repeat([]byte("x"), 64<<10)
+	var err error
+	for range eventstream.MaxEventBytes/len(chunk) + 1 {
+		if err = s.Write(chunk); err != nil {
+			break
+		}
+	}
+	g.Expect(err).To(MatchError(eventstream.ErrTooLong))
+}
+
+// FuzzSplitter checks that no byte is lost, added or moved.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), 3)
+	f.Add([]byte("\r\n\r\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		if size < 1 || len(stream) > eventstream.MaxEventBytes {
+			return
+		}
+		var s eventstream.Splitter
+		var out []byte
+		for rest := stream; len(rest) > 0; {
+			n := min(size, len(rest))
+			if err := s.Write(rest[:n]); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+			raw, _ := collect(&s)
+			out = append(out, raw...)
+		}
+		if out = append(out, s.Pending()...); !bytes.Equal(out, stream) {
+			t.Fatalf("got %q, want %q", out, stream)
+		}
+	})
+}
--- a/node/adoption.go
+++ b/node/adoption.go
@@ -111,7 +111,10 @@
 	known := false
 	for ctx.Err() == nil {
 		if !known {
-			known = a.readHead(ctx)
+			// The version of a list is recent: its history can't be gone.
+			_, version, err := a.opts.Store.List(ctx, config.HeadKey)
+			since = version
+			known = err == nil && a.readHead(ctx)
 			if !known {
 				Pause(ctx, platformRetry)
 				continue
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,95 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/placement"
+)
+
+func prompt(parts ...int) placement.Prompt {
+	var p placement.Prompt
+	for i, tokens := range parts {
+		p = append(p, placement.Part{ID: uint64(i + 1), Tokens: tokens})
+	}
+	return p
+}
+
+func engines(n int) []fleet.UpstreamID {
+	var ids []fleet.UpstreamID
+	for i := range n {
+		ids = append(ids, fleet.UpstreamID(fmt.Sprint("engine-", i)))
+	}
+	return ids
+}
+
+func TestPartCountsOnlyBehindTheSameParts(t *testing.T) {
+	g := NewWithT(t)
+	c := placement.NewCache(10_000)
+	c.Add(prompt(100, 200, 300).Keys())
+	g.Expect(c.Cached(prompt(100, 200, 300))).To(Equal(600))
+	other := placement.Prompt{{ID: 9, Tokens: 50}, {ID: 2, Tokens: 200}}
+	g.Expect(c.Cached(other)).To(BeZero())
+	longer := append(prompt(100, 200), placement.Part{ID: 77, Tokens: 400})
+	g.Expect(c.Cached(longer)).To(Equal(300))
+}
+
+func TestLeastRecentlyUsedPartsYield(t *testing.T) {
+	g := NewWithT(t)
+	c := placement.NewCache(1000)
+	single := func(id uint64) placement.Prompt { return placement.Prompt{{ID: id, Tokens: 400}} }
+	c.Add(single(1).Keys())
+	c.Add(single(2).Keys())
+	c.Add(single(1).Keys())
+	c.Add(single(3).Keys())
+	g.Expect(c.Cached(single(1))).To(Equal(400))
+	g.Expect(c.Cached(single(2))).To(BeZero())
+	g.Expect(c.Cached(single(3))).To(Equal(400))
+}
+
+func TestSharedTokensLeaveOutTheLastPart(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(prompt(100, 200, 300).SharedTokens()).To(Equal(300))
+	g.Expect(prompt(100, 200, 300).Tokens()).To(Equal(600))
+	g.Expect(placement.Prompt(nil).SharedTokens()).To(BeZero())
+	g.Expect(prompt(1, 2, 3).SharedKey()).To(Equal(prompt(1, 2, 9).SharedKey()))
+}
+
+// An engine that leaves moves only the keys that had it as their home.
+func TestMembershipMovesLittle(t *testing.T) {
+	g := NewWithT(t)
+	all := engines(12)
+	without := slices.Delete(slices.Clone(all), 3, 4)
+	moved := 0
+	const keys = 6000
+	for key := range uint64(keys) {
+		before := placement.Homes(key, all)
+		after := placement.Homes(key, without)
+		if before[0] == all[3] {
+			moved++
+			g.Expect(after[0]).To(Equal(before[1]))
+			continue
+		}
+		g.Expect(after[0]).To(Equal(before[0]))
+	}
+	g.Expect(float64(moved) / keys).To(BeNumerically("~", 1.0/12, 0.02))
+}
+
+func TestOrderDoesNotDependOnTheList(t *testing.T) {
+	g := NewWithT(t)
+	all := engines(9)
+	reversed := slices.Clone(all)
+	slices.Reverse(reversed)
+	g.Expect(placement.Homes(42, all)).To(Equal(placement.Homes(42, reversed)))
+}
+
+func TestShortSharedPartsGoAnywhere(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(placement.HomeCount(prompt(13_300, 3_700), 2, 12)).To(Equal(2))
+	g.Expect(placement.HomeCount(prompt(350, 1_100), 2, 12)).To(Equal(12))
+	g.Expect(placement.HomeCount(prompt(13_300, 3_700), 2, 1)).To(Equal(1))
+}
