--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,390 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/gateway"
+	"fulmarspindle.example/fulmarspindle/route"
+)
+
+func TestRequestIsServedAndCleaned(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	n := site(t, s)
+	resp, body, err := send(n, "POST", "/keyed/x%2Fy?q=1", "order", "Key", "k1", "Tenant", "forged", "Deadline-Ms", "1500")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	g.Expect(resp.Header.Get("Server-Seal")).To(Equal("seal"))
+	g.Expect(body).To(Equal("done"))
+	r, sent := s.request(0)
+	g.Expect(r.RequestURI).To(Equal("/keyed/x%2Fy?q=1"))
+	g.Expect(r.Host).To(Equal("h.example"))
+	g.Expect(sent).To(Equal("order"))
+	g.Expect(r.Header.Get("Tenant")).To(Equal("t1"))
+	g.Expect(r.Header).NotTo(HaveKey("Key"))
+	g.Expect(r.Header.Get("Expect-Instance")).To(Equal("i-1"))
+	var left int
+	_, err = fmt.Sscan(r.Header.Get("Deadline-Ms"), &left)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(left).To(BeNumerically("~", 1500, 200))
+}
+
+func TestOwnAnswers(t *testing.T) {
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	n := site(t, s)
+	for name, c := range map[string]struct {
+		path, body string
+		header     []string
+		status     int
+	}{
+		"no route":      {"/nowhere/", "", nil, 404},
+		"unknown key":   {"/keyed/", "", []string{"Key", "k9"}, 401},
+		"no key":        {"/keyed/", "", nil, 401},
+		"body too long": {"/safe/", strings.Repeat("x", 1<<13), nil, 413},
+		"bad deadline":  {"/safe/", "", []string{"Deadline-Ms", "x"}, 400},
+		"no engine":     {"/stream/", "", nil, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			resp, _, err := send(n, "POST", c.path, c.body, c.header...)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(c.status))
+			g.Expect(resp.Header.Get("Retry-After") != "").To(Equal(c.status == 503))
+			g.Expect(s.count()).To(BeZero())
+		})
+	}
+}
+
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	g := NewWithT(t)
+	n := startGateway(t, "g1", newMemoryStore(), nil)
+	resp, _, err := send(n, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	ready, err := http.Get(n.ready)
+	g.Expect(err).NotTo(HaveOccurred())
+	ready.Body.Close()
+	g.Expect(ready.StatusCode).To(Equal(503))
+}
+
+func TestSafeRequestIsTriedAgain(t *testing.T) {
+	for name, fail := range map[string]func(net.Conn, *http.Request){
+		"own failure": func(c net.Conn, r *http.Request) { respond(c, r, 500, "broken") },
+		"reset":       func(c net.Conn, _ *http.Request) { c.Close() },
+		"not run":     func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n") },
+		"nonsense":    func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "?\r\n\r\n"); c.Close() },
+		"truncated": func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Attempt-Id"))
+			c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			first := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { fail(c, r) })
+			second := startServer(t, "i-2", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+			n := site(t, first, second)
+			for range 4 {
+				resp, body, err := send(n, "GET", "/safe/", "")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode).To(Equal(200))
+				g.Expect(body).To(Equal("done"))
+			}
+			g.Expect(first.count()).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+func TestLastFailureOfTheServerIsPassedOnAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 500, "broken") })
+	n := site(t, s)
+	resp, body, err := send(n, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(500))
+	g.Expect(resp.Header.Get("Server-Seal")).To(Equal("seal"))
+	g.Expect(body).To(Equal("broken"))
+}
+
+func TestUnsafeRequestRunsAtMostOnce(t *testing.T) {
+	g := NewWithT(t)
+	fail := func(_ *server, c net.Conn, _ *http.Request) { c.Close() }
+	first, second := startServer(t, "i-1", "plain", fail), startServer(t, "i-2", "plain", fail)
+	n := site(t, first, second)
+	resp, _, err := send(n, "POST", "/unsafe/", "order")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(502))
+	g.Expect(first.count() + second.count()).To(Equal(1))
+}
+
+func TestUnsafeRequestThatDidNotRunGoesOn(t *testing.T) {
+	g := NewWithT(t)
+	refuse := func(_ *server, c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+	}
+	first := startServer(t, "i-1", "plain", refuse)
+	n := site(t, first)
+	resp, _, err := send(n, "POST", "/unsafe/", "order")
+	g.Expect(err).NotTo(HaveOccurred())
+	// Not run anywhere: the caller may come again.
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+}
+
+func TestRequestIsAnsweredAtTheRoutesTimeout(t *testing.T) {
+	g := NewWithT(t)
+	gone := make(chan struct{})
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, _ *http.Request) {
+		_, _ = c.Read(make([]byte, 1)) // Until the gateway gives up.
+		close(gone)
+	})
+	n := site(t, s)
+	began := time.Now()
+	resp, _, err := send(n, "POST", "/unsafe/", "order", "Deadline-Ms", "300")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(504))
+	g.Expect(time.Since(began)).To(BeNumerically("~", 300*time.Millisecond, 200*time.Millisecond))
+	g.Eventually(gone, eventually).Should(BeClosed())
+}
+
+func TestCallerThatLeavesCancelsAtTheServer(t *testing.T) {
+	g := NewWithT(t)
+	received, gone := make(chan struct{}), make(chan struct{})
+	s := startServer(t, "i-1", "engines", func(_ *server, c net.Conn, r *http.Request) {
+		streamHead(c, r)
+		chunk(c, event(1))
+		close(received)
+		_, _ = c.Read(make([]byte, 1))
+		close(gone)
+	})
+	n := site(t, s)
+	ctx, leave := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", n.url+"/resumable/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", "id")
+	go func() {
+		<-received
+		leave()
+	}()
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_, err = io.ReadAll(resp.Body)
+		g.Expect(err).To(HaveOccurred())
+		resp.Body.Close()
+	}
+	g.Eventually(gone, eventually).Should(BeClosed())
+	g.Expect(s.count()).To(Equal(1))
+}
+
+func TestBrokenStreamGoesOnAtAnotherEngine(t *testing.T) {
+	g := NewWithT(t)
+	handle := func(s *server, c net.Conn, r *http.Request) {
+		streamHead(c, r)
+		if r.Header.Get("Last-Event-Id") == "" {
+			chunk(c, events(1, 3)+"id: 4\nda") // Within an event.
+			c.Close()
+			return
+		}
+		// It begins with an event that the caller has.
+		chunk(c, events(3, 6))
+		lastChunk(c)
+	}
+	first, second := startServer(t, "i-1", "engines", handle), startServer(t, "i-2", "engines", handle)
+	n := site(t, first, second)
+	resp, body, err := send(n, "POST", "/resumable/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	g.Expect(body).To(Equal(events(1, 6)))
+	g.Expect([]int{first.count(), second.count()}).To(Equal([]int{1, 1}))
+	resumed := first
+	if r, _ := first.request(0); r.Header.Get("Last-Event-Id") == "" {
+		resumed = second
+	}
+	r, _ := resumed.request(0)
+	g.Expect(r.Header.Get("Last-Event-Id")).To(Equal("3"))
+}
+
+func TestStreamThatCannotBeResumedBreaksOff(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			s := startServer(t, "i-1", "engines", func(_ *server, c net.Conn, r *http.Request) {
+				streamHead(c, r)
+				chunk(c, events(1, 3))
+				c.Close()
+			})
+			n := site(t, s)
+			resp, body, err := send(n, "POST", path, "")
+			g.Expect(err).To(HaveOccurred())
+			if resp != nil {
+				g.Expect(body).To(Equal(events(1, 3)))
+			}
+			g.Expect(s.count()).To(Equal(1))
+		})
+	}
+}
+
+func TestLongAnswerIsPassedOnAsItComes(t *testing.T) {
+	g := NewWithT(t)
+	long := strings.Repeat("0123456789", 5000)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, long) })
+	n := site(t, s)
+	_, body, err := send(n, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal(long))
+}
+
+func TestRevokedKeyAndDroppedRouteEndWithTheirVersion(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	store := newMemoryStore()
+	store.configure(definition(1))
+	store.register(s.Upstream, false)
+	n := startGateway(t, "g1", store, nil)
+	awaitReady(t, n)
+	status := func(path string) func() int {
+		return func() int {
+			resp, _, err := send(n, "POST", path, "", "Key", "k1")
+			if err != nil {
+				return 0
+			}
+			return resp.StatusCode
+		}
+	}
+	g.Eventually(status("/keyed/"), eventually).Should(Equal(200))
+	next := definition(2)
+	next.Teams[0].Keys = []string{"k2"}
+	next.Routes = next.Routes[1:]
+	store.configure(next)
+	g.Eventually(status("/keyed/"), eventually).Should(Equal(401))
+	g.Expect(status("/safe/")()).To(Equal(404))
+	// An older version never comes back.
+	store.configure(definition(1))
+	g.Consistently(status("/keyed/"), "200ms").Should(Equal(401))
+}
+
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	g := NewWithT(t)
+	done := func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") }
+	first, second := startServer(t, "i-1", "plain", done), startServer(t, "i-2", "plain", done)
+	store := newMemoryStore()
+	store.configure(definition(1))
+	store.register(first.Upstream, false)
+	store.register(second.Upstream, false)
+	n := startGateway(t, "g1", store, nil)
+	awaitReady(t, n)
+	leaving := first.Upstream
+	leaving.Draining = true
+	store.register(leaving, false)
+	g.Eventually(func() int {
+		before := first.count()
+		for range 4 {
+			_, _, err := send(n, "GET", "/safe/", "")
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		return first.count() - before
+	}, eventually).Should(BeZero())
+}
+
+func TestStopFinishesWhatItRead(t *testing.T) {
+	g := NewWithT(t)
+	received, release := make(chan struct{}), make(chan struct{})
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) {
+		close(received)
+		<-release
+		respond(c, r, 200, "done")
+	})
+	n := site(t, s)
+	answers := make(chan string, 1)
+	closing := make(chan bool, 1)
+	go func() {
+		resp, body, err := send(n, "POST", "/unsafe/", "order")
+		if err != nil {
+			body = err.Error()
+		} else {
+			closing <- resp.Close
+		}
+		answers <- body
+	}()
+	<-received
+	n.stop()
+	g.Eventually(n.Ready, eventually).Should(BeFalse())
+	g.Consistently(n.done, "200ms").ShouldNot(BeClosed())
+	close(release)
+	g.Eventually(answers, eventually).Should(Receive(Equal("done")))
+	g.Expect(<-closing).To(BeTrue())
+	g.Eventually(n.done, eventually).Should(BeClosed())
+}
+
+func TestStopServesConnectionsThatStillCome(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	store := newMemoryStore()
+	store.configure(definition(1))
+	store.register(s.Upstream, false)
+	n := startGateway(t, "g1", store, func(o *gateway.Options) { o.Withdrawal = time.Second })
+	awaitReady(t, n)
+	n.stop()
+	g.Eventually(n.Ready, eventually).Should(BeFalse())
+	resp, _, err := send(n, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+}
+
+func TestRefusedRouterLearnsFromAnotherOne(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	store := newMemoryStore()
+	store.configure(definition(1))
+	store.register(s.Upstream, false)
+	served := startGateway(t, "g1", store, nil)
+	awaitReady(t, served)
+	refused := startGateway(t, "g2", refusingStore{}, func(o *gateway.Options) { o.Seeds = []string{served.peer} })
+	awaitReady(t, refused)
+	resp, _, err := send(refused, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	// A drain and a revoked key reach it too.
+	leaving := s.Upstream
+	leaving.Draining = true
+	store.register(leaving, false)
+	next := definition(2)
+	next.Teams = []route.Team{{ID: "t1"}}
+	store.configure(next)
+	g.Eventually(func() int {
+		resp, _, err := send(refused, "GET", "/safe/", "")
+		if err != nil {
+			return 0
+		}
+		return resp.StatusCode
+	}, eventually).Should(Equal(503))
+	resp, _, err = send(refused, "POST", "/keyed/", "", "Key", "k1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(401))
+}
+
+func TestSmuggledLengthsReachNoServer(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	n := site(t, s)
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	inner := "GET /safe/inner HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: inner\r\n\r\n"
+	fmt.Fprintf(c, "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: outer\r\nContent-Length: %d\r\nContent-Length: 3\r\n\r\n%s", len(inner), inner)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(400))
+	g.Consistently(s.count, "100ms").Should(BeZero())
+}
--- /dev/null
+++ b/gateway/support_test.go
@@ -0,0 +1,397 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/gateway"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/platform"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/route"
+	"fulmarspindle.example/fulmarspindle/upstream"
+)
+
+// eventually bounds how long tests wait for what happens in the background.
+const eventually = 10 * time.Second
+
+// memoryStore is a gateway.Store in memory. Several gateways may share one.
+type memoryStore struct {
+	mu         sync.Mutex
+	definition *route.Definition
+	statements []registry.Statement
+	revision   uint64
+	changed    chan struct{}
+	routers    map[fleet.NodeID]string
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{changed: make(chan struct{}), routers: map[fleet.NodeID]string{}}
+}
+
+func (s *memoryStore) wake() {
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) configure(d route.Definition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.definition = &d
+	s.wake()
+}
+
+// register writes an upstream's entry, or removes it.
+func (s *memoryStore) register(u registry.Upstream, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake()
+	s.statements = append(s.statements, registry.Statement{Upstream: u, Revision: s.revision, Removed: removed})
+}
+
+func (s *memoryStore) ReadRouting(context.Context) (route.Definition, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.definition == nil {
+		return route.Definition{}, 0, platform.ErrNotFound
+	}
+	return *s.definition, s.revision, nil
+}
+
+func (s *memoryStore) WatchRouting(ctx context.Context, after uint64) (*route.Definition, uint64, error) {
+	revision, err := s.await(ctx, after)
+	if err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.definition, revision, nil
+}
+
+func (s *memoryStore) ListUpstreams(context.Context) ([]registry.Statement, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := map[fleet.UpstreamID]registry.Statement{}
+	for _, statement := range s.statements {
+		last[statement.Upstream.ID] = statement
+	}
+	var list []registry.Statement
+	for _, statement := range last {
+		if !statement.Removed {
+			list = append(list, statement)
+		}
+	}
+	return list, max(s.revision, 1), nil
+}
+
+func (s *memoryStore) WatchUpstreams(ctx context.Context, after uint64) ([]registry.Statement, uint64, error) {
+	revision, err := s.await(ctx, after)
+	if err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []registry.Statement
+	for _, statement := range s.statements {
+		if statement.Revision > after {
+			list = append(list, statement)
+		}
+	}
+	return list, revision, nil
+}
+
+func (s *memoryStore) await(ctx context.Context, after uint64) (uint64, error) {
+	for {
+		s.mu.Lock()
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if revision > after {
+			return revision, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (s *memoryStore) RegisterRouter(_ context.Context, id fleet.NodeID, address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers[id] = address
+	return nil
+}
+
+func (s *memoryStore) ListRouters(context.Context) (map[fleet.NodeID]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[fleet.NodeID]string, len(s.routers))
+	for id, address := range s.routers {
+		out[id] = address
+	}
+	return out, nil
+}
+
+// refusingStore turns its router away.
+type refusingStore struct{}
+
+func (refusingStore) ReadRouting(context.Context) (route.Definition, uint64, error) {
+	return route.Definition{}, 0, platform.ErrUnavailable
+}
+
+func (refusingStore) WatchRouting(context.Context, uint64) (*route.Definition, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+func (refusingStore) ListUpstreams(context.Context) ([]registry.Statement, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+func (refusingStore) WatchUpstreams(context.Context, uint64) ([]registry.Statement, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+func (refusingStore) RegisterRouter(context.Context, fleet.NodeID, string) error {
+	return platform.ErrUnavailable
+}
+
+func (refusingStore) ListRouters(context.Context) (map[fleet.NodeID]string, error) {
+	return nil, platform.ErrUnavailable
+}
+
+// node is a gateway that serves on loopback.
+type node struct {
+	*gateway.Gateway
+	url   string
+	ready string
+	peer  string
+	// stop begins the graceful shutdown, done is closed at its end.
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func startGateway(t *testing.T, id string, store gateway.Store, change func(*gateway.Options)) *node {
+	t.Helper()
+	listeners := gateway.Listeners{Caller: listen(t), Ready: listen(t), Peer: listen(t)}
+	options := gateway.Options{
+		ID: fleet.NodeID(id), Incarnation: 1, Location: fleet.Location{Region: "r1", FailureDomain: "d1"},
+		Dialect: platform.Dialect{}, Store: store, Log: zap.NewNop(), ReadyPath: platform.ReadyPath,
+		PeerAddress: listeners.Peer.Addr().String(), ReportInterval: 10 * time.Millisecond,
+		MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 16, MaxBufferedBytes: 1 << 20, MaxAnswerBytes: 1 << 12,
+		HeaderTimeout: time.Second, DefaultTimeout: eventually, StoreRetry: 20 * time.Millisecond,
+		Grace: 3 * time.Second, Withdrawal: 50 * time.Millisecond,
+		Admission: admission.Options{
+			Local: fleet.Location{Region: "r1"}, Replicas: 2, PrefillRate: 50_000, Overhead: 10 * time.Millisecond,
+			AttentionTokens: 1e6, MaxWait: 0.9, OverShareWait: 0.5, SlotLimit: 1, MemoryLimit: 1,
+			Window: 4 * time.Second, PeerTTL: time.Second,
+			Outlier: outlier.Options{BaseEjection: time.Second, MaxEjection: 8 * time.Second, BrokenInARow: 2, Smoothing: 0.1},
+		},
+		Registry: registry.Options{LapseGrace: time.Second, TombstoneTTL: time.Minute},
+		Retry:    retry.BudgetOptions{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Pool:     upstream.PoolOptions{DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute},
+	}
+	if change != nil {
+		change(&options)
+	}
+	background, end := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancel(background)
+	n := &node{
+		Gateway: gateway.New(background, options), stop: stop, done: make(chan struct{}),
+		url:   "http://" + listeners.Caller.Addr().String(),
+		ready: "http://" + listeners.Ready.Addr().String() + platform.ReadyPath,
+		peer:  listeners.Peer.Addr().String(),
+	}
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx, listeners)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-n.done
+		end()
+	})
+	return n
+}
+
+// awaitReady waits until a gateway wants connections.
+func awaitReady(t *testing.T, nodes ...*node) {
+	t.Helper()
+	for _, n := range nodes {
+		NewWithT(t).Eventually(n.Ready, eventually).Should(BeTrue())
+	}
+}
+
+// server is a stand-in of one upstream: handle gets each request.
+type server struct {
+	registry.Upstream
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func startServer(t *testing.T, id, service string, handle func(s *server, c net.Conn, r *http.Request)) *server {
+	t.Helper()
+	ln := listen(t)
+	t.Cleanup(func() { ln.Close() })
+	s := &server{Upstream: registry.Upstream{
+		ID: fleet.UpstreamID(id), Service: fleet.ServiceID(service), Address: ln.Addr().String(), Domain: "d1", Slots: 64,
+	}}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, handle)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(c net.Conn, handle func(*server, net.Conn, *http.Request)) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, r)
+		s.bodies = append(s.bodies, string(body))
+		s.mu.Unlock()
+		handle(s, c, r)
+		if r.Close {
+			return
+		}
+	}
+}
+
+func (s *server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func (s *server) request(i int) (*http.Request, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[i], s.bodies[i]
+}
+
+// respond writes a whole answer with the server's signature.
+func respond(c net.Conn, r *http.Request, status int, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), r.Header.Get("Attempt-Id"), len(body), body)
+}
+
+// streamHead begins an event stream in chunks.
+func streamHead(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Attempt-Id"))
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func lastChunk(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", id, id) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		b.WriteString(event(id))
+	}
+	return b.String()
+}
+
+// definition is a configuration with a route of each kind.
+func definition(version int64) route.Definition {
+	common := route.Route{Host: "h.example", Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2, Anonymous: true}
+	with := func(name, service string, change func(*route.Route)) route.Route {
+		r := common
+		r.Name, r.Prefix = name, "/"+name+"/"
+		r.Split = []route.Share{{Service: fleet.ServiceID(service), Weight: 1}}
+		change(&r)
+		return r
+	}
+	return route.Definition{
+		Version: version,
+		Routes: []route.Route{
+			with("safe", "plain", func(r *route.Route) { r.Kind = route.Safe }),
+			with("unsafe", "plain", func(*route.Route) {}),
+			with("keyed", "plain", func(r *route.Route) { r.Anonymous = false }),
+			with("stream", "engines", func(r *route.Route) { r.Kind, r.Generative = route.Stream, true }),
+			with("resumable", "engines", func(r *route.Route) { r.Kind, r.Generative, r.Resumable = route.Stream, true, true }),
+		},
+		Services: []route.Service{
+			{ID: "plain"},
+			{ID: "engines", Engine: &route.Engine{Slots: 64, MemoryTokens: 500_000}},
+		},
+		Teams:  []route.Team{{ID: "t1", Keys: []string{"k1"}}},
+		Limits: route.Limits{BodyBytes: 1 << 12},
+	}
+}
+
+// site starts a gateway over upstreams.
+func site(t *testing.T, servers ...*server) *node {
+	t.Helper()
+	store := newMemoryStore()
+	store.configure(definition(1))
+	for _, s := range servers {
+		store.register(s.Upstream, false)
+	}
+	n := startGateway(t, "g1", store, nil)
+	awaitReady(t, n)
+	return n
+}
+
+// send makes a request of a caller. header holds pairs of names and values.
+func send(n *node, method, path, body string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, n.url+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", "id-"+path)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
