--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -203,17 +203,23 @@
 // shareRatio returns what the team was served relative to its max-min share;
 // zero without contention.
 func (s *Scheduler) shareRatio(now time.Time, team fleet.TeamID) float64 {
+	total := s.usage(now)
+	level, contended := total.waterLevel()
+	if !contended || level <= 0 {
+		return 0
+	}
+	return total[team].Served / level
+}
+
+// usage returns the teams' tokens over all routers.
+func (s *Scheduler) usage(now time.Time) Usage {
 	total := s.accounts.sum(now)
 	for _, peer := range s.peerUsage {
 		if now.Sub(peer.at) < s.options.PeerTTL {
 			total.add(peer.usage)
 		}
 	}
-	level, contended := total.waterLevel()
-	if !contended || level <= 0 {
-		return 0
-	}
-	return total[team].Served / level
+	return total
 }
 
 // candidate is an upstream that a request may be sent to.
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -13,8 +13,8 @@
 
 // TeamUsage is a team's tokens within the window of accounts.
 type TeamUsage struct {
-	Asked  float64
-	Served float64
+	Asked  float64 `json:"asked"`
+	Served float64 `json:"served"`
 }
 
 // Usage is the tokens of all teams at one router.
--- /dev/null
+++ b/admission/view.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// View is what a Scheduler believes, for operators.
+type View struct {
+	// PrefillRate is the learnt prompt tokens per second of an engine.
+	PrefillRate float64                     `json:"prefill_rate"`
+	OverheadMs  int64                       `json:"overhead_ms"`
+	Upstreams   map[fleet.UpstreamID]Engine `json:"upstreams"`
+	Teams       map[fleet.TeamID]TeamUsage  `json:"teams"`
+	// Share is the max-min share of the teams; it holds while Contended.
+	Share     float64 `json:"share"`
+	Contended bool    `json:"contended"`
+}
+
+// Engine is what a Scheduler believes of one upstream, over all routers.
+type Engine struct {
+	Running       int     `json:"running"`
+	BacklogTokens float64 `json:"backlog_tokens"`
+	MemoryTokens  int     `json:"memory_tokens"`
+	Ejected       bool    `json:"ejected"`
+	FailureRate   float64 `json:"failure_rate"`
+}
+
+// View returns what the scheduler believes.
+func (s *Scheduler) View(now time.Time) View {
+	view := View{
+		PrefillRate: s.model.rate,
+		OverheadMs:  s.model.overhead.Milliseconds(),
+		Upstreams:   make(map[fleet.UpstreamID]Engine, len(s.upstreams)),
+		Teams:       s.usage(now),
+	}
+	for id, u := range s.upstreams {
+		total := u.total(now, s.options.PeerTTL)
+		view.Upstreams[id] = Engine{
+			Running:       total.Running,
+			BacklogTokens: u.backlog(now, s.model.rate, s.options.PeerTTL),
+			MemoryTokens:  total.Memory,
+			Ejected:       u.detector.Ejected(now),
+			FailureRate:   u.detector.FailureRate(),
+		}
+	}
+	view.Share, view.Contended = Usage(view.Teams).waterLevel()
+	return view
+}
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -25,6 +26,14 @@
 const (
 	// peerReportTTL is how long another gateway's report of its load holds.
 	peerReportTTL = time.Second
+	// callerDescriptors is the part of the descriptors that callers'
+	// connections may take; upstreams, other routers and the store have the rest.
+	callerDescriptors = 0.6
+	// memoryPart is the part of the memory at which the garbage collector works
+	// harder rather than letting the process end.
+	memoryPart = 0.8
+	// bytesPerMB converts sizes.
+	bytesPerMB = 1 << 20
 	// tombstoneTTL is how long the removal of an upstream is remembered.
 	tombstoneTTL = time.Minute
 )
@@ -40,6 +49,7 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	limitMemory(settings.Limits)
 	log, flush, err := node.StartTelemetry(background, settings.ID, settings.Log, settings.Traces)
 	if err != nil {
 		return err
@@ -66,9 +76,23 @@
 		return err
 	}
 	go reload(background, hangups, path, log)
+	listeners := gateway.Listeners{Caller: callers, Ready: ready, Peer: peers}
+	if settings.Listen.Metrics != "" {
+		if listeners.Metrics, err = node.Listen(settings.Listen.Metrics, nil); err != nil {
+			return err
+		}
+	}
 	options := gatewayOptions(settings)
 	options.Store, options.Log = store, log.Logger
-	return gateway.New(background, options).Run(ctx, gateway.Listeners{Caller: callers, Ready: ready, Peer: peers})
+	return gateway.New(background, options).Run(ctx, listeners)
+}
+
+// limitMemory sets up the garbage collector.
+func limitMemory(limits config.GatewayLimits) {
+	debug.SetGCPercent(limits.GCPercent)
+	if limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(limits.MemoryMB*bytesPerMB)))
+	}
 }
 
 // reload checks the settings file again at each SIGHUP and puts its log level in
@@ -100,6 +124,7 @@
 		Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptors * float64(s.Limits.Descriptors)),
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
 		StoreRetry: s.Platform.Retry.Std(),
 		Grace:      s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
--- a/cmd/fulmarspindle/main.go
+++ b/cmd/fulmarspindle/main.go
@@ -80,6 +80,8 @@
 type arguments struct {
 	Serve    *serveCmd    `arg:"subcommand:serve" help:"run a router"`
 	Gateway  *gatewayCmd  `arg:"subcommand:gateway" help:"run a router that calls upstreams directly"`
+	Settings *settingsCmd `arg:"subcommand:settings" help:"check or print a gateway's settings"`
+	State    *stateCmd    `arg:"subcommand:state" help:"print what a running gateway believes"`
 	Config   *configCmd   `arg:"subcommand:config" help:"check, apply, print or compare the configuration"`
 	Status   *statusCmd   `arg:"subcommand:status" help:"print a router's state"`
 	Upstream *upstreamCmd `arg:"subcommand:upstream" help:"drain or return an upstream"`
@@ -120,6 +122,10 @@
 		return serve(ctx, args.Serve.Settings)
 	case args.Gateway != nil:
 		return serveGateway(ctx, args.Gateway.Settings)
+	case args.Settings != nil:
+		return settingsCommand(args.Settings, os.Stdout)
+	case args.State != nil:
+		return printState(ctx, args.State.Metrics, os.Stdout)
 	case args.Config != nil:
 		return configCommand(ctx, args.Config)
 	case args.Status != nil:
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -63,8 +63,15 @@
 	MaxAnswerBytes int `yaml:"max_answer_bytes,omitempty" validate:"gt=0"`
 	// RequestTimeout bounds requests whose route has no timeout.
 	RequestTimeout Duration `yaml:"request_timeout,omitempty" validate:"gt=0"`
-	// MemoryBytes is the memory of the process; zero if unknown.
-	MemoryBytes int64 `yaml:"memory_bytes,omitempty" validate:"gte=0"`
+	// IdleTimeout is how long a caller's connection may stay without a request.
+	IdleTimeout Duration `yaml:"idle_timeout,omitempty" validate:"gt=0"`
+	// Descriptors is the number of file descriptors of the process, of which
+	// callers' connections may take a part.
+	Descriptors int `yaml:"descriptors,omitempty" validate:"gt=0"`
+	// MemoryMB is the memory of the process; zero if unknown.
+	MemoryMB int64 `yaml:"memory_mb,omitempty" validate:"gte=0"`
+	// GCPercent is the growth of the heap, in percent, at which it is collected.
+	GCPercent int `yaml:"gc_percent,omitempty" validate:"gt=0"`
 }
 
 // StopSettings are those of a graceful shutdown.
@@ -134,7 +141,8 @@
 		Limits: GatewayLimits{
 			HeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
 			MaxBodyBytes: 4 << 20, MaxBufferedBytes: 64 << 20, MaxAnswerBytes: 256 << 10,
-			RequestTimeout: Duration(time.Minute),
+			RequestTimeout: Duration(time.Minute), IdleTimeout: Duration(2 * time.Minute),
+			Descriptors: 4096, GCPercent: 100,
 		},
 		Stop:  StopSettings{Grace: Duration(10 * time.Second), Withdrawal: Duration(3 * time.Second)},
 		Retry: RetrySettings{Ratio: defaultRetryBudget, Slack: 10, Window: Duration(10 * time.Second)},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -56,6 +56,7 @@
 		g.configure(&definition.Services[i])
 	}
 	g.table.Store(table)
+	g.adoptedAt = time.Now()
 	g.distribute(time.Now())
 	g.log.Info("configuration adopted", zap.Int64("version", definition.Version), zap.String("source", source),
 		zap.Int("routes", len(definition.Routes)), zap.Int("teams", len(definition.Teams)))
@@ -101,6 +102,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.registeredAt = now
 	if changes {
 		for _, statement := range list {
 			g.registry.Apply(now, statement)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -37,6 +38,10 @@
 	registry *registry.Registry
 	services map[fleet.ServiceID]*service
 	pools    map[poolKey]*upstream.Pool
+	// adoptedAt is when the configuration was adopted, registeredAt when the
+	// registrations were last heard of.
+	adoptedAt    time.Time
+	registeredAt time.Time
 
 	peers *peers
 	// changed is set when the load changed since the last report.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -82,8 +82,10 @@
 	for name, fail := range map[string]func(net.Conn, *http.Request){
 		"own failure": func(c net.Conn, r *http.Request) { respond(c, r, 500, "broken") },
 		"reset":       func(c net.Conn, _ *http.Request) { c.Close() },
-		"not run":     func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n") },
-		"nonsense":    func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "?\r\n\r\n"); c.Close() },
+		"not run": func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		},
+		"nonsense": func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "?\r\n\r\n"); c.Close() },
 		"truncated": func(c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Attempt-Id"))
 			c.Close()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -34,6 +34,10 @@
 	// held until it is whole, so that a broken one can be asked for again.
 	MaxAnswerBytes int
 	HeaderTimeout  time.Duration
+	// IdleTimeout is how long a caller's connection may stay without a request.
+	IdleTimeout time.Duration
+	// MaxConnections bounds the connections of callers.
+	MaxConnections int
 	// DefaultTimeout bounds requests whose route has no timeout.
 	DefaultTimeout time.Duration
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -181,15 +181,20 @@
 // attempt the caller already has the head and some events.
 func (g *Gateway) relayStream(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	var splitter eventstream.Splitter
+	lastEvent := time.Time{}
 	res := result{kind: complete, status: http.StatusOK}
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := x.Read(buf)
 		if n > 0 {
+			now := time.Now()
 			if res.first == 0 {
-				res.first = time.Since(j.arrived)
+				res.first = now.Sub(j.arrived)
 				j.service.firstEvent(id)
+			} else {
+				eventGap.record(now.Sub(lastEvent))
 			}
+			lastEvent = now
 			if splitErr := splitter.Write(buf[:n]); splitErr != nil {
 				return g.broke(ctx, j, id, x, splitErr)
 			}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"fulmarspindle.example/fulmarspindle/node"
 )
@@ -18,7 +19,8 @@
 	// abortMargin is how much earlier than the grace ends the rest is cut, so
 	// that callers see it from this process and not from its death.
 	abortMargin = 300 * time.Millisecond
-	// adminHeaderTimeout bounds the heads of the balancer's questions.
+	// adminHeaderTimeout bounds the heads of the balancer's and the operators'
+	// questions.
 	adminHeaderTimeout = 2 * time.Second
 )
 
@@ -27,6 +29,8 @@
 	Caller net.Listener
 	Ready  net.Listener
 	Peer   net.Listener
+	// Metrics may be nil.
+	Metrics net.Listener
 }
 
 // Run serves until ctx ends, then stops gracefully within the grace.
@@ -35,14 +39,21 @@
 	callers := &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: g.options.HeaderTimeout,
+		IdleTimeout:       g.options.IdleTimeout,
 		MaxHeaderBytes:    g.options.MaxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(g.log.Named("http")),
 	}
 	ready := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: adminHeaderTimeout}
 	defer ready.Close()
-	failed := make(chan error, 2)
+	metrics := &http.Server{Handler: g.metrics(), ReadHeaderTimeout: adminHeaderTimeout}
+	defer metrics.Close()
+	failed := make(chan error, 3)
+	if listeners.Metrics != nil {
+		go func() { failed <- metrics.Serve(listeners.Metrics) }()
+	}
 	go func() { failed <- ready.Serve(listeners.Ready) }()
-	go func() { failed <- callers.Serve(listeners.Caller) }()
+	limited := netutil.LimitListener(listeners.Caller, g.options.MaxConnections)
+	go func() { failed <- callers.Serve(limited) }()
 	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
 	select {
 	case <-ctx.Done():
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,16 +7,20 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/telemetry"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
 // serve sends a request to upstreams until it has its final answer.
 func (g *Gateway) serve(ctx context.Context, j *job) {
+	ctx, span := telemetry.StartSpan(ctx, "gateway.request", attribute.String("request", j.in.ID))
+	defer span.End()
 	id, ok := j.route.Pick(j.in.ID)
 	if ok {
 		j.service = g.service(id)
@@ -41,6 +45,7 @@
 		if last.mayHaveRun() {
 			j.ran++
 		}
+		j.countAttempt(decision, last)
 		g.logResult(j, decision, last)
 		if !g.again(ctx, j, last) {
 			g.conclude(ctx, j, last)
@@ -49,6 +54,24 @@
 	}
 }
 
+func (j *job) countAttempt(d admission.Decision, r result) {
+	attemptCounts.Add(fmt.Sprintf("%d/%s", j.attempts, r.kind), 1)
+	upstreamCounts.Add(fmt.Sprintf("%s/%s", d.Upstream.ID, r.kind), 1)
+	if r.first > 0 && j.route.Generative && j.attempts == 1 {
+		predictionError.record(r.first - d.Predicted)
+	}
+}
+
+func (j *job) countComplete(r result) {
+	outcome := "late"
+	if j.route.Objective <= 0 || r.first <= j.route.Objective {
+		outcome = "on_time"
+	}
+	requestCounts.Add(j.route.Kind.String()+"/"+outcome, 1)
+	firstEventTime.record(r.first)
+	totalTime.record(time.Since(j.arrived))
+}
+
 func (j *job) attemptID() string { return fmt.Sprintf("%s/%d", j.in.ID, j.attempts) }
 
 func (j *job) admission() admission.Request {
@@ -96,11 +119,11 @@
 func (g *Gateway) conclude(ctx context.Context, j *job, last result) {
 	switch {
 	case last.kind == complete:
-		return
+		j.countComplete(last)
 	case last.kind == callerGone || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
-		j.answer.abort()
+		g.breakOff(j, "caller_gone")
 	case j.answer.started:
-		j.answer.abort()
+		g.breakOff(j, "upstream_failed")
 	case last.held != nil:
 		last.held.send(j.answer)
 	case j.ran == 0:
@@ -116,7 +139,7 @@
 func (g *Gateway) finishRefused(j *job, last result, d admission.Decision) {
 	switch {
 	case j.answer.started:
-		j.answer.abort()
+		g.breakOff(j, string(d.Reason))
 	case last.held != nil:
 		last.held.send(j.answer)
 	case j.ran > 0:
@@ -126,6 +149,14 @@
 	}
 }
 
+// breakOff closes the caller's connection without the end of its answer.
+func (g *Gateway) breakOff(j *job, code string) {
+	requestCounts.Add(j.route.Kind.String()+"/"+code, 1)
+	g.log.Warn("answer broken off", zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("code", code),
+		zap.Int("attempts", j.attempts), zap.Duration("elapsed", time.Since(j.arrived)))
+	j.answer.abort()
+}
+
 func (g *Gateway) finish(j *job, r *refusal) {
 	j.answer.refuse(r)
 	g.logRefusal(j, r, j.arrived)
@@ -133,6 +164,8 @@
 
 // attempt sends the request to one upstream and relays its answer.
 func (g *Gateway) attempt(ctx context.Context, j *job, d admission.Decision) result {
+	ctx, span := telemetry.StartSpan(ctx, "gateway.attempt", attribute.String("upstream", string(d.Upstream.ID)))
+	defer span.End()
 	id := j.attemptID()
 	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
 	if err != nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -31,6 +31,12 @@
 	return s.scheduler.Report(time.Now())
 }
 
+func (s *service) view(now time.Time) admission.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.View(now)
+}
+
 func (s *service) peerReport(node fleet.NodeID, r admission.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -139,6 +139,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.registeredAt = now
 	for _, wire := range m.GetRegistrations() {
 		statement := statementFromWire(wire)
 		if g.registry.Apply(now, statement) {
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"cmp"
+	"expvar"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// StatePath and MetricsPath are served on the metrics address.
+const (
+	StatePath   = "/state"
+	MetricsPath = "/debug/vars"
+)
+
+// State is what a gateway believes.
+type State struct {
+	ID       fleet.NodeID `json:"id"`
+	Ready    bool         `json:"ready"`
+	Draining bool         `json:"draining"`
+	// Configuration is the version in force, zero before the first, and
+	// ConfigurationAgeMs the time since it was adopted.
+	Configuration      int64 `json:"configuration"`
+	ConfigurationAgeMs int64 `json:"configuration_age_ms"`
+	// RegistryRevision is the store's revision up to which registrations are
+	// known, and RegistryAgeMs the time since the store or a router said so.
+	RegistryRevision uint64                             `json:"registry_revision"`
+	RegistryAgeMs    int64                              `json:"registry_age_ms"`
+	Routers          []fleet.NodeID                     `json:"routers"`
+	Upstreams        []UpstreamEntry                    `json:"upstreams"`
+	Services         map[fleet.ServiceID]admission.View `json:"services"`
+}
+
+// UpstreamEntry is a registration as a gateway knows it.
+type UpstreamEntry struct {
+	ID       fleet.UpstreamID `json:"id"`
+	Service  fleet.ServiceID  `json:"service"`
+	Address  string           `json:"address"`
+	Draining bool             `json:"draining"`
+	Removed  bool             `json:"removed"`
+	Revision uint64           `json:"revision"`
+}
+
+// State returns what the gateway believes.
+func (g *Gateway) State() State {
+	now := time.Now()
+	state := State{
+		ID: g.options.ID, Ready: g.Ready(), Draining: g.draining.Load(),
+		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
+	}
+	for _, s := range g.peers.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		state.Routers = append(state.Routers, s.ID())
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state.ConfigurationAgeMs = age(now, g.adoptedAt)
+	state.RegistryRevision = g.registry.Revision()
+	state.RegistryAgeMs = age(now, g.registeredAt)
+	for _, s := range g.registry.Statements() {
+		state.Upstreams = append(state.Upstreams, UpstreamEntry{
+			ID: s.Upstream.ID, Service: s.Upstream.Service, Address: s.Upstream.Address,
+			Draining: s.Upstream.Draining, Removed: s.Removed, Revision: s.Revision,
+		})
+	}
+	for id, s := range g.services {
+		state.Services[id] = s.view(now)
+	}
+	slices.SortFunc(state.Upstreams, func(a, b UpstreamEntry) int { return cmp.Compare(a.ID, b.ID) })
+	return state
+}
+
+// age returns the milliseconds since at, -1 if it never was.
+func age(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// metrics serves the counters and the state.
+func (g *Gateway) metrics() http.Handler {
+	server := echo.New()
+	server.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
+	server.GET(StatePath, func(c echo.Context) error { return c.JSON(http.StatusOK, g.State()) })
+	return server
+}
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -203,7 +203,7 @@
 		Dialect: platform.Dialect{}, Store: store, Log: zap.NewNop(), ReadyPath: platform.ReadyPath,
 		PeerAddress: listeners.Peer.Addr().String(), ReportInterval: 10 * time.Millisecond,
 		MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 16, MaxBufferedBytes: 1 << 20, MaxAnswerBytes: 1 << 12,
-		HeaderTimeout: time.Second, DefaultTimeout: eventually, StoreRetry: 20 * time.Millisecond,
+		HeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxConnections: 100, DefaultTimeout: eventually, StoreRetry: 20 * time.Millisecond,
 		Grace: 3 * time.Second, Withdrawal: 50 * time.Millisecond,
 		Admission: admission.Options{
 			Local: fleet.Location{Region: "r1"}, Replicas: 2, PrefillRate: 50_000, Overhead: 10 * time.Millisecond,
