--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -97,7 +97,7 @@
 }
 
 // copyCost is the wait that is preferred to a copy.
-const copyCost = 100 * time.Millisecond
+const copyCost = 400 * time.Millisecond
 
 // minCopyTokens is the least that is worth a copy.
 const minCopyTokens = 1000
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -281,7 +281,7 @@
 
 // busyPart is the part of the limit from which on the mean wait at all engines
 // leaves no room for reading shared parts twice.
-const busyPart = 12
+const busyPart = 8
 
 // meanQueueing returns how long a prompt waits for others, over all engines.
 func (s *Scheduler) meanQueueing(now time.Time) time.Duration {
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -152,7 +152,7 @@
 		},
 		Admission: AdmissionSettings{
 			Replicas: 2, PrefillRate: 40000, AttentionTokens: 50000, Overhead: Duration(50 * time.Millisecond),
-			MaxWait: 0.75, OverShareWait: 0.35, SlotLimit: 0.95, MemoryLimit: 0.7,
+			MaxWait: 0.75, OverShareWait: 0.22, SlotLimit: 0.95, MemoryLimit: 0.7,
 			RemoteCost: Duration(120 * time.Millisecond), Window: Duration(4 * time.Second),
 		},
 		Outlier: OutlierSettings{
