--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -197,7 +197,7 @@
 	if len(r.Prompt) == 0 {
 		return 1
 	}
-	return float64(r.Prompt.Tokens()-r.Prompt.SharedTokens()) + 2*float64(r.OutputTokens)
+	return float64(r.Prompt.Tokens()) + 2*float64(r.OutputTokens)
 }
 
 // shareRatio returns what the team was served relative to its max-min share;
