--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -42,6 +42,8 @@
 	// first token may take, OverShareWait the same for teams over their share.
 	MaxWait       float64
 	OverShareWait float64
+	// ReturnWait is the same for callers that come back after a refusal.
+	ReturnWait float64
 	// SlotLimit and MemoryLimit are the parts of an engine's slots and memory
 	// that may be taken.
 	SlotLimit   float64
@@ -79,6 +81,9 @@
 	Objective    time.Duration
 	// Elapsed is the time since the request arrived.
 	Elapsed time.Duration
+	// Waited is how long the caller has waited in earlier requests for the same
+	// answer; zero if this is the first.
+	Waited time.Duration
 	// Exclude is the upstreams that the request was sent to before.
 	Exclude []fleet.UpstreamID
 }
@@ -301,9 +306,14 @@
 func (s *Scheduler) waitLimit(r Request, ratio float64) time.Duration {
 	const from, to = 0.9, 1.2
 	part := s.options.MaxWait
+	if r.Waited > 0 && r.Waited < r.Objective {
+		// A refused caller comes back once: it goes ahead of new ones while it
+		// may still be answered on time.
+		part = s.options.ReturnWait
+	}
 	if ratio > from {
 		over := min(1, (ratio-from)/(to-from))
-		part -= over * (s.options.MaxWait - s.options.OverShareWait)
+		part -= over * (part - s.options.OverShareWait)
 	}
 	return time.Duration(part * float64(r.Objective))
 }
--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -28,7 +28,7 @@
 		Local:    fleet.Location{Region: "r1", FailureDomain: "d1"},
 		Regions:  map[fleet.FailureDomainID]fleet.RegionID{"d1": "r1", "d2": "r2"},
 		Replicas: 2, PrefillRate: rate, Overhead: overhead, AttentionTokens: 1e9,
-		MaxWait: 0.75, OverShareWait: 0.35, SlotLimit: 1, MemoryLimit: 0.7,
+		MaxWait: 0.75, OverShareWait: 0.35, ReturnWait: 0.9, SlotLimit: 1, MemoryLimit: 0.7,
 		Window: 4 * time.Second, PeerTTL: time.Second,
 		Outlier: outlier.Options{BaseEjection: time.Second, MaxEjection: 8 * time.Second, BrokenInARow: 2, Smoothing: 0.1},
 	}
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -144,7 +144,7 @@
 		Local: location, Regions: s.Regions, Replicas: a.Replicas,
 		AttentionTokens: a.AttentionTokens,
 		PrefillRate:     a.PrefillRate, Overhead: a.Overhead.Std(),
-		MaxWait: a.MaxWait, OverShareWait: a.OverShareWait, SlotLimit: a.SlotLimit, MemoryLimit: a.MemoryLimit,
+		MaxWait: a.MaxWait, OverShareWait: a.OverShareWait, ReturnWait: a.ReturnWait, SlotLimit: a.SlotLimit, MemoryLimit: a.MemoryLimit,
 		RemoteCost: a.RemoteCost.Std(), Window: a.Window.Std(), PeerTTL: peerReportTTL,
 		Outlier: outlier.Options{
 			BaseEjection: s.Outlier.BaseEjection.Std(), MaxEjection: s.Outlier.MaxEjection.Std(),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -114,10 +114,12 @@
 	// token may take.
 	MaxWait float64 `yaml:"max_wait,omitempty" validate:"gt=0,lte=1"`
 	// OverShareWait is the same for teams over their share.
-	OverShareWait float64  `yaml:"over_share_wait,omitempty" validate:"gt=0,lte=1"`
-	SlotLimit     float64  `yaml:"slot_limit,omitempty" validate:"gt=0,lte=1"`
-	MemoryLimit   float64  `yaml:"memory_limit,omitempty" validate:"gt=0,lte=1"`
-	RemoteCost    Duration `yaml:"remote_cost,omitempty"`
+	OverShareWait float64 `yaml:"over_share_wait,omitempty" validate:"gt=0,lte=1"`
+	// ReturnWait is the same for callers that come back after a refusal.
+	ReturnWait  float64  `yaml:"return_wait,omitempty" validate:"gt=0,lte=1"`
+	SlotLimit   float64  `yaml:"slot_limit,omitempty" validate:"gt=0,lte=1"`
+	MemoryLimit float64  `yaml:"memory_limit,omitempty" validate:"gt=0,lte=1"`
+	RemoteCost  Duration `yaml:"remote_cost,omitempty"`
 	// Window is the span of the teams' accounts.
 	Window Duration `yaml:"window,omitempty" validate:"gt=0"`
 }
@@ -152,7 +154,7 @@
 		},
 		Admission: AdmissionSettings{
 			Replicas: 2, PrefillRate: 40000, AttentionTokens: 50000, Overhead: Duration(50 * time.Millisecond),
-			MaxWait: 0.75, OverShareWait: 0.22, SlotLimit: 0.95, MemoryLimit: 0.7,
+			MaxWait: 0.75, OverShareWait: 0.22, ReturnWait: 0.95, SlotLimit: 0.95, MemoryLimit: 0.7,
 			RemoteCost: Duration(120 * time.Millisecond), Window: Duration(4 * time.Second),
 		},
 		Outlier: OutlierSettings{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,8 @@
 	adoptedAt    time.Time
 	registeredAt time.Time
 
-	peers *peers
+	patience *patience
+	peers    *peers
 	// changed is set when the load changed since the last report.
 	changed atomic.Bool
 	// background ends with the process.
@@ -66,6 +67,7 @@
 		registry:   registry.New(options.Registry),
 		services:   make(map[fleet.ServiceID]*service),
 		pools:      make(map[poolKey]*upstream.Pool),
+		patience:   newPatience(),
 		background: ctx,
 	}
 	g.peers = newPeers(g)
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -31,6 +31,8 @@
 	service *service
 	version int64
 	arrived time.Time
+	// waited is how long the caller has waited in earlier requests.
+	waited time.Duration
 	// expires is when the caller or the route's timeout gives up.
 	expires time.Time
 
@@ -78,6 +80,7 @@
 		return j, refused
 	}
 	j.expires = arrived.Add(j.timeout(g.options.DefaultTimeout))
+	j.waited = g.patience.waited(j.route.Name, j.in.Deadline)
 	if err := control.SetReadDeadline(j.expires); err != nil {
 		g.log.Warn("no read deadline", zap.Error(err))
 	}
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -207,7 +207,7 @@
 		Grace: 3 * time.Second, Withdrawal: 50 * time.Millisecond,
 		Admission: admission.Options{
 			Local: fleet.Location{Region: "r1"}, Replicas: 2, PrefillRate: 50_000, Overhead: 10 * time.Millisecond,
-			AttentionTokens: 1e6, MaxWait: 0.9, OverShareWait: 0.5, SlotLimit: 1, MemoryLimit: 1,
+			AttentionTokens: 1e6, MaxWait: 0.9, OverShareWait: 0.5, ReturnWait: 0.9, SlotLimit: 1, MemoryLimit: 1,
 			Window: 4 * time.Second, PeerTTL: time.Second,
 			Outlier: outlier.Options{BaseEjection: time.Second, MaxEjection: 8 * time.Second, BrokenInARow: 2, Smoothing: 0.1},
 		},
