Keep one session between two routers

A router that has a session which the other one dialed doesn't dial. Test fails before (sessions still close after 20 s), passes after.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/route"
@@ -390,3 +393,41 @@
 	g.Expect(resp.StatusCode).To(Equal(400))
 	g.Consistently(s.count, "100ms").Should(BeZero())
 }
+
+func TestRoutersKeepOneSessionToEachOther(t *testing.T) {
+	g := NewWithT(t)
+	store := newMemoryStore()
+	store.configure(definition(1))
+	logs := make([]*observer.ObservedLogs, 3)
+	var nodes []*node
+	for i := range logs {
+		core, seen := observer.New(zap.InfoLevel)
+		logs[i] = seen
+		nodes = append(nodes, startGateway(t, fmt.Sprint("g", i), store, func(o *gateway.Options) {
+			o.Log = zap.New(core)
+			for _, earlier := range nodes {
+				o.Seeds = append(o.Seeds, earlier.peer)
+			}
+		}))
+	}
+	for _, n := range nodes {
+		g.Eventually(func() int { return len(n.State().Routers) }, eventually).Should(Equal(2))
+	}
+	closed := func() int {
+		sum := 0
+		for _, seen := range logs {
+			sum += seen.FilterMessage("session closed").Len()
+		}
+		return sum
+	}
+	// Both sides may have dialed at once; then they agree and stay.
+	settled := closed()
+	g.Eventually(func() error {
+		now := closed()
+		if now != settled {
+			settled = now
+			return errors.New("sessions still close")
+		}
+		return nil
+	}, 2*eventually, "1s").MustPassRepeatedly(4).Should(Succeed())
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -77,10 +77,19 @@
 			p.addresses[id] = address
 		}
 	}
+	p.network.SetTargets(ctx, p.targets())
+}
+
+// targets returns whom to dial: the known routers but those that have dialed this
+// one, and the seeds that are not known. The caller holds mu.
+func (p *peers) targets() []peer.Target {
 	targets := make([]peer.Target, 0, len(p.addresses)+len(p.gateway.options.Seeds))
 	known := map[string]bool{p.gateway.options.PeerAddress: true}
 	for id, address := range p.addresses {
 		known[address] = true
+		if s := p.sessions.Get(id); s != nil && !s.Dialed() {
+			continue
+		}
 		targets = append(targets, peer.Target{ID: id, Address: address})
 	}
 	for _, seed := range p.gateway.options.Seeds {
@@ -88,7 +97,7 @@
 			targets = append(targets, peer.Target{Address: seed})
 		}
 	}
-	p.network.SetTargets(ctx, targets)
+	return targets
 }
 
 // followMembers registers this router and looks for the others until ctx ends.
@@ -154,9 +163,7 @@
 		return
 	}
 	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
-	if address := s.Address(); address != "" {
-		p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): address})
-	}
+	p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
 	p.gateway.changed.Store(true)
 }
 
@@ -164,6 +171,7 @@
 func (p *peers) SessionDown(s *peer.Session, _ error) {
 	if p.sessions.Remove(s) {
 		p.gateway.peerLost(s.ID())
+		p.learn(p.gateway.background, nil)
 	}
 }
 
