--- /dev/null
+++ b/admission/choose.go
@@ -0,0 +1,159 @@
+package admission
+
+import "time"
+
+// candidate is an upstream that a request may be sent to.
+type candidate struct {
+	upstream  *upstream
+	predicted time.Duration
+	// cost is predicted with the price of the place.
+	cost    time.Duration
+	prefill int
+	backlog float64
+	full    bool
+	// copyFrom is the address of an engine to copy cached parts from.
+	copyFrom string
+	// cold candidates would have to read the shared parts, which another one
+	// keeps.
+	cold bool
+	// ranked candidates are taken in their order, others by their cost.
+	ranked bool
+}
+
+// bounds is what a candidate has to keep to.
+type bounds struct {
+	// limit is how long the request may wait for its first token.
+	limit time.Duration
+	// busy is set while the engines have little room on the mean.
+	busy bool
+}
+
+// choose returns the best upstream that would answer on time, or the refusal.
+func (s *Scheduler) choose(now time.Time, r Request, ratio float64) (*candidate, Decision) {
+	candidates := s.candidates(now, r)
+	if len(candidates) == 0 {
+		return nil, Decision{Reason: NoUpstream, RetryAfter: s.options.Outlier.BaseEjection}
+	}
+	limit := s.waitLimit(r, ratio)
+	b := bounds{limit: limit, busy: s.meanQueueing(now) > limit/busyPart}
+	if best := s.best(r, candidates, b); best != nil {
+		return best, Decision{}
+	}
+	nearest := cheapest(candidates)
+	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(nearest, limit), Predicted: nearest.predicted}
+	b.limit = s.waitLimit(r, 0)
+	if limit < b.limit && s.onTime(r, nearest, b) {
+		refused.Reason = OverShare
+	}
+	return nil, refused
+}
+
+// best returns the cheapest candidate that keeps to the bounds, or the first one
+// of those that are taken in their order.
+func (s *Scheduler) best(r Request, candidates []candidate, b bounds) *candidate {
+	var best *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		if !s.allowed(r, c, b) {
+			continue
+		}
+		if best == nil || !c.ranked && c.cost < best.cost {
+			best = c
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) allowed(r Request, c *candidate, b bounds) bool {
+	if c.cold && (b.busy || s.queueing(c) > b.limit/coldPart) {
+		return false
+	}
+	return !c.full && s.onTime(r, c, b)
+}
+
+func cheapest(candidates []candidate) *candidate {
+	best := &candidates[0]
+	for i := range candidates {
+		if candidates[i].cost < best.cost {
+			best = &candidates[i]
+		}
+	}
+	return best
+}
+
+// coldPart is the part of the limit that a request may wait for others at an
+// engine that has to read shared parts that another one keeps: reading them costs
+// more than the request itself, so that only idle engines do it.
+const coldPart = 8
+
+// busyPart is the part of the limit from which on the mean wait at all engines
+// leaves no room for reading shared parts twice.
+const busyPart = 8
+
+// meanQueueing returns how long a prompt waits for others, over all engines.
+func (s *Scheduler) meanQueueing(now time.Time) time.Duration {
+	if len(s.ids) == 0 {
+		return 0
+	}
+	total := 0.0
+	for _, id := range s.ids {
+		total += s.upstreams[id].backlog(now, s.model.rate, s.options.PeerTTL)
+	}
+	mean := total / float64(len(s.ids))
+	return time.Duration(mean / s.model.rate * float64(time.Second))
+}
+
+// The wait of a team narrows from shareFrom of its share on, and is the one of teams
+// over their share from shareTo on.
+const (
+	shareFrom = 0.9
+	shareTo   = 1.2
+)
+
+// waitLimit returns how long a request may wait for its first token. It narrows
+// from a team's share on.
+func (s *Scheduler) waitLimit(r Request, ratio float64) time.Duration {
+	part := s.options.MaxWait
+	if r.Waited > 0 && r.Waited < r.Objective {
+		// A refused caller comes back once: it goes ahead of new ones while it
+		// may still be answered on time.
+		part = s.options.ReturnWait
+	}
+	if ratio > shareFrom {
+		over := min(1, (ratio-shareFrom)/(shareTo-shareFrom))
+		part -= over * (part - s.options.OverShareWait)
+	}
+	return time.Duration(part * float64(r.Objective))
+}
+
+// onTime reports whether a candidate would answer within the limit. A request whose
+// own prompt takes long is sent where it has not to wait long for others.
+func (s *Scheduler) onTime(r Request, c *candidate, b bounds) bool {
+	if r.Elapsed+c.predicted <= b.limit {
+		return true
+	}
+	queueing := s.queueing(c)
+	alone := c.predicted - queueing
+	room := b.limit
+	if b.busy {
+		room /= busyRoom
+	}
+	return alone > b.limit && r.Elapsed+queueing <= room
+}
+
+// busyRoom divides the limit for prompts that are late by themselves while other
+// requests wait.
+const busyRoom = 4
+
+// queueing is the part of the prediction that other requests cause.
+func (s *Scheduler) queueing(c *candidate) time.Duration {
+	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
+		return 0
+	}
+	return time.Duration(c.backlog / s.model.rate * float64(time.Second))
+}
+
+// retryAfter returns when the nearest candidate will have read enough.
+func (s *Scheduler) retryAfter(nearest *candidate, limit time.Duration) time.Duration {
+	return max(nearest.predicted-limit, s.options.Overhead)
+}
--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -375,3 +375,20 @@
 	w.s.Cancel(w.now, "none")
 	w.Expect(w.s.Report(w.now).Upstreams).To(BeEmpty())
 }
+
+// Pattern: refused callers come back once.
+func TestReturningCallerGoesAheadWhileItMayBeOnTime(t *testing.T) {
+	w := newWorld(t, options(), engineCapacity(), 1)
+	// A backlog of 0.4 s: new requests would need more than their limit.
+	w.s.PeerReport(w.now, "other", admission.Report{
+		Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: 20_000, Running: 3}},
+	})
+	admit := func(id string, waited time.Duration) bool {
+		d := w.s.Admit(w.now, admission.Request{ID: id, Team: "team", Prompt: short(1), Objective: objective, Waited: waited})
+		w.s.Cancel(w.now, id)
+		return d.Admitted
+	}
+	w.Expect(admit("new", 0)).To(BeFalse())
+	w.Expect(admit("back", 100*time.Millisecond)).To(BeTrue())
+	w.Expect(admit("late", objective)).To(BeFalse())
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -58,7 +58,7 @@
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	go func() { x.written <- m.write(c) }()
-	x.Response, err = readAnswer(c.reader, m)
+	x.Response, err = readAnswer(c.reader, m) //nolint:bodyclose // Close ends the connection or keeps it instead.
 	if err == nil {
 		return x, nil
 	}
