--- /dev/null
+++ b/config/gateway_test.go
@@ -0,0 +1,98 @@
+package config_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// rendered returns the template of the deployment with a platform's values.
+func rendered() string {
+	GinkgoHelper()
+	template, err := os.ReadFile("../deploy/gateway.yaml")
+	Expect(err).NotTo(HaveOccurred())
+	return render(string(template))
+}
+
+var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+
+func render(template string) string {
+	values := map[string]string{
+		"nodeName": "front-north-1", "region": "north", "zone": "north-a", "zones|json": `{"north-a":"north","south-a":"south"}`,
+		"listen.front": "10.1.0.33:8783", "listen.readyAddress": "10.1.0.33:8780", "listen.control": "10.1.0.33:8785",
+		"ip": "10.1.0.33", "portRange.0": "7400", "seeds|json": `["10.1.0.33:8785","10.2.0.18:8785"]`,
+		"platform.address": "10.200.1.7:8781", "limits.maxFds": "4100", "limits.memoryMb": "284",
+		"bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
+		"bounds.quotaWindowS": "4",
+	}
+	return placeholder.ReplaceAllStringFunc(template, func(match string) string {
+		return values[strings.Trim(match, "{}")]
+	})
+}
+
+func load(text string) (config.GatewaySettings, error) {
+	GinkgoHelper()
+	path := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return config.LoadGatewaySettings(path)
+}
+
+var _ = Describe("LoadGatewaySettings", func() {
+	It("takes what the deployment's template renders", func() {
+		settings, err := load(rendered())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.ID).To(Equal(fleet.NodeID("front-north-1")))
+		Expect(settings.Regions).To(HaveKeyWithValue(fleet.FailureDomainID("south-a"), fleet.RegionID("south")))
+		Expect(settings.Peers).To(HaveLen(2))
+		Expect(settings.Stop.Grace.Std()).To(Equal(8 * time.Second))
+		Expect(settings.Retry.Slack).To(Equal(52.0))
+		Expect(settings.Admission.Window.Std()).To(Equal(4 * time.Second))
+		Expect(settings.Limits.Descriptors).To(Equal(4100))
+	})
+
+	DescribeTable("names what is wrong", func(old, replacement, want string) {
+		text := rendered()
+		Expect(text).To(ContainSubstring(old))
+		_, err := load(strings.Replace(text, old, replacement, 1))
+		Expect(err).To(MatchError(config.ErrInvalid))
+		Expect(err).To(MatchError(ContainSubstring(want)))
+	},
+		Entry("unknown key", "stop:", "stopp:", "stopp"),
+		Entry("bad address", "10.1.0.33:8783", "here", "listen.caller"),
+		Entry("missing id", `id: "front-north-1"`, `id: ""`, "id"),
+		Entry("bad duration", "grace: 8s", "grace: soon", "duration"),
+		Entry("bad ratio", "ratio: 0.2", "ratio: 7", "retry.ratio"),
+		Entry("bad level", "level: info", "level: loud", "log.level"),
+	)
+})
+
+// FuzzGatewaySettings checks that no file makes the parser panic, and that errors
+// are typed.
+func FuzzGatewaySettings(f *testing.F) {
+	template, err := os.ReadFile("../deploy/gateway.yaml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte(render(string(template))))
+	f.Add([]byte("id: [\n"))
+	path := filepath.Join(f.TempDir(), "settings.yaml")
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := config.LoadGatewaySettings(path)
+		if err != nil && !errors.Is(err, config.ErrInvalid) && !errors.Is(err, config.ErrTooLarge) {
+			t.Fatalf("untyped error: %v", err)
+		}
+	})
+}
