Report changes of load between full reports

Reports name changes, and everything every 200 ms; another router's prefill counts whole until it says otherwise.

--- a/admission/engine.go
+++ b/admission/engine.go
@@ -48,7 +48,9 @@
 	// pending is the requests without a first event, in the order of sending.
 	pending []*run
 	load    UpstreamLoad
-	peers   map[fleet.NodeID]peerLoad
+	// reported is the load that the other routers know.
+	reported UpstreamLoad
+	peers    map[fleet.NodeID]peerLoad
 	// progressFrom is when the engine began with the first of pending.
 	progressFrom time.Time
 }
@@ -64,9 +66,9 @@
 	}
 	total := own
 	for _, peer := range u.peers {
-		age := now.Sub(peer.at)
-		if age < peerTTL {
-			total += max(0, float64(peer.Prefill)-rate*age.Seconds())
+		// Their progress is not known: the engine reads for one at a time.
+		if now.Sub(peer.at) < peerTTL {
+			total += float64(peer.Prefill)
 		}
 	}
 	return total
--- a/admission/report.go
+++ b/admission/report.go
@@ -9,8 +9,12 @@
 
 // Report is what a router tells the others about one service.
 type Report struct {
+	// Full reports name every upstream with a load, and all teams. Others name
+	// the upstreams whose load changed since the report before.
+	Full      bool
 	Upstreams map[fleet.UpstreamID]UpstreamLoad
-	Teams     Usage
+	// Teams is nil but in full reports.
+	Teams Usage
 	// Prompts is what the engines were sent since the report before.
 	Prompts []SentPrompt
 }
@@ -21,25 +25,28 @@
 	Parts    []placement.PartKey
 }
 
-// Report returns this router's load and accounts, and what is new since the report
-// before.
-func (s *Scheduler) Report(now time.Time) Report {
-	report := Report{Upstreams: make(map[fleet.UpstreamID]UpstreamLoad), Teams: s.accounts.sum(now), Prompts: s.sent}
+// Report returns this router's load, and what is new since the report before.
+func (s *Scheduler) Report(now time.Time, full bool) Report {
+	report := Report{Full: full, Upstreams: make(map[fleet.UpstreamID]UpstreamLoad), Prompts: s.sent}
 	s.sent = nil
+	if full {
+		report.Teams = s.accounts.sum(now)
+	}
 	for _, id := range s.ids {
 		u := s.upstreams[id]
-		load := u.load
-		if load.Running == 0 {
-			continue
+		if full && u.load.Running > 0 || !full && u.load != u.reported {
+			report.Upstreams[id] = u.load
 		}
-		report.Upstreams[id] = load
+		u.reported = u.load
 	}
 	return report
 }
 
-// PeerReport takes the report of another router. It replaces the one before.
+// PeerReport takes the report of another router.
 func (s *Scheduler) PeerReport(now time.Time, node fleet.NodeID, report Report) {
-	s.peerUsage[node] = peerUsage{usage: report.Teams, at: now}
+	if report.Full {
+		s.peerUsage[node] = peerUsage{usage: report.Teams, at: now}
+	}
 	for _, prompt := range report.Prompts {
 		if u := s.upstreams[prompt.Upstream]; u != nil {
 			u.cache.Add(prompt.Parts)
@@ -48,11 +55,12 @@
 	for _, id := range s.ids {
 		u := s.upstreams[id]
 		load, ok := report.Upstreams[id]
-		if !ok {
+		switch {
+		case ok:
+			u.peers[node] = peerLoad{UpstreamLoad: load, at: now}
+		case report.Full:
 			delete(u.peers, node)
-			continue
 		}
-		u.peers[node] = peerLoad{UpstreamLoad: load, at: now}
 	}
 }
 
--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -230,7 +230,7 @@
 func TestOtherRoutersLoadCountsUntilItIsStale(t *testing.T) {
 	w := newWorld(t, options(), engineCapacity(), 1)
 	w.s.PeerReport(w.now, "other", admission.Report{
-		Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: 100_000, Running: 3}},
+		Full: true, Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: 100_000, Running: 3}},
 	})
 	d, _ := w.ask("team", short(1))
 	w.Expect(d.Admitted).To(BeFalse())
@@ -251,16 +251,39 @@
 func TestReportNamesEachPromptOnce(t *testing.T) {
 	w := newWorld(t, options(), engineCapacity(), 1)
 	_, id := w.ask("team", shared(3, 1))
-	report := w.s.Report(w.now)
+	report := w.s.Report(w.now, true)
 	w.Expect(report.Prompts).To(HaveLen(1))
 	w.Expect(report.Upstreams["u00"]).To(Equal(admission.UpstreamLoad{Prefill: 12_000, Running: 1, Memory: 2050}))
 	w.Expect(report.Teams["team"].Served).To(Equal(report.Teams["team"].Asked))
 	w.s.End(w.now, id, outlier.Success)
-	report = w.s.Report(w.now)
+	report = w.s.Report(w.now, true)
 	w.Expect(report.Prompts).To(BeEmpty())
 	w.Expect(report.Upstreams).To(BeEmpty())
 }
 
+func TestShortReportsNameChangesOnly(t *testing.T) {
+	w := newWorld(t, options(), engineCapacity(), 3)
+	other := admission.NewScheduler(options(), engineCapacity())
+	other.SetUpstreams(upstreams(3))
+	tell := func(full bool) admission.Report {
+		report := w.s.Report(w.now, full)
+		other.PeerReport(w.now, "first", report)
+		return report
+	}
+	tell(true)
+	first, id := w.ask("team", short(1))
+	w.Expect(tell(false).Upstreams).To(HaveLen(1))
+	w.Expect(tell(false).Upstreams).To(BeEmpty())
+	w.Expect(tell(false).Teams).To(BeNil())
+	w.Expect(other.View(w.now).Upstreams[first.Upstream.ID].Running).To(Equal(1))
+	w.Expect(other.View(w.now).Teams).To(BeEmpty())
+	w.s.End(w.now, id, outlier.Success)
+	w.Expect(tell(false).Upstreams).To(HaveKeyWithValue(first.Upstream.ID, admission.UpstreamLoad{}))
+	w.Expect(other.View(w.now).Upstreams[first.Upstream.ID].Running).To(BeZero())
+	w.Expect(tell(true).Teams).To(HaveKey(fleet.TeamID("team")))
+	w.Expect(other.View(w.now).Teams).To(HaveKey(fleet.TeamID("team")))
+}
+
 // Pattern: engines crash while they run requests.
 func TestCrashedEngineIsLeftOutAndForgotten(t *testing.T) {
 	w := newWorld(t, options(), engineCapacity(), 2)
@@ -286,7 +309,7 @@
 	list := upstreams(1)
 	list[0].StartedUnixMs = 77
 	w.s.SetUpstreams(list)
-	w.Expect(w.s.Report(w.now).Upstreams).To(BeEmpty())
+	w.Expect(w.s.Report(w.now, true).Upstreams).To(BeEmpty())
 	d, _ := w.ask("team", shared(5, 2))
 	w.Expect(d.Prefill).To(Equal(12_000))
 }
@@ -373,7 +396,7 @@
 	w.Expect(w.s.End(w.now, "none", outlier.Broken)).To(BeFalse())
 	w.s.FirstEvent(w.now, "none")
 	w.s.Cancel(w.now, "none")
-	w.Expect(w.s.Report(w.now).Upstreams).To(BeEmpty())
+	w.Expect(w.s.Report(w.now, true).Upstreams).To(BeEmpty())
 }
 
 // Pattern: refused callers come back once.
@@ -381,7 +404,7 @@
 	w := newWorld(t, options(), engineCapacity(), 1)
 	// A backlog of 0.4 s: new requests would need more than their limit.
 	w.s.PeerReport(w.now, "other", admission.Report{
-		Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: 20_000, Running: 3}},
+		Full: true, Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: 20_000, Running: 3}},
 	})
 	admit := func(id string, waited time.Duration) bool {
 		d := w.s.Admit(w.now, admission.Request{ID: id, Team: "team", Prompt: short(1), Objective: objective, Waited: waited})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,8 +15,8 @@
 )
 
 const (
-	// idleReportInterval is the time between reports without a change.
-	idleReportInterval = 500 * time.Millisecond
+	// fullReportInterval is the time between reports of the whole load.
+	fullReportInterval = 200 * time.Millisecond
 	// catchUpDelay is how long a router waits for the store to tell it what
 	// another one knows already, before it asks that one.
 	catchUpDelay = 150 * time.Millisecond
@@ -35,6 +36,8 @@
 	addresses map[fleet.NodeID]string
 	// behindSince is since when another router knows more of the registry.
 	behindSince time.Time
+	// joined is set when a router has not had a full report yet.
+	joined atomic.Bool
 }
 
 func newPeers(g *Gateway) *peers {
@@ -129,18 +132,21 @@
 func (p *peers) report(ctx context.Context) {
 	ticker := time.NewTicker(p.gateway.options.ReportInterval)
 	defer ticker.Stop()
-	last := time.Time{}
+	lastFull := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if !p.gateway.takeChanged() && time.Since(last) < idleReportInterval {
+		full := p.joined.Swap(false) || time.Since(lastFull) >= fullReportInterval
+		if !p.gateway.takeChanged() && !full {
 			continue
 		}
-		last = time.Now()
-		message := p.gateway.loadReport(p.routers())
+		if full {
+			lastFull = time.Now()
+		}
+		message := p.gateway.loadReport(p.routers(), full)
 		for _, s := range p.sessions.All(peerpb.Role_ROLE_ROUTER) {
 			s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: message}})
 		}
@@ -164,7 +170,7 @@
 	}
 	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
 	p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
-	p.gateway.changed.Store(true)
+	p.joined.Store(true)
 }
 
 // SessionDown implements peer.Handler.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -25,10 +25,10 @@
 }
 
 // report returns this router's load.
-func (s *service) report() admission.Report {
+func (s *service) report(full bool) admission.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.Report(time.Now())
+	return s.scheduler.Report(time.Now(), full)
 }
 
 func (s *service) view(now time.Time) admission.View {
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -18,7 +18,7 @@
 func (g *Gateway) takeChanged() bool { return g.changed.Swap(false) }
 
 // loadReport returns what this router tells the others.
-func (g *Gateway) loadReport(routers map[fleet.NodeID]string) *peerpb.LoadReport {
+func (g *Gateway) loadReport(routers map[fleet.NodeID]string, full bool) *peerpb.LoadReport {
 	g.mu.Lock()
 	services := make([]*service, 0, len(g.services))
 	for _, s := range g.services {
@@ -27,7 +27,10 @@
 	message := &peerpb.LoadReport{RegistryRevision: g.registry.Newest()}
 	g.mu.Unlock()
 	for _, s := range services {
-		message.Services = append(message.Services, reportToWire(s.id, s.report()))
+		message.Services = append(message.Services, reportToWire(s.id, s.report(full)))
+	}
+	if !full {
+		return message
 	}
 	for id, address := range routers {
 		message.Routers = append(message.Routers, &peerpb.RouterAddress{Id: string(id), Address: address})
@@ -36,7 +39,7 @@
 }
 
 func reportToWire(id fleet.ServiceID, r admission.Report) *peerpb.ServiceLoad {
-	out := &peerpb.ServiceLoad{Service: string(id)}
+	out := &peerpb.ServiceLoad{Service: string(id), Full: r.Full}
 	for upstream, load := range r.Upstreams {
 		out.Upstreams = append(out.Upstreams, &peerpb.UpstreamLoad{
 			Upstream: string(upstream), Prefill: uint32(load.Prefill), Running: uint32(load.Running), Memory: uint32(load.Memory),
@@ -57,7 +60,7 @@
 }
 
 func reportFromWire(m *peerpb.ServiceLoad) admission.Report {
-	r := admission.Report{Upstreams: make(map[fleet.UpstreamID]admission.UpstreamLoad), Teams: make(admission.Usage)}
+	r := admission.Report{Full: m.GetFull(), Upstreams: make(map[fleet.UpstreamID]admission.UpstreamLoad), Teams: make(admission.Usage)}
 	for _, u := range m.GetUpstreams() {
 		r.Upstreams[fleet.UpstreamID(u.GetUpstream())] = admission.UpstreamLoad{
 			Prefill: int(u.GetPrefill()), Running: int(u.GetRunning()), Memory: int(u.GetMemory()),
