--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -25,7 +25,7 @@
 
 const (
 	// peerReportTTL is how long another gateway's report of its load holds.
-	peerReportTTL = time.Second
+	peerReportTTL = 2 * time.Second
 	// callerDescriptors is the part of the descriptors that callers'
 	// connections may take; upstreams, other routers and the store have the rest.
 	callerDescriptors = 0.6
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -258,3 +258,36 @@
 	g.Expect(resp.StatusCode).To(Equal(400))
 	g.Consistently(s.count, "100ms").Should(BeZero())
 }
+
+// heldListener accepts nothing until it is released.
+type heldListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
+
+func TestRequestOfACallerThatLeftIsNotSentOn(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	store := newMemoryStore()
+	store.configure(definition(1))
+	store.register(s.Upstream, false)
+	held := heldListener{Listener: listen(t), release: make(chan struct{})}
+	n := startGatewayOn(t, "g1", store, nil, held)
+	awaitReady(t, n)
+	for i := range 90 {
+		c, err := net.Dial("tcp", held.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		fmt.Fprintf(c, "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: left-%d\r\n\r\n", i)
+		c.Close()
+	}
+	close(held.release)
+	resp, _, err := send(n, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	g.Consistently(s.count, "200ms").Should(Equal(1))
+}
--- /dev/null
+++ b/gateway/liveness.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// callerConnKey is the context key of a caller's connection.
+type callerConnKey struct{}
+
+// withCallerConn remembers the connection that a request came on.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// callerLeft reports whether the caller has closed its connection. A request may
+// have waited in the socket for longer than its caller did; the end of the
+// connection is found there before the server's reader comes to it.
+func callerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	source, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended := peekErr == nil && n == 0
+		failed := peekErr != nil && !errors.Is(peekErr, unix.EAGAIN) && !errors.Is(peekErr, unix.EINTR)
+		left = ended || failed
+	})
+	return left || err != nil
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// fullReportInterval is the time between reports of the whole load.
-	fullReportInterval = 200 * time.Millisecond
+	// fullReportEvery is the number of reports of which one names the whole load.
+	fullReportEvery = 4
+	// reportPeers is the number of other routers up to which reports are made
+	// at their interval; more routers make them rarer, so that the messages
+	// that a router gets in a second stay bounded.
+	reportPeers = 5
 	// catchUpDelay is how long a router waits for the store to tell it what
 	// another one knows already, before it asks that one.
 	catchUpDelay = 150 * time.Millisecond
@@ -130,16 +134,11 @@
 
 // report tells the other routers this one's load until ctx ends.
 func (p *peers) report(ctx context.Context) {
-	ticker := time.NewTicker(p.gateway.options.ReportInterval)
-	defer ticker.Stop()
 	lastFull := time.Time{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		full := p.joined.Swap(false) || time.Since(lastFull) >= fullReportInterval
+	for ctx.Err() == nil {
+		interval := p.reportInterval()
+		node.Pause(ctx, interval)
+		full := p.joined.Swap(false) || time.Since(lastFull) >= fullReportEvery*interval
 		if !p.gateway.takeChanged() && !full {
 			continue
 		}
@@ -153,6 +152,11 @@
 	}
 }
 
+func (p *peers) reportInterval() time.Duration {
+	interval := p.gateway.options.ReportInterval
+	return max(interval, interval*time.Duration(p.count())/reportPeers)
+}
+
 func (p *peers) routers() map[fleet.NodeID]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,7 +10,6 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"fulmarspindle.example/fulmarspindle/node"
 )
@@ -41,6 +40,7 @@
 		ReadHeaderTimeout: g.options.HeaderTimeout,
 		IdleTimeout:       g.options.IdleTimeout,
 		MaxHeaderBytes:    g.options.MaxHeaderBytes,
+		ConnContext:       withCallerConn,
 		ErrorLog:          zap.NewStdLog(g.log.Named("http")),
 	}
 	ready := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: adminHeaderTimeout}
@@ -52,7 +52,7 @@
 		go func() { failed <- metrics.Serve(listeners.Metrics) }()
 	}
 	go func() { failed <- ready.Serve(listeners.Ready) }()
-	limited := netutil.LimitListener(listeners.Caller, g.options.MaxConnections)
+	limited := limitCallers(listeners.Caller, g.options.MaxConnections)
 	go func() { failed <- callers.Serve(limited) }()
 	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
 	select {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -120,7 +120,7 @@
 	switch {
 	case last.kind == complete:
 		j.countComplete(last)
-	case last.kind == callerGone || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+	case last.kind == callerGone && !errors.Is(last.err, errDeadline) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		g.breakOff(j, "caller_gone")
 	case j.answer.started:
 		g.breakOff(j, "upstream_failed")
@@ -167,6 +167,10 @@
 	ctx, span := telemetry.StartSpan(ctx, "gateway.attempt", attribute.String("upstream", string(d.Upstream.ID)))
 	defer span.End()
 	id := j.attemptID()
+	if callerLeft(ctx) {
+		j.service.cancel(id)
+		return result{kind: callerGone, err: context.Cause(ctx)}
+	}
 	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
 	if err != nil {
 		return g.failed(ctx, j, id, err)
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -197,7 +197,13 @@
 
 func startGateway(t *testing.T, id string, store gateway.Store, change func(*gateway.Options)) *node {
 	t.Helper()
-	listeners := gateway.Listeners{Caller: listen(t), Ready: listen(t), Peer: listen(t)}
+	return startGatewayOn(t, id, store, change, listen(t))
+}
+
+// startGatewayOn starts a gateway that takes callers from a listener.
+func startGatewayOn(t *testing.T, id string, store gateway.Store, change func(*gateway.Options), callers net.Listener) *node {
+	t.Helper()
+	listeners := gateway.Listeners{Caller: callers, Ready: listen(t), Peer: listen(t)}
 	options := gateway.Options{
 		ID: fleet.NodeID(id), Incarnation: 1, Location: fleet.Location{Region: "r1", FailureDomain: "d1"},
 		Dialect: platform.Dialect{}, Store: store, Log: zap.NewNop(), ReadyPath: platform.ReadyPath,
