--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -15,12 +15,13 @@
 	"fulmarspindle.example/fulmarspindle/dispatch"
 )
 
-const operatorsPage = "OPERATORS.md"
+const operatorsPage = "OPERATIONS.md"
 
 // references are the tables of keys, by heading, and what they describe.
 var references = map[string]any{
 	"Settings of a router":  config.RouterSettings{},
 	"Settings of a sidecar": config.SidecarSettings{},
+	"Settings of a gateway": config.GatewaySettings{},
 	"Inventory and rules":   config.Inventory{},
 }
 
@@ -74,7 +75,7 @@
 	section string
 	pattern *regexp.Regexp
 }{
-	{"Metrics", regexp.MustCompile(`expvar\.New\w+\("([^"]+)"\)`)},
+	{"Metrics", regexp.MustCompile(`(?:expvar\.New\w+|newHistogram)\("([^"]+)"\)`)},
 	{"Log events", regexp.MustCompile(`(?:[lL]og\.(?:Warn|Error)|\.warn)\("([^"]+)"`)},
 	{"Traces", regexp.MustCompile(`StartSpan\([^,]+, "([^"]+)"`)},
 	{"Codes of refusals", regexp.MustCompile(`(?:(?:NotRun|Unknown)\([^,()]+, |retryLater\()"([^"]+)"`)},
@@ -82,7 +83,7 @@
 
 func TestPageNamesMetricsLogsTracesAndCodes(t *testing.T) {
 	page := read(t, operatorsPage)
-	code := productCode(t)
+	code := productCode(t, "..")
 	for _, n := range names {
 		matches := n.pattern.FindAllStringSubmatch(code, -1)
 		if len(matches) == 0 {
@@ -120,11 +121,28 @@
 	return text
 }
 
-// productCode returns the Go files of the product, without tests.
-func productCode(t *testing.T) string {
+// gatewayCodes finds the codes of a gateway's own answers.
+var gatewayCodes = regexp.MustCompile(`(?:notRun\(|unknownOutcome\(|breakOff\(j, |code: |Reason = )"([^"]+)"`)
+
+func TestPageNamesTheCodesOfAGateway(t *testing.T) {
+	text := section(t, read(t, operatorsPage), "Codes of a gateway")
+	code := productCode(t, "../gateway") + productCode(t, "../admission")
+	matches := gatewayCodes.FindAllStringSubmatch(code, -1)
+	if len(matches) == 0 {
+		t.Error("nothing found in the code")
+	}
+	for _, match := range matches {
+		if !strings.Contains(text, "`"+match[1]+"`") {
+			t.Errorf("%q is not documented", match[1])
+		}
+	}
+}
+
+// productCode returns the Go files of the product below root, without tests.
+func productCode(t *testing.T, root string) string {
 	t.Helper()
 	var code strings.Builder
-	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -220,7 +220,8 @@
 
 func (g *Gateway) logDecision(j *job, message string, d admission.Decision) {
 	g.log.Info(message, zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("team", string(j.team)),
-		zap.Int64("configuration", j.version), zap.String("upstream", string(d.Upstream.ID)), zap.String("reason", string(d.Reason)),
+		zap.Int64("configuration", j.version), zap.Uint64("registry", g.registryRevision()), zap.Int("routers", g.routers()),
+		zap.Int("attempt", j.attempts), zap.String("upstream", string(d.Upstream.ID)), zap.String("reason", string(d.Reason)),
 		zap.Duration("predicted", d.Predicted), zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom), zap.Float64("share_ratio", d.ShareRatio))
 }
 
