--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,7 +16,7 @@
 
 const (
 	// fullReportEvery is the number of reports of which one names the whole load.
-	fullReportEvery = 4
+	fullReportEvery = 8
 	// reportPeers is the number of other routers up to which reports are made
 	// at their interval; more routers make them rarer, so that the messages
 	// that a router gets in a second stay bounded.
