--- a/e2e/gateway/gateway_test.go
+++ b/e2e/gateway/gateway_test.go
@@ -76,6 +76,14 @@
 	Expect(err).NotTo(HaveOccurred())
 	s.control = harness.NewControl(control)
 	Eventually(func() error { return s.control.Set(context.Background(), map[string]any{}) }, specTimeout).Should(Succeed())
+	// The store listens on an address of its own, at another moment.
+	Eventually(func() error {
+		resp, err := http.Get("http://" + s.store + "/fulmarspindle/objects/config")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}, specTimeout).Should(Succeed())
 	upstream := httptest.NewServer(http.HandlerFunc(s.serveUpstream))
 	DeferCleanup(upstream.Close)
 	s.put("servers", "i-1", map[string]any{
--- /dev/null
+++ b/gateway/dialect_test.go
@@ -0,0 +1,79 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/exchange"
+)
+
+// readyPath is where the tests' balancer asks.
+const readyPath = "/ready"
+
+var (
+	// errAway is the error of a store that does not answer.
+	errAway = eris.New("store is away")
+	// errHeader reports a header that can't be understood.
+	errHeader = eris.New("bad header")
+)
+
+// plainDialect is a small dialect of the tests' own.
+type plainDialect struct{}
+
+func (plainDialect) Parse(r *http.Request) (exchange.Inbound, error) {
+	in := exchange.Inbound{
+		ID: r.Header.Get("Request-Id"), Host: r.Host, URI: r.RequestURI, Path: r.URL.EscapedPath(), Key: r.Header.Get("Key"),
+		Header: r.Header.Clone(),
+	}
+	if left := r.Header.Get("Time-Left"); left != "" {
+		ms, err := strconv.Atoi(left)
+		if err != nil {
+			return in, eris.Wrap(errHeader, err.Error())
+		}
+		in.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	for _, name := range []string{"Key", "Team", "Upstream-Id", "Time-Left", "Connection", "Content-Length", "Transfer-Encoding"} {
+		in.Header.Del(name)
+	}
+	return in, nil
+}
+
+func (plainDialect) Outbound(in exchange.Inbound, out exchange.Outbound) http.Header {
+	h := in.Header.Clone()
+	h.Set("Upstream-Id", string(out.Upstream))
+	h.Set("Time-Left", strconv.FormatInt(out.Deadline.Milliseconds(), 10))
+	if out.Team != "" {
+		h.Set("Team", string(out.Team))
+	}
+	if out.ResumeAfter != "" {
+		h.Set("Last-Event-Id", out.ResumeAfter)
+	}
+	return h
+}
+
+func (plainDialect) Answers(in exchange.Inbound, _ int, h http.Header) bool {
+	id := h.Get("Request-Id")
+	return id == in.ID || id == "" && h.Get("Signed-By") == ""
+}
+
+func (plainDialect) Verdict(status int, h http.Header) exchange.Verdict {
+	switch {
+	case h.Get("Unrun") != "", status == http.StatusMisdirectedRequest:
+		return exchange.NotRun
+	case h.Get("Signed-By") == "":
+		return exchange.Spoiled
+	case status >= http.StatusInternalServerError:
+		return exchange.Failed
+	}
+	return exchange.Ran
+}
+
+func (plainDialect) Relayed(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Connection")
+	out.Del("Transfer-Encoding")
+	return out
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,20 +18,20 @@
 	g := NewWithT(t)
 	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
 	n := site(t, s)
-	resp, body, err := send(n, "POST", "/keyed/x%2Fy?q=1", "order", "Key", "k1", "Tenant", "forged", "Deadline-Ms", "1500")
+	resp, body, err := send(n, "POST", "/keyed/x%2Fy?q=1", "order", "Key", "k1", "Team", "forged", "Time-Left", "1500")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(200))
-	g.Expect(resp.Header.Get("Server-Seal")).To(Equal("seal"))
+	g.Expect(resp.Header.Get("Signed-By")).To(Equal("seal"))
 	g.Expect(body).To(Equal("done"))
 	r, sent := s.request(0)
 	g.Expect(r.RequestURI).To(Equal("/keyed/x%2Fy?q=1"))
 	g.Expect(r.Host).To(Equal("h.example"))
 	g.Expect(sent).To(Equal("order"))
-	g.Expect(r.Header.Get("Tenant")).To(Equal("t1"))
+	g.Expect(r.Header.Get("Team")).To(Equal("t1"))
 	g.Expect(r.Header).NotTo(HaveKey("Key"))
-	g.Expect(r.Header.Get("Expect-Instance")).To(Equal("i-1"))
+	g.Expect(r.Header.Get("Upstream-Id")).To(Equal("i-1"))
 	var left int
-	_, err = fmt.Sscan(r.Header.Get("Deadline-Ms"), &left)
+	_, err = fmt.Sscan(r.Header.Get("Time-Left"), &left)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(left).To(BeNumerically("~", 1500, 200))
 }
@@ -48,7 +48,7 @@
 		"unknown key":   {"/keyed/", "", []string{"Key", "k9"}, 401},
 		"no key":        {"/keyed/", "", nil, 401},
 		"body too long": {"/safe/", strings.Repeat("x", 1<<13), nil, 413},
-		"bad deadline":  {"/safe/", "", []string{"Deadline-Ms", "x"}, 400},
+		"bad deadline":  {"/safe/", "", []string{"Time-Left", "x"}, 400},
 		"no engine":     {"/stream/", "", nil, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -80,11 +80,11 @@
 		"own failure": func(c net.Conn, r *http.Request) { respond(c, r, 500, "broken") },
 		"reset":       func(c net.Conn, _ *http.Request) { c.Close() },
 		"not run": func(c net.Conn, _ *http.Request) {
-			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n")
 		},
 		"nonsense": func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "?\r\n\r\n"); c.Close() },
 		"truncated": func(c net.Conn, r *http.Request) {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Attempt-Id"))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned-By: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Request-Id"))
 			c.Close()
 		},
 	} {
@@ -111,7 +111,7 @@
 	resp, body, err := send(n, "GET", "/safe/", "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(500))
-	g.Expect(resp.Header.Get("Server-Seal")).To(Equal("seal"))
+	g.Expect(resp.Header.Get("Signed-By")).To(Equal("seal"))
 	g.Expect(body).To(Equal("broken"))
 }
 
@@ -129,7 +129,7 @@
 func TestUnsafeRequestThatDidNotRunGoesOn(t *testing.T) {
 	g := NewWithT(t)
 	refuse := func(_ *server, c net.Conn, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nUpstream-Id: i-9\r\nContent-Length: 0\r\n\r\n")
 	}
 	first := startServer(t, "i-1", "plain", refuse)
 	n := site(t, first)
@@ -149,7 +149,7 @@
 	})
 	n := site(t, s)
 	began := time.Now()
-	resp, _, err := send(n, "POST", "/unsafe/", "order", "Deadline-Ms", "300")
+	resp, _, err := send(n, "POST", "/unsafe/", "order", "Time-Left", "300")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(504))
 	g.Expect(time.Since(began)).To(BeNumerically("~", 300*time.Millisecond, 200*time.Millisecond))
@@ -171,7 +171,7 @@
 	req, err := http.NewRequestWithContext(ctx, "POST", n.url+"/resumable/", nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", "id")
+	req.Header.Set("Request-Id", "id")
 	go func() {
 		<-received
 		leave()
@@ -250,8 +250,8 @@
 	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
-	inner := "GET /safe/inner HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: inner\r\n\r\n"
-	fmt.Fprintf(c, "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: outer\r\nContent-Length: %d\r\nContent-Length: 3\r\n\r\n%s", len(inner), inner)
+	inner := "GET /safe/inner HTTP/1.1\r\nHost: h.example\r\nRequest-Id: inner\r\n\r\n"
+	fmt.Fprintf(c, "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: outer\r\nContent-Length: %d\r\nContent-Length: 3\r\n\r\n%s", len(inner), inner)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	resp.Body.Close()
@@ -282,7 +282,7 @@
 	for i := range 90 {
 		c, err := net.Dial("tcp", held.Addr().String())
 		g.Expect(err).NotTo(HaveOccurred())
-		fmt.Fprintf(c, "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: left-%d\r\n\r\n", i)
+		fmt.Fprintf(c, "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: left-%d\r\n\r\n", i)
 		c.Close()
 	}
 	close(held.release)
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -19,7 +19,6 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/outlier"
-	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
 	"fulmarspindle.example/fulmarspindle/route"
@@ -68,7 +67,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.definition == nil {
-		return route.Definition{}, 0, platform.ErrNotFound
+		return route.Definition{}, 0, errAway
 	}
 	return *s.definition, s.revision, nil
 }
@@ -152,27 +151,27 @@
 type refusingStore struct{}
 
 func (refusingStore) ReadRouting(context.Context) (route.Definition, uint64, error) {
-	return route.Definition{}, 0, platform.ErrUnavailable
+	return route.Definition{}, 0, errAway
 }
 
 func (refusingStore) WatchRouting(context.Context, uint64) (*route.Definition, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+	return nil, 0, errAway
 }
 
 func (refusingStore) ListUpstreams(context.Context) ([]registry.Statement, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+	return nil, 0, errAway
 }
 
 func (refusingStore) WatchUpstreams(context.Context, uint64) ([]registry.Statement, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+	return nil, 0, errAway
 }
 
 func (refusingStore) RegisterRouter(context.Context, fleet.NodeID, string) error {
-	return platform.ErrUnavailable
+	return errAway
 }
 
 func (refusingStore) ListRouters(context.Context) (map[fleet.NodeID]string, error) {
-	return nil, platform.ErrUnavailable
+	return nil, errAway
 }
 
 // node is a gateway that serves on loopback.
@@ -206,7 +205,7 @@
 	listeners := gateway.Listeners{Caller: callers, Ready: listen(t), Peer: listen(t)}
 	options := gateway.Options{
 		ID: fleet.NodeID(id), Incarnation: 1, Location: fleet.Location{Region: "r1", FailureDomain: "d1"},
-		Dialect: platform.Dialect{}, Store: store, Log: zap.NewNop(), ReadyPath: platform.ReadyPath,
+		Dialect: plainDialect{}, Store: store, Log: zap.NewNop(), ReadyPath: readyPath,
 		PeerAddress: listeners.Peer.Addr().String(), ReportInterval: 10 * time.Millisecond,
 		MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 16, MaxBufferedBytes: 1 << 20, MaxAnswerBytes: 1 << 12,
 		HeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxConnections: 100, DefaultTimeout: eventually, StoreRetry: 20 * time.Millisecond,
@@ -229,7 +228,7 @@
 	n := &node{
 		Gateway: gateway.New(background, options), stop: stop, done: make(chan struct{}),
 		url:   "http://" + listeners.Caller.Addr().String(),
-		ready: "http://" + listeners.Ready.Addr().String() + platform.ReadyPath,
+		ready: "http://" + listeners.Ready.Addr().String() + readyPath,
 		peer:  listeners.Peer.Addr().String(),
 	}
 	go func() {
@@ -316,14 +315,14 @@
 
 // respond writes a whole answer with the server's signature.
 func respond(c net.Conn, r *http.Request, status int, body string) {
-	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), r.Header.Get("Attempt-Id"), len(body), body)
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nSigned-By: seal\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), r.Header.Get("Request-Id"), len(body), body)
 }
 
 // streamHead begins an event stream in chunks.
 func streamHead(c net.Conn, r *http.Request) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Attempt-Id"))
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned-By: seal\r\nContent-Type: text/event-stream\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
 }
 
 func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
@@ -388,7 +387,7 @@
 		return nil, "", err
 	}
 	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", "id-"+path)
+	req.Header.Set("Request-Id", "id-"+path)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -43,7 +43,7 @@
 byte finished;
 
 typedef LateWrite { bool valid; byte base, id };
-LateWrite late[OPERATIONS];
+LateWrite late[OPERATORS];
 
 #define BIT(id)      (1 << (id))
 #define WASREFUSED(id) ((refused >> (id)) & 1)
