--- a/admission/choose.go
+++ b/admission/choose.go
@@ -106,8 +106,8 @@
 // The wait of a team narrows from shareFrom of its share on, and is the one of teams
 // over their share from shareTo on.
 const (
-	shareFrom = 0.9
-	shareTo   = 1.2
+	shareFrom = 0.3
+	shareTo   = 1.1
 )
 
 // waitLimit returns how long a request may wait for its first token. It narrows
