--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -291,3 +291,29 @@
 	g.Expect(resp.StatusCode).To(Equal(200))
 	g.Consistently(s.count, "200ms").Should(Equal(1))
 }
+
+// Pattern: an upstream hangs while its registration is good.
+func TestHangingUpstreamIsLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	hang := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) })
+	sound := startServer(t, "i-2", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	store := newMemoryStore()
+	d := definition(1)
+	d.Routes[0].Objective = 50 * time.Millisecond
+	store.configure(d)
+	store.register(hang.Upstream, false)
+	store.register(sound.Upstream, false)
+	n := startGateway(t, "g1", store, nil)
+	awaitReady(t, n)
+	served := 0
+	for range 30 {
+		resp, _, err := send(n, "GET", "/safe/", "", "Time-Left", "200")
+		g.Expect(err).NotTo(HaveOccurred())
+		if resp.StatusCode == 200 {
+			served++
+		}
+	}
+	// Two broken ones in a row leave it out at the latest.
+	g.Expect(hang.count()).To(BeNumerically("<=", 2))
+	g.Expect(served).To(BeNumerically(">=", 28))
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -171,9 +171,10 @@
 		j.service.cancel(id)
 		return result{kind: callerGone, err: context.Cause(ctx)}
 	}
+	sent := time.Now()
 	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
 	if err != nil {
-		return g.failed(ctx, j, id, err)
+		return g.failed(ctx, j, id, sent, err)
 	}
 	defer x.Close()
 	return g.relay(ctx, j, id, x)
@@ -194,9 +195,9 @@
 }
 
 // failed judges an attempt without an answer.
-func (g *Gateway) failed(ctx context.Context, j *job, id string, err error) result {
+func (g *Gateway) failed(ctx context.Context, j *job, id string, sent time.Time, err error) result {
 	if ctx.Err() != nil {
-		j.service.cancel(id)
+		g.abandoned(j, id, sent)
 		kind := broken
 		if errors.Is(err, upstream.ErrNotSent) {
 			kind = notSent
@@ -211,6 +212,21 @@
 	return result{kind: broken, err: err}
 }
 
+// hangObjectives is how many objectives without an answer tell that an upstream
+// hangs.
+const hangObjectives = 2
+
+// abandoned takes the end of an attempt that the caller or the timeout ended. An
+// upstream that had long been silent counts as failing: its registration and its
+// health checks may be good all the while.
+func (g *Gateway) abandoned(j *job, id string, sent time.Time) {
+	if time.Since(sent) >= hangObjectives*j.objective() {
+		g.ended(j, id, outlier.Broken)
+		return
+	}
+	j.service.cancel(id)
+}
+
 // ended takes the outcome of an attempt.
 func (g *Gateway) ended(j *job, id string, outcome outlier.Outcome) {
 	if j.service.end(id, outcome) {
