--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -75,8 +75,7 @@
 	return best, most
 }
 
-// copy lets a candidate copy what another engine keeps instead of reading it. The
-// time is counted as tokens that are read meanwhile.
+// copy lets a candidate copy what another engine keeps instead of reading it.
 func (s *Scheduler) copy(c *candidate, r Request, source *upstream, kept int) {
 	missing := kept - c.upstream.cache.Cached(r.Prompt)
 	if source == nil || source == c.upstream || missing < minCopyTokens {
@@ -162,10 +161,15 @@
 		failing := time.Duration(u.detector.FailureRate() * float64(s.service.get()) * failureCost)
 		out = append(out, candidate{
 			upstream: u, predicted: predicted, cost: predicted + load + failing + s.placeCost(u),
+			full: s.capacity.Connections > 0 && float64(running+1) > connectionLimit*float64(s.capacity.Connections),
 		})
 	}
 	return out
 }
 
+// connectionLimit is the part of an upstream's connections that may be taken; more
+// would be reset.
+const connectionLimit = 0.9
+
 // failureCost is how many service times a failed answer counts for.
 const failureCost = 4
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,13 +36,6 @@
 	return &Pool{address: address, options: options}
 }
 
-// SetMaxConnections bounds the open connections from now on.
-func (p *Pool) SetMaxConnections(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.options.MaxConnections = n
-}
-
 // Close closes the idle connections, and those in use when their request ends.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -289,8 +289,8 @@
 		_, _ = io.WriteString(c, "ok")
 	})
 	t.Cleanup(func() { close(release) })
-	p := pool(t, address)
-	p.SetMaxConnections(2)
+	p := upstream.NewPool(address, upstream.PoolOptions{DialTimeout: time.Second, UserTimeout: time.Second, MaxConnections: 2})
+	t.Cleanup(p.Close)
 	for _, id := range []string{"1", "2"} {
 		x, err := p.Do(context.Background(), message(id))
 		g.Expect(err).NotTo(HaveOccurred())
