--- a/admission/choose.go
+++ b/admission/choose.go
@@ -110,8 +110,8 @@
 	shareTo   = 1.1
 )
 
-// waitLimit returns how long a request may wait for its first token. It narrows
-// from a team's share on.
+// waitLimit returns how long a request may wait for its first token, by what its team
+// was served relative to its share.
 func (s *Scheduler) waitLimit(r Request, ratio float64) time.Duration {
 	part := s.options.MaxWait
 	if r.Waited > 0 && r.Waited < r.Objective {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -111,16 +111,17 @@
 	return result{kind: failedByUpstream, status: held.status, held: held, first: time.Since(j.arrived)}
 }
 
-// hold reads a whole answer.
+// hold reads a whole answer. With errTooLarge it returns the begin of one.
 func (g *Gateway) hold(x *upstream.Exchange) (*heldAnswer, error) {
 	body, err := io.ReadAll(io.LimitReader(x, int64(g.options.MaxAnswerBytes)+1))
 	if err != nil {
 		return nil, err
 	}
+	held := &heldAnswer{status: x.Response.StatusCode, header: g.options.Dialect.Relayed(x.Response.Header), body: body}
 	if len(body) > g.options.MaxAnswerBytes {
-		return &heldAnswer{status: x.Response.StatusCode, header: g.options.Dialect.Relayed(x.Response.Header), body: body}, errTooLarge
+		return held, errTooLarge
 	}
-	return &heldAnswer{status: x.Response.StatusCode, header: g.options.Dialect.Relayed(x.Response.Header), body: body}, nil
+	return held, nil
 }
 
 // relayWhole passes an answer on when it is whole, or as it comes if it is long.
