--- a/config/parse.go
+++ b/config/parse.go
@@ -107,6 +107,20 @@
 	return data, nil
 }
 
+// errDecoder reports a document that the YAML library can't cope with.
+var errDecoder = eris.New("config: the YAML decoder failed")
+
+// decode decodes a document. The library panics on some tags that don't fit the
+// value behind them.
+func decode(data []byte, out any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = eris.Wrapf(errDecoder, "%v", cause)
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(out)
+}
+
 // decodeStrict decodes one YAML document into out. Unknown and repeated keys,
 // anchors and aliases are refused; the latter could expand a small document
 // without bound.
@@ -125,7 +139,7 @@
 	if tok := firstReference(file); tok != nil {
 		return nil, newInvalidError(name, Issue{Line: tok.Position.Line, Expected: "no anchors or aliases"})
 	}
-	err = yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(out)
+	err = decode(data, out)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return nil, decodeError(name, file, err)
 	}
