--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,6 @@
 
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
-	inFlight sync.WaitGroup
 	buffered atomic.Int64
 
 	// mu guards the registry and the set of services and pools.
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -47,8 +47,6 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
 	arrived := time.Now()
 	answer := newAnswer(w, g.draining.Load)
 	j, refused := g.receive(r, answer.control, arrived)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -31,8 +31,6 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// reused is set once a request has been answered on it.
-	reused bool
 	// idleUntil is when it must not be used again.
 	idleUntil time.Time
 	// written counts the bytes of the present request.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -154,7 +154,6 @@
 		x.pool.discard(x.conn)
 		return
 	}
-	x.conn.reused = true
 	x.pool.put(x.conn)
 }
 
