Suspect only calls that ran when their upstream crashed

Cause: a call that broke off freed its slot before the crash was known, so that the next staged request started on the dead upstream, broke off too and was counted to the same crash. An innocent request that had been in one crash was so refused as a suspect after the second. Ruled out: the flag to run alone (both requests had it).

The slot now stays taken until the probe has decided, so that staged requests are given back as not run, and a call that started after the first one broke off is not counted to the crash. A probe sent before a crash no longer ends it.

--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -189,6 +189,12 @@
 		x.end(notRun("upstream refused the connection"))
 		return
 	}
+	crashID := ""
+	if err != nil && ctx.Err() == nil {
+		// The slot stays taken until it is known whether the upstream
+		// crashed: no request should start on one that is down.
+		crashID = x.sidecar.health.crashOf(x.sidecar.ctx, x.started)
+	}
 	cost := x.meter.Final(elapsed)
 	x.sidecar.scheduler.finish(x.id, cost, elapsed)
 	if err == nil {
@@ -196,10 +202,6 @@
 		x.end(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE, BodyBytes: x.sent, Cost: cost})
 		return
 	}
-	crashID := ""
-	if ctx.Err() == nil {
-		crashID = x.sidecar.health.broken(x.sidecar.ctx)
-	}
 	x.end(&peerpb.End{
 		Outcome:   peerpb.Outcome_OUTCOME_UNKNOWN,
 		BodyBytes: x.sent,
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -21,8 +21,7 @@
 
 	mu      sync.Mutex
 	machine *fleet.Health
-	// crashID names the crash that the upstream has not come back from.
-	crashID string
+	outage  outage
 }
 
 func newHealth(id string, client *upstream.Client, log *zap.Logger, changed func()) *health {
@@ -78,18 +77,19 @@
 }
 
 func (h *health) probe(ctx context.Context, seq uint64) {
+	sent := time.Now()
 	err := h.client.Healthy(ctx)
 	if err == nil {
-		h.recovered()
+		h.answered(sent)
 	}
 	h.step(ctx, fleet.ProbeDone{Seq: seq, OK: err == nil})
 }
 
-// recovered ends the crash that broken calls are counted to.
-func (h *health) recovered() {
+// answered records the answer to a probe.
+func (h *health) answered(sent time.Time) {
 	h.mu.Lock()
-	h.crashID = ""
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	h.outage.answered(sent)
 }
 
 func (h *health) isUp() bool {
@@ -103,19 +103,27 @@
 	h.step(ctx, fleet.RequestDone{OK: ok})
 }
 
-// broken records a call that broke off. If the upstream does not answer a
-// probe either, it crashed: all calls that break off with it get the same
-// identifier of the crash. Otherwise the result is empty.
-func (h *health) broken(ctx context.Context) string {
+// crashOf tells whether a call that broke off was running when the upstream
+// crashed: all such calls get the same identifier of the crash. It is empty if
+// the upstream answers a probe, or crashed before the call started.
+func (h *health) crashOf(ctx context.Context, started time.Time) string {
 	h.observe(ctx, false)
+	sent := h.brokeOff()
 	if h.client.Healthy(ctx) == nil {
+		h.answered(sent)
 		return ""
 	}
 	h.observe(ctx, false)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.crashID == "" {
-		h.crashID = h.id + "/" + time.Now().UTC().Format(time.RFC3339Nano)
-	}
-	return h.crashID
+	return h.outage.confirm(h.id, started)
+}
+
+// brokeOff records a call that broke off, and returns when.
+func (h *health) brokeOff() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.outage.brokeOff(now)
+	return now
 }
--- a/sidecar/health_test.go
+++ b/sidecar/health_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -21,7 +22,11 @@
 	g.Expect(h.isUp()).To(BeFalse())
 	h.observe(t.Context(), true)
 	g.Expect(h.isUp()).To(BeTrue())
-	g.Expect(h.broken(t.Context())).To(BeEmpty(), "it answers its health check")
+	crash := func() string {
+		started := time.Now()
+		return h.crashOf(t.Context(), started)
+	}
+	g.Expect(crash()).To(BeEmpty(), "it answers its health check")
 
 	h.observe(t.Context(), true)
 	for range failureThreshold - 1 {
@@ -32,10 +37,12 @@
 	g.Expect(h.isUp()).To(BeTrue(), "an answered request ends the run of failures")
 
 	server.Close()
-	first := h.broken(t.Context())
+	beside := time.Now()
+	first := crash()
 	g.Expect(first).To(HavePrefix("u/"))
 	g.Expect(h.isUp()).To(BeFalse(), "a call that breaks off and a failed probe take it down")
-	g.Expect(h.broken(t.Context())).To(Equal(first), "one crash has one identifier")
+	g.Expect(h.crashOf(t.Context(), beside)).To(Equal(first), "one crash has one identifier")
+	g.Expect(crash()).To(BeEmpty(), "what started after the crash is not suspected")
 	g.Expect(changes).To(Equal(2))
 }
 
@@ -45,8 +52,12 @@
 	h := newHealth("u", upstream.NewClient(server.URL, "/health"), zap.NewNop(), func() {})
 	h.observe(t.Context(), true)
 	server.Close()
-	first := h.broken(t.Context())
-	h.recovered()
+	started := time.Now()
+	first := h.crashOf(t.Context(), started)
+	h.answered(time.Now())
 	h.step(t.Context(), fleet.RequestDone{OK: true})
-	g.Expect(h.broken(t.Context())).NotTo(Equal(first))
+	started = time.Now()
+	next := h.crashOf(t.Context(), started)
+	g.Expect(next).NotTo(BeEmpty())
+	g.Expect(next).NotTo(Equal(first))
 }
