Learn how long engines copy from each other, apart from their prefill rate

Cause: copies were predicted by the configured link rate. What copies took longer also went into the learnt prefill rate, so that all other predictions were too long. Ruled out: that sources did not keep the parts (12.5 us is below the 16 us of reading them).

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -83,8 +83,9 @@
 	}
 	c.copyFrom = source.Address
 	c.prefill = s.work(r.Prompt.Tokens()-kept, kept)
-	copying := time.Duration(float64(missing) / s.capacity.TransferRate * float64(time.Second))
-	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + copying
+	c.copied = missing
+	c.copiedOver = s.proximity(source, c.upstream)
+	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + s.transfers.predict(c.copiedOver, missing)
 	c.cost = c.predicted + copyCost + s.placeCost(c.upstream)
 }
 
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -13,6 +13,9 @@
 	full    bool
 	// copyFrom is the address of an engine to copy cached parts from.
 	copyFrom string
+	// copied is the tokens to copy, and copiedOver how far.
+	copied     int
+	copiedOver proximity
 	// cold candidates would have to read the shared parts, which another one
 	// keeps.
 	cold bool
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -21,6 +21,10 @@
 	ahead float64
 	// memory is the tokens that it takes beside shared parts.
 	memory int
+	// copied is the tokens that the engine copies for it from another one, and
+	// copiedOver how far that is.
+	copied     int
+	copiedOver proximity
 	// started is set at the first event.
 	started bool
 }
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -112,6 +112,7 @@
 	options   Options
 	capacity  Capacity
 	model     prefillModel
+	transfers transferModel
 	service   serviceTime
 	upstreams map[fleet.UpstreamID]*upstream
 	ids       []fleet.UpstreamID
@@ -133,19 +134,23 @@
 
 // NewScheduler returns a scheduler that knows no upstream.
 func NewScheduler(options Options, capacity Capacity) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		options:   options,
-		capacity:  capacity,
 		model:     newPrefillModel(options.PrefillRate, options.Overhead),
 		upstreams: make(map[fleet.UpstreamID]*upstream),
 		runs:      make(map[string]*run),
 		accounts:  newAccounts(options.Window),
 		peerUsage: make(map[fleet.NodeID]peerUsage),
 	}
+	s.SetCapacity(capacity)
+	return s
 }
 
 // SetCapacity takes a new configuration of the service.
-func (s *Scheduler) SetCapacity(capacity Capacity) { s.capacity = capacity }
+func (s *Scheduler) SetCapacity(capacity Capacity) {
+	s.capacity = capacity
+	s.transfers.configure(capacity.TransferRate)
+}
 
 // SetUpstreams replaces the upstreams that may get work. An upstream that started
 // again is a new one.
@@ -232,6 +237,7 @@
 	sent := &run{
 		id: r.ID, upstream: c.upstream, sent: now, prefill: c.prefill,
 		ahead: c.backlog + float64(c.prefill), memory: own + r.OutputTokens,
+		copied: c.copied, copiedOver: c.copiedOver,
 	}
 	s.runs[r.ID] = sent
 	c.upstream.begin(now, sent)
@@ -250,12 +256,21 @@
 	if r == nil || r.started {
 		return
 	}
-	if s.capacity.MemoryTokens > 0 {
-		s.model.observe(r.ahead, now.Sub(r.sent))
-	}
+	s.learn(r, now.Sub(r.sent))
 	r.upstream.firstEvent(now, r)
 }
 
+// learn takes the time to the first token of a run.
+func (s *Scheduler) learn(r *run, took time.Duration) {
+	switch {
+	case s.capacity.MemoryTokens == 0:
+	case r.copied == 0:
+		s.model.observe(r.ahead, took)
+	case s.capacity.TransferRate > 0:
+		s.transfers.observe(r.copiedOver, r.copied, took-s.model.predict(r.ahead))
+	}
+}
+
 // End notes that an attempt has ended. It reports whether its upstream was
 // ejected by the outcome.
 func (s *Scheduler) End(now time.Time, id string, outcome outlier.Outcome) bool {
