--- a/admission/rate.go
+++ b/admission/rate.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// rateSmoothing is the weight of a new observation of the prefill rate.
+	// rateSmoothing is the weight of a new observation of the prefill rate,
+	// once there are many; the first ones weigh as much as the initial figure.
 	rateSmoothing = 0.08
 	// rateSpread bounds the learnt rate to this factor of the initial one.
 	rateSpread = 8
@@ -24,6 +25,14 @@
 	// rate is in tokens per second.
 	rate     float64
 	overhead time.Duration
+	// rates and overheads count the observations.
+	rates     int
+	overheads int
+}
+
+// weight returns that of a new observation after some others.
+func weight(smoothing float64, observed int) float64 {
+	return max(smoothing, 1/float64(observed+2))
 }
 
 func newPrefillModel(rate float64, overhead time.Duration) prefillModel {
@@ -40,10 +49,12 @@
 	if tokens < rateMinTokens {
 		rest := took - time.Duration(tokens/m.rate*float64(time.Second))
 		rest = min(max(rest, 0), maxOverhead)
-		m.overhead += time.Duration(rateSmoothing * float64(rest-m.overhead))
+		m.overhead += time.Duration(weight(rateSmoothing, m.overheads) * float64(rest-m.overhead))
+		m.overheads++
 		return
 	}
 	reading := max(took-m.overhead, time.Millisecond).Seconds()
 	sample := min(max(tokens/reading, m.initial/rateSpread), m.initial*rateSpread)
-	m.rate *= math.Exp(rateSmoothing * math.Log(sample/m.rate))
+	m.rate *= math.Exp(weight(rateSmoothing, m.rates) * math.Log(sample/m.rate))
+	m.rates++
 }
