Ask engines what they keep when a router starts

Cause: a router that starts has empty books.

Each router now lists the cache of every engine that is older than itself, once.

--- a/admission/report.go
+++ b/admission/report.go
@@ -22,7 +22,7 @@
 // SentPrompt is a prompt that an engine was sent.
 type SentPrompt struct {
 	Upstream fleet.UpstreamID
-	Parts    []placement.PartKey
+	Prompt   placement.Prompt
 }
 
 // Report returns this router's load, and what is new since the report before.
@@ -49,7 +49,7 @@
 	}
 	for _, prompt := range report.Prompts {
 		if u := s.upstreams[prompt.Upstream]; u != nil {
-			u.cache.Add(prompt.Parts)
+			u.cache.Add(prompt.Prompt)
 		}
 	}
 	for _, id := range s.ids {
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -178,6 +178,16 @@
 	}
 }
 
+// KeepsPrompts reports whether the upstreams are engines that keep prompt parts.
+func (s *Scheduler) KeepsPrompts() bool { return s.capacity.MemoryTokens > 0 }
+
+// CacheListed takes what an engine says that it keeps.
+func (s *Scheduler) CacheListed(id fleet.UpstreamID, parts []placement.Part) {
+	if u := s.upstreams[id]; u != nil {
+		u.cache.Restore(parts)
+	}
+}
+
 // Admit decides on a request. An admitted one counts as sent until End.
 func (s *Scheduler) Admit(now time.Time, r Request) Decision {
 	cost := s.cost(r)
@@ -242,10 +252,9 @@
 	s.runs[r.ID] = sent
 	c.upstream.begin(now, sent)
 	if s.capacity.MemoryTokens > 0 {
-		parts := r.Prompt.Keys()
-		c.upstream.cache.Add(parts)
+		c.upstream.cache.Add(r.Prompt)
 		if len(s.sent) < maxUnreported {
-			s.sent = append(s.sent, SentPrompt{Upstream: c.upstream.ID, Parts: parts})
+			s.sent = append(s.sent, SentPrompt{Upstream: c.upstream.ID, Prompt: r.Prompt})
 		}
 	}
 }
--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -242,7 +242,7 @@
 func TestOtherRoutersPromptsAreFoundCached(t *testing.T) {
 	w := newWorld(t, options(), engineCapacity(), 1)
 	w.s.PeerReport(w.now, "other", admission.Report{
-		Prompts: []admission.SentPrompt{{Upstream: "u00", Parts: shared(3, 1).Keys()}},
+		Prompts: []admission.SentPrompt{{Upstream: "u00", Prompt: shared(3, 1)}},
 	})
 	d, _ := w.ask("team", shared(3, 2))
 	w.Expect(d.Prefill).To(Equal(2000))
--- a/admission/view.go
+++ b/admission/view.go
@@ -23,8 +23,10 @@
 	Running       int     `json:"running"`
 	BacklogTokens float64 `json:"backlog_tokens"`
 	MemoryTokens  int     `json:"memory_tokens"`
-	Ejected       bool    `json:"ejected"`
-	FailureRate   float64 `json:"failure_rate"`
+	// CachedTokens is the estimate of the prompt parts that it keeps.
+	CachedTokens int     `json:"cached_tokens"`
+	Ejected      bool    `json:"ejected"`
+	FailureRate  float64 `json:"failure_rate"`
 }
 
 // View returns what the scheduler believes.
@@ -41,6 +43,7 @@
 			Running:       total.Running,
 			BacklogTokens: u.backlog(now, s.model.rate, s.options.PeerTTL),
 			MemoryTokens:  total.Memory,
+			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
 			FailureRate:   u.detector.FailureRate(),
 		}
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -84,6 +84,7 @@
 	}
 	options := gatewayOptions(settings)
 	options.Store, options.Log = store, log.Logger
+	options.Engines = platform.NewEngines(settings.Platform.Timeout.Std())
 	return gateway.New(background, options).Run(ctx, listeners)
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -134,6 +134,7 @@
 	}
 	for id, s := range g.services {
 		s.setUpstreams(byService[id])
+		g.cacheLists.ask(s, byService[id])
 	}
 	for key, pool := range g.pools {
 		if !usable[key] {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,8 +42,9 @@
 	adoptedAt    time.Time
 	registeredAt time.Time
 
-	patience *patience
-	peers    *peers
+	patience   *patience
+	peers      *peers
+	cacheLists *cacheLists
 	// changed is set when the load changed since the last report.
 	changed atomic.Bool
 	// background ends with the process.
@@ -70,6 +71,7 @@
 		background: ctx,
 	}
 	g.peers = newPeers(g)
+	g.cacheLists = newCacheLists(g)
 	return g
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -20,7 +20,9 @@
 	Location    fleet.Location
 	Dialect     Dialect
 	Store       Store
-	Log         *zap.Logger
+	// Engines may be nil: then caches are known from what was sent only.
+	Engines CacheLister
+	Log     *zap.Logger
 
 	// ReadyPath is where the balancer asks on the ready address.
 	ReadyPath string
--- a/gateway/report_benchmark_test.go
+++ b/gateway/report_benchmark_test.go
@@ -33,8 +33,8 @@
 				report.Teams[fleet.TeamID(fmt.Sprintf("team%04d", i))] = admission.TeamUsage{Asked: 900_000, Served: 700_000}
 			}
 			for i := range c.prompts {
-				parts := []placement.PartKey{{Key: 1 << 60, Tokens: 2500}, {Key: 3 << 60, Tokens: 3700}, {Key: 5 << 60, Tokens: 2900}}
-				report.Prompts = append(report.Prompts, admission.SentPrompt{Upstream: fleet.UpstreamID(fmt.Sprintf("i-%010x", i)), Parts: parts})
+				prompt := placement.Prompt{{ID: 1 << 60, Tokens: 2500}, {ID: 3 << 60, Tokens: 3700}, {ID: 5 << 60, Tokens: 2900}}
+				report.Prompts = append(report.Prompts, admission.SentPrompt{Upstream: fleet.UpstreamID(fmt.Sprintf("i-%010x", i)), Prompt: prompt})
 			}
 			b.ReportAllocs()
 			size := 0
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -50,8 +50,8 @@
 	}
 	for _, prompt := range r.Prompts {
 		wire := &peerpb.SentPrompt{Upstream: string(prompt.Upstream)}
-		for _, part := range prompt.Parts {
-			wire.Keys = append(wire.Keys, part.Key)
+		for _, part := range prompt.Prompt {
+			wire.Parts = append(wire.Parts, part.ID)
 			wire.Tokens = append(wire.Tokens, uint32(part.Tokens))
 		}
 		out.Prompts = append(out.Prompts, wire)
@@ -71,8 +71,8 @@
 	}
 	for _, p := range m.GetPrompts() {
 		prompt := admission.SentPrompt{Upstream: fleet.UpstreamID(p.GetUpstream())}
-		for i := range min(len(p.GetKeys()), len(p.GetTokens())) {
-			prompt.Parts = append(prompt.Parts, placement.PartKey{Key: p.GetKeys()[i], Tokens: int(p.GetTokens()[i])})
+		for i := range min(len(p.GetParts()), len(p.GetTokens())) {
+			prompt.Prompt = append(prompt.Prompt, placement.Part{ID: p.GetParts()[i], Tokens: int(p.GetTokens()[i])})
 		}
 		r.Prompts = append(r.Prompts, prompt)
 	}
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -75,8 +75,8 @@
 // Cached returns the tokens of the leading parts that are kept.
 func (c *Cache) Cached(p Prompt) int {
 	tokens := 0
-	for _, part := range p.Keys() {
-		if _, ok := c.entries[part.Key]; !ok {
+	for _, part := range p {
+		if _, ok := c.entries[part.ID]; !ok {
 			break
 		}
 		tokens += part.Tokens
@@ -84,26 +84,9 @@
 	return tokens
 }
 
-// PartKey identifies a part with all parts before it.
-type PartKey struct {
-	Key    uint64
-	Tokens int
-}
-
-// Keys returns the keys of a prompt's parts, in order.
-func (p Prompt) Keys() []PartKey {
-	keys := make([]PartKey, len(p))
-	key := uint64(0)
-	for i, part := range p {
-		key = chain(key, part.ID)
-		keys[i] = PartKey{Key: key, Tokens: part.Tokens}
-	}
-	return keys
-}
-
-// Add notes that the engine was sent a prompt with these parts.
-func (c *Cache) Add(parts []PartKey) {
-	for _, part := range parts {
+// Add notes that the engine was sent a prompt.
+func (c *Cache) Add(p Prompt) {
+	for _, part := range p {
 		c.touch(part)
 	}
 	for c.used > c.capacity {
@@ -111,18 +94,37 @@
 	}
 }
 
-func (c *Cache) touch(part PartKey) {
-	if element, ok := c.entries[part.Key]; ok {
+// Tokens returns the tokens of all parts that are kept.
+func (c *Cache) Tokens() int { return c.used }
+
+// HasRoom reports whether a prompt of which nothing is kept displaces no part.
+func (c *Cache) HasRoom(p Prompt) bool { return c.used+p.Tokens() <= c.capacity }
+
+func (c *Cache) touch(part Part) {
+	if element, ok := c.entries[part.ID]; ok {
 		c.order.MoveToBack(element)
 		return
 	}
-	c.entries[part.Key] = c.order.PushBack(part)
+	c.entries[part.ID] = c.order.PushBack(part)
 	c.used += part.Tokens
 }
 
+// Restore notes what the engine says that it keeps. These parts yield before
+// those of prompts that it was sent meanwhile.
+func (c *Cache) Restore(parts []Part) {
+	for _, part := range parts {
+		_, known := c.entries[part.ID]
+		if known || c.used+part.Tokens > c.capacity {
+			continue
+		}
+		c.entries[part.ID] = c.order.PushFront(part)
+		c.used += part.Tokens
+	}
+}
+
 func (c *Cache) evict() {
 	oldest := c.order.Front()
-	part := c.order.Remove(oldest).(PartKey)
-	delete(c.entries, part.Key)
+	part := c.order.Remove(oldest).(Part)
+	delete(c.entries, part.ID)
 	c.used -= part.Tokens
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -30,7 +30,7 @@
 func TestPartCountsOnlyBehindTheSameParts(t *testing.T) {
 	g := NewWithT(t)
 	c := placement.NewCache(10_000)
-	c.Add(prompt(100, 200, 300).Keys())
+	c.Add(prompt(100, 200, 300))
 	g.Expect(c.Cached(prompt(100, 200, 300))).To(Equal(600))
 	other := placement.Prompt{{ID: 9, Tokens: 50}, {ID: 2, Tokens: 200}}
 	g.Expect(c.Cached(other)).To(BeZero())
@@ -42,15 +42,36 @@
 	g := NewWithT(t)
 	c := placement.NewCache(1000)
 	single := func(id uint64) placement.Prompt { return placement.Prompt{{ID: id, Tokens: 400}} }
-	c.Add(single(1).Keys())
-	c.Add(single(2).Keys())
-	c.Add(single(1).Keys())
-	c.Add(single(3).Keys())
+	c.Add(single(1))
+	c.Add(single(2))
+	c.Add(single(1))
+	c.Add(single(3))
 	g.Expect(c.Cached(single(1))).To(Equal(400))
 	g.Expect(c.Cached(single(2))).To(BeZero())
 	g.Expect(c.Cached(single(3))).To(Equal(400))
 }
 
+func TestRestoredPartsYieldFirst(t *testing.T) {
+	g := NewWithT(t)
+	c := placement.NewCache(1000)
+	single := func(id uint64) placement.Prompt { return placement.Prompt{{ID: id, Tokens: 400}} }
+	c.Add(single(1))
+	c.Restore([]placement.Part{{ID: 1, Tokens: 400}, {ID: 2, Tokens: 400}, {ID: 3, Tokens: 400}})
+	g.Expect(c.Tokens()).To(Equal(800), "what has no room is left out")
+	g.Expect(c.Cached(single(2))).To(Equal(400))
+	c.Add(single(4))
+	g.Expect(c.Cached(single(2))).To(BeZero())
+	g.Expect(c.Cached(single(1))).To(Equal(400))
+}
+
+func TestRoomIsWhatDisplacesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := placement.NewCache(1000)
+	c.Add(prompt(600))
+	g.Expect(c.HasRoom(prompt(400))).To(BeTrue())
+	g.Expect(c.HasRoom(prompt(401))).To(BeFalse())
+}
+
 func TestSharedTokensLeaveOutTheLastPart(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(prompt(100, 200, 300).SharedTokens()).To(Equal(300))
