Read new prompts at any engine whose memory has room

A prompt that no engine keeps now goes to the first engine in its order that is on time, beyond its homes only where it displaces nothing. The engine that keeps most of a prompt counts as a home.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -39,33 +39,40 @@
 	if s.capacity.MemoryTokens == 0 {
 		return s.plainCandidates(now, usable)
 	}
-	homes := placement.Homes(r.Prompt.SharedKey(), usable)
-	homes = homes[:placement.HomeCount(r.Prompt, s.options.Replicas, len(homes))]
-	out := make([]candidate, 0, len(homes))
-	source, kept := s.source(r, usable)
-	for rank, id := range homes {
-		c := s.engineCandidate(now, r, s.upstreams[id])
-		// All routers take an unknown prompt to its first home, so that one of
-		// them fills its cache and the others find it there.
-		c.ranked = source == nil && len(homes) < len(usable)
-		c.cold = c.ranked && rank > 0
-		if source != nil {
-			s.copy(&c, r, source, kept)
-		} else if c.cold && s.capacity.TransferRate > 0 {
-			c.copyFrom = s.upstreams[homes[0]].Address
+	order := placement.Homes(r.Prompt.SharedKey(), usable)
+	count := placement.HomeCount(r.Prompt, s.options.Replicas, len(order))
+	few := count < len(order)
+	keeper, kept := s.keeper(r, usable)
+	out := make([]candidate, 0, len(order))
+	for rank, id := range order {
+		u := s.upstreams[id]
+		home := rank < count
+		room := u.cache.HasRoom(r.Prompt)
+		if !home && u != keeper && (keeper != nil || !room) {
+			continue
+		}
+		c := s.engineCandidate(now, r, u)
+		switch {
+		case !few:
+		case keeper == nil:
+			// All routers take an unknown prompt to its first home, so that one
+			// of them fills its cache and the others find it there. Where there
+			// is room it displaces nothing.
+			c.ranked = true
+			c.cold = rank > 0 && !room
+		default:
+			c.cold = s.capacity.TransferRate == 0 && u.cache.Cached(r.Prompt) < kept
 		}
+		s.copy(&c, r, keeper, kept)
 		out = append(out, c)
 	}
 	return out
 }
 
-// source returns the engine that keeps most of a prompt, and how many tokens.
-func (s *Scheduler) source(r Request, usable []fleet.UpstreamID) (*upstream, int) {
+// keeper returns the engine that keeps most of a prompt, and how many tokens.
+func (s *Scheduler) keeper(r Request, usable []fleet.UpstreamID) (*upstream, int) {
 	var best *upstream
 	most := 0
-	if s.capacity.TransferRate == 0 {
-		return nil, 0
-	}
 	for _, id := range usable {
 		u := s.upstreams[id]
 		if kept := u.cache.Cached(r.Prompt); kept > most {
@@ -77,8 +84,11 @@
 
 // copy lets a candidate copy what another engine keeps instead of reading it.
 func (s *Scheduler) copy(c *candidate, r Request, source *upstream, kept int) {
+	if source == nil || source == c.upstream || s.capacity.TransferRate == 0 {
+		return
+	}
 	missing := kept - c.upstream.cache.Cached(r.Prompt)
-	if source == nil || source == c.upstream || missing < minCopyTokens {
+	if missing < minCopyTokens {
 		return
 	}
 	c.copyFrom = source.Address
