--- a/config/gateway.go
+++ b/config/gateway.go
@@ -135,7 +135,7 @@
 // DefaultGatewaySettings returns the settings of an empty file.
 func DefaultGatewaySettings() GatewaySettings {
 	return GatewaySettings{
-		ReportInterval: Duration(50 * time.Millisecond),
+		ReportInterval: Duration(100 * time.Millisecond),
 		Platform: GatewayPlatform{
 			Timeout: Duration(time.Second), WatchTimeout: Duration(2 * time.Second),
 			Retry: Duration(300 * time.Millisecond), LapseGrace: Duration(2 * time.Second),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -20,7 +20,7 @@
 	// reportPeers is the number of other routers up to which reports are made
 	// at their interval; more routers make them rarer, so that the messages
 	// that a router gets in a second stay bounded.
-	reportPeers = 5
+	reportPeers = 10
 	// catchUpDelay is how long a router waits for the store to tell it what
 	// another one knows already, before it asks that one.
 	catchUpDelay = 150 * time.Millisecond
