Report at once when much work was sent

A report now goes out after a fifth of the interval if 50 ms of work have been sent that others do not know.

--- a/admission/report.go
+++ b/admission/report.go
@@ -29,6 +29,7 @@
 func (s *Scheduler) Report(now time.Time, full bool) Report {
 	report := Report{Full: full, Upstreams: make(map[fleet.UpstreamID]UpstreamLoad), Prompts: s.sent}
 	s.sent = nil
+	s.unreported = 0
 	if full {
 		report.Teams = s.accounts.sum(now)
 	}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -122,6 +122,18 @@
 	peerUsage map[fleet.NodeID]peerUsage
 	// sent is the prompts that the other routers have not been told of.
 	sent []SentPrompt
+	// unreported is the tokens to read that the other routers have not been
+	// told of.
+	unreported int
+}
+
+// urgentWork is the work that other routers should hear of before the next report
+// is due.
+const urgentWork = 50 * time.Millisecond
+
+// Urgent reports whether the other routers should hear of this one's load soon.
+func (s *Scheduler) Urgent() bool {
+	return float64(s.unreported) >= s.model.rate*urgentWork.Seconds()
 }
 
 // maxUnreported bounds the prompts that are kept for the next report.
@@ -252,6 +264,7 @@
 	s.runs[r.ID] = sent
 	c.upstream.begin(now, sent)
 	if s.capacity.MemoryTokens > 0 {
+		s.unreported += c.prefill
 		c.upstream.cache.Add(r.Prompt)
 		if len(s.sent) < maxUnreported {
 			s.sent = append(s.sent, SentPrompt{Upstream: c.upstream.ID, Prompt: r.Prompt})
--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -290,6 +290,17 @@
 	w.Expect(d.Prefill).To(Equal(2000))
 }
 
+// Pattern: several routers choose the same idle engine within one interval.
+func TestMuchWorkIsUrgentNewsUntilItIsReported(t *testing.T) {
+	w := newWorld(t, options(), engineCapacity(), 4)
+	w.ask("team", placement.Prompt{{ID: 1, Tokens: 2000}}) // 40 ms of work.
+	w.Expect(w.s.Urgent()).To(BeFalse())
+	w.ask("team", placement.Prompt{{ID: 2, Tokens: 2000}})
+	w.Expect(w.s.Urgent()).To(BeTrue())
+	w.s.Report(w.now, false)
+	w.Expect(w.s.Urgent()).To(BeFalse())
+}
+
 func TestReportNamesEachPromptOnce(t *testing.T) {
 	w := newWorld(t, options(), engineCapacity(), 1)
 	_, id := w.ask("team", shared(3, 1))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 	cacheLists *cacheLists
 	// changed is set when the load changed since the last report.
 	changed atomic.Bool
+	// urgent has an element when the next report should not wait for its time.
+	urgent chan struct{}
 	// background ends with the process.
 	background context.Context
 }
@@ -68,6 +70,7 @@
 		services:   make(map[fleet.ServiceID]*service),
 		pools:      make(map[poolKey]*upstream.Pool),
 		patience:   newPatience(),
+		urgent:     make(chan struct{}, 1),
 		background: ctx,
 	}
 	g.peers = newPeers(g)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -17,6 +17,9 @@
 const (
 	// fullReportEvery is the number of reports of which one names the whole load.
 	fullReportEvery = 8
+	// soonestReport is the part of the interval that passes between any two
+	// reports.
+	soonestReport = 5
 	// reportPeers is the number of other routers up to which reports are made
 	// at their interval; more routers make them rarer, so that the messages
 	// that a router gets in a second stay bounded.
@@ -137,7 +140,7 @@
 	lastFull := time.Time{}
 	for ctx.Err() == nil {
 		interval := p.reportInterval()
-		node.Pause(ctx, interval)
+		p.awaitReport(ctx, interval)
 		full := p.joined.Swap(false) || time.Since(lastFull) >= fullReportEvery*interval
 		if !p.gateway.takeChanged() && !full {
 			continue
@@ -152,6 +155,19 @@
 	}
 }
 
+// awaitReport waits until a report is due, or the load has changed much.
+func (p *peers) awaitReport(ctx context.Context, interval time.Duration) {
+	soonest := interval / soonestReport
+	node.Pause(ctx, soonest)
+	due := time.NewTimer(interval - soonest)
+	defer due.Stop()
+	select {
+	case <-ctx.Done():
+	case <-due.C:
+	case <-p.gateway.urgent:
+	}
+}
+
 func (p *peers) reportInterval() time.Duration {
 	interval := p.gateway.options.ReportInterval
 	return max(interval, interval*time.Duration(p.count())/reportPeers)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -18,6 +18,8 @@
 	id fleet.ServiceID
 	// changed is set when the load changes.
 	changed *atomic.Bool
+	// urgent has an element when the other routers should hear of it soon.
+	urgent chan struct{}
 
 	mu        sync.Mutex
 	scheduler *admission.Scheduler
@@ -49,10 +51,11 @@
 	s.scheduler.PeerLost(node)
 }
 
-func newService(id fleet.ServiceID, options *Options, capacity admission.Capacity, changed *atomic.Bool) *service {
+func newService(id fleet.ServiceID, options *Options, capacity admission.Capacity, changed *atomic.Bool, urgent chan struct{}) *service {
 	return &service{
 		id:        id,
 		changed:   changed,
+		urgent:    urgent,
 		scheduler: admission.NewScheduler(options.Admission, capacity),
 		budget:    retry.NewBudget(options.Retry),
 	}
@@ -97,7 +100,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.changed.Store(true)
-	return s.scheduler.Admit(time.Now(), r)
+	d := s.scheduler.Admit(time.Now(), r)
+	if s.scheduler.Urgent() {
+		select {
+		case s.urgent <- struct{}{}:
+		default:
+		}
+	}
+	return d
 }
 
 func (s *service) firstEvent(id string) {
