Keep requests that crash upstreams away; check an upstream after a broken answer

Cause: gateways sent a request that crashes its upstreams on and on: a new test had it crash as many as there were. Requests that were running at three crashes are refused by all gateways for a minute (own messages between them, as for the own interface, whose list takes its limits as options now). A whole answer clears a request.

The encoding of suspects moved to node/, for both. State lists suspects.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -305,9 +305,22 @@
 		s.service.observe(now.Sub(r.sent))
 	}
 	r.upstream.end(now, r)
-	ejected := r.upstream.detector.Observe(now, r.sent, outcome)
+	return s.observe(now, r.sent, r.upstream, outcome)
+}
+
+// Unreachable notes that an upstream accepts no connection. It reports whether the
+// upstream was ejected by that.
+func (s *Scheduler) Unreachable(now time.Time, id fleet.UpstreamID) bool {
+	u := s.upstreams[id]
+	return u != nil && s.observe(now, now, u, outlier.Unreachable)
+}
+
+// observe takes an outcome at an upstream. An ejected one comes back with an empty
+// cache.
+func (s *Scheduler) observe(now, started time.Time, u *upstream, outcome outlier.Outcome) bool {
+	ejected := u.detector.Observe(now, started, outcome)
 	if ejected {
-		r.upstream.cache = placement.NewCache(s.capacity.MemoryTokens)
+		u.cache = placement.NewCache(s.capacity.MemoryTokens)
 	}
 	return ejected
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,9 +42,13 @@
 	adoptedAt    time.Time
 	registeredAt time.Time
 
+	// checks holds the upstreams that are being checked.
+	checks sync.Map
+
 	patience   *patience
 	peers      *peers
 	cacheLists *cacheLists
+	suspects   *suspects
 	// changed is set when the load changed since the last report.
 	changed atomic.Bool
 	// urgent has an element when the next report should not wait for its time.
@@ -75,6 +79,7 @@
 	}
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
+	g.suspects = newSuspects(g.peers.sessions, g.log)
 	return g
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -191,6 +191,7 @@
 	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
 	p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
 	p.joined.Store(true)
+	p.gateway.suspects.greet(s)
 }
 
 // SessionDown implements peer.Handler.
@@ -220,6 +221,8 @@
 		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RegistryUpdate{
 			RegistryUpdate: p.gateway.registryUpdate(b.RegistryRequest.GetAfter()),
 		}})
+	case *peerpb.Envelope_Suspects:
+		p.gateway.suspects.hear(s.ID(), b.Suspects)
 	case *peerpb.Envelope_RegistryUpdate:
 		p.gateway.registryFromPeer(s.ID(), b.RegistryUpdate)
 	}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -12,6 +12,7 @@
 
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 )
 
@@ -38,6 +39,8 @@
 
 	answer   *answer
 	attempts int
+	// upstream is where the last attempt went.
+	upstream registry.Upstream
 	// tried is the upstreams that may have run the request, or refused it.
 	tried []fleet.UpstreamID
 	// ran is the number of upstreams that may have run it.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/telemetry"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
@@ -32,6 +33,10 @@
 	j.service.request()
 	var last result
 	for {
+		if refused := g.suspects.refusal(j); refused != nil {
+			g.concludeRefused(j, last, refused)
+			return
+		}
 		j.attempts++
 		decision := j.service.admit(j.admission())
 		if !decision.Admitted {
@@ -40,6 +45,7 @@
 			return
 		}
 		g.logDecision(j, "request sent", decision)
+		j.upstream = decision.Upstream
 		last = g.attempt(ctx, j, decision)
 		j.tried = append(j.tried, decision.Upstream.ID)
 		if last.mayHaveRun() {
@@ -137,15 +143,22 @@
 
 // finishRefused answers a request for which no upstream was found.
 func (g *Gateway) finishRefused(j *job, last result, d admission.Decision) {
+	refused := notRun(string(d.Reason), "no upstream would answer on time", d.RetryAfter)
+	if j.ran > 0 && !j.answer.started {
+		refused = unknownOutcome("upstream_failed", "the upstream broke off and no other is free")
+	}
+	g.concludeRefused(j, last, refused)
+}
+
+// concludeRefused ends a request that is not sent again.
+func (g *Gateway) concludeRefused(j *job, last result, refused *refusal) {
 	switch {
 	case j.answer.started:
-		g.breakOff(j, string(d.Reason))
+		g.breakOff(j, refused.code)
 	case last.held != nil:
 		last.held.send(j.answer)
-	case j.ran > 0:
-		g.finish(j, unknownOutcome("upstream_failed", "the upstream broke off and no other is free"))
 	default:
-		g.finish(j, notRun(string(d.Reason), "no upstream would answer on time", d.RetryAfter))
+		g.finish(j, refused)
 	}
 }
 
@@ -229,8 +242,36 @@
 
 // ended takes the outcome of an attempt.
 func (g *Gateway) ended(j *job, id string, outcome outlier.Outcome) {
-	if j.service.end(id, outcome) {
-		g.log.Warn("upstream ejected", zap.String("request", j.in.ID), zap.String("service", string(j.service.id)))
+	ejected := j.service.end(id, outcome)
+	g.suspects.ended(j, outcome)
+	switch {
+	case ejected:
+		g.ejected(j.upstream, j.in.ID, "outcome")
+	case outcome == outlier.Broken:
+		go g.check(j.service, j.upstream, j.in.ID)
+	}
+}
+
+// ejected notes that an upstream was found to be failing by a request.
+func (g *Gateway) ejected(u registry.Upstream, request, cause string) {
+	g.suspects.crashed(u)
+	g.log.Warn("upstream ejected", zap.String("request", request), zap.String("service", string(u.Service)),
+		zap.String("upstream", string(u.ID)), zap.String("cause", cause))
+}
+
+// check finds out whether an upstream whose answer broke off takes connections: a
+// single broken answer does not tell a crash from a lost answer.
+func (g *Gateway) check(s *service, u registry.Upstream, request string) {
+	key := keyOf(u)
+	if _, running := g.checks.LoadOrStore(key, true); running {
+		return
+	}
+	defer g.checks.Delete(key)
+	ctx, cancel := context.WithTimeout(g.background, g.options.Pool.DialTimeout)
+	defer cancel()
+	err := g.pool(u).Check(ctx)
+	if err != nil && s.unreachable(u.ID) {
+		g.ejected(u, request, "check")
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -124,6 +124,12 @@
 	return s.scheduler.End(time.Now(), id, outcome)
 }
 
+func (s *service) unreachable(id fleet.UpstreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Unreachable(time.Now(), id)
+}
+
 func (s *service) cancel(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -36,6 +36,17 @@
 	Routers          []fleet.NodeID                     `json:"routers"`
 	Upstreams        []UpstreamEntry                    `json:"upstreams"`
 	Services         map[fleet.ServiceID]admission.View `json:"services"`
+	Suspects         []Suspect                          `json:"suspects"`
+}
+
+// Suspect is a request that was running when upstreams crashed.
+type Suspect struct {
+	Digest  string          `json:"digest"`
+	Service fleet.ServiceID `json:"service"`
+	// Crashes are the upstreams, each with its start.
+	Crashes   []string `json:"crashes"`
+	Refused   bool     `json:"refused"`
+	ExpiresMs int64    `json:"expires_ms"`
 }
 
 // UpstreamEntry is a registration as a gateway knows it.
@@ -54,6 +65,7 @@
 	state := State{
 		ID: g.options.ID, Ready: g.Ready(), Draining: g.draining.Load(),
 		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
+		Suspects: g.suspects.view(now),
 	}
 	for _, s := range g.peers.sessions.All(peerpb.Role_ROLE_ROUTER) {
 		state.Routers = append(state.Routers, s.ID())
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -254,16 +254,29 @@
 // server is a stand-in of one upstream: handle gets each request.
 type server struct {
 	registry.Upstream
+	listener net.Listener
+
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
+	conns    []net.Conn
+}
+
+// crash ends the server and all its connections.
+func (s *server) crash() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.Close()
+	}
 }
 
 func startServer(t *testing.T, id, service string, handle func(s *server, c net.Conn, r *http.Request)) *server {
 	t.Helper()
 	ln := listen(t)
 	t.Cleanup(func() { ln.Close() })
-	s := &server{Upstream: registry.Upstream{
+	s := &server{listener: ln, Upstream: registry.Upstream{
 		ID: fleet.UpstreamID(id), Service: fleet.ServiceID(service), Address: ln.Addr().String(), Domain: "d1", Slots: 64,
 	}}
 	go func() {
@@ -280,6 +293,9 @@
 
 func (s *server) serve(c net.Conn, handle func(*server, net.Conn, *http.Request)) {
 	defer c.Close()
+	s.mu.Lock()
+	s.conns = append(s.conns, c)
+	s.mu.Unlock()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
--- /dev/null
+++ b/gateway/suspects.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/quarantine"
+	"fulmarspindle.example/fulmarspindle/registry"
+)
+
+const (
+	// refusedCrashes is the count of crashes from which a request is refused.
+	refusedCrashes = 3
+	// suspectTTL is how long a suspect is remembered. A request that was only
+	// beside the one that crashes runs again after it.
+	suspectTTL = time.Minute
+)
+
+// suspects keeps requests that crash upstreams from running again, at all routers.
+type suspects struct {
+	sessions *node.Sessions
+	log      *zap.Logger
+
+	mu       sync.Mutex
+	evidence *quarantine.Evidence
+	list     *quarantine.List
+}
+
+func newSuspects(sessions *node.Sessions, log *zap.Logger) *suspects {
+	return &suspects{
+		sessions: sessions,
+		log:      log,
+		evidence: quarantine.NewEvidence(),
+		list:     quarantine.NewList(quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
+	}
+}
+
+// refusal returns the refusal of a request that has crashed too many upstreams, or
+// nil.
+func (s *suspects) refusal(j *job) *refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list.Len() == 0 {
+		return nil
+	}
+	now := time.Now()
+	suspect, ok := s.list.Lookup(j.digest(), now)
+	if !ok || !s.list.Refused(suspect) {
+		return nil
+	}
+	if j.ran > 0 {
+		return unknownOutcome("quarantined", "upstreams crashed while they ran this request")
+	}
+	return notRun("quarantined", "upstreams crashed while they ran this request", suspect.Expires.Sub(now))
+}
+
+// ended takes the outcome of an attempt.
+func (s *suspects) ended(j *job, outcome outlier.Outcome) {
+	switch outcome {
+	case outlier.Success:
+		s.clear(j)
+	case outlier.Broken:
+		s.broke(j)
+	case outlier.Failure, outlier.Unreachable:
+	}
+}
+
+// clear forgets a request that was answered.
+func (s *suspects) clear(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list.Len() > 0 {
+		s.list.Clear(j.digest())
+	}
+}
+
+func (s *suspects) broke(j *job) {
+	digest := j.digest()
+	s.mu.Lock()
+	crashed := s.evidence.Broke(time.Now(), crashOf(j.upstream), digest)
+	s.mu.Unlock()
+	if crashed {
+		s.suspect(j.upstream, []string{digest})
+	}
+}
+
+// crashed notes that an upstream was found to be failing.
+func (s *suspects) crashed(u registry.Upstream) {
+	s.mu.Lock()
+	digests := s.evidence.Crashed(time.Now(), crashOf(u))
+	s.mu.Unlock()
+	s.suspect(u, digests)
+}
+
+func (s *suspects) suspect(u registry.Upstream, digests []string) {
+	expires := time.Now().Add(suspectTTL)
+	found := make([]quarantine.Suspect, 0, len(digests))
+	for _, digest := range digests {
+		found = append(found, quarantine.Suspect{Digest: digest, Service: u.Service, CrashIDs: []string{crashOf(u)}, Expires: expires})
+	}
+	s.learn(found, "own")
+}
+
+// crashOf names the crash of an upstream: it comes back with another start.
+func crashOf(u registry.Upstream) string {
+	return string(u.ID) + "/" + strconv.FormatInt(u.StartedUnixMs, 10)
+}
+
+// learn merges suspects and passes on those that are news.
+func (s *suspects) learn(list []quarantine.Suspect, source string) {
+	now := time.Now()
+	var news []quarantine.Suspect
+	s.mu.Lock()
+	for _, found := range list {
+		if !s.list.Merge(found, now) {
+			continue
+		}
+		merged, _ := s.list.Lookup(found.Digest, now)
+		news = append(news, merged)
+		if s.list.Refused(merged) {
+			s.log.Warn("request quarantined", zap.String("digest", merged.Digest), zap.String("service", string(merged.Service)),
+				zap.Strings("crashes", merged.CrashIDs), zap.String("source", source))
+		}
+	}
+	s.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, session := range s.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		session.Send(node.SuspectsEnvelope(news))
+	}
+}
+
+// hear takes what another router tells.
+func (s *suspects) hear(from fleet.NodeID, m *peerpb.SuspectUpdate) {
+	s.learn(node.SuspectsFromWire(m), string(from))
+}
+
+// greet tells a router that has just connected.
+func (s *suspects) greet(session *peer.Session) {
+	s.mu.Lock()
+	all := s.list.All(time.Now())
+	s.mu.Unlock()
+	if len(all) > 0 {
+		session.Send(node.SuspectsEnvelope(all))
+	}
+}
+
+// view returns the suspects for operators.
+func (s *suspects) view(now time.Time) []Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []Suspect{}
+	for _, found := range s.list.All(now) {
+		out = append(out, Suspect{
+			Digest: found.Digest, Service: found.Service, Crashes: found.CrashIDs,
+			Refused: s.list.Refused(found), ExpiresMs: found.Expires.Sub(now).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// digest identifies a request that comes again: the attempt's identifier differs
+// then.
+func (j *job) digest() string {
+	h := xxhash.New()
+	var sizes [8]byte
+	for _, field := range [][]byte{[]byte(j.team), []byte(j.in.Host), []byte(j.method), []byte(j.in.URI), j.body} {
+		binary.LittleEndian.PutUint64(sizes[:], uint64(len(field)))
+		_, _ = h.Write(sizes[:]) // It never fails.
+		_, _ = h.Write(field)
+	}
+	for _, part := range j.in.Prompt {
+		binary.LittleEndian.PutUint64(sizes[:], part.ID)
+		_, _ = h.Write(sizes[:])
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
--- /dev/null
+++ b/gateway/suspects_test.go
@@ -0,0 +1,78 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/gateway"
+)
+
+// crashing is a server that is gone once it got the body that crashes it.
+func crashing(t *testing.T, id string, crashed, received *atomic.Int32) *server {
+	var s *server
+	s = startServer(t, id, "plain", func(_ *server, c net.Conn, r *http.Request) {
+		_, body := s.request(s.count() - 1)
+		if body != "crash" {
+			respond(c, r, 200, "done")
+			return
+		}
+		received.Add(1)
+		crashed.Add(1)
+		s.crash()
+	})
+	return s
+}
+
+// Pattern: a request crashes every upstream that runs it, and comes again at other
+// gateways.
+func TestRequestThatCrashesUpstreamsIsKeptAwayByAllGateways(t *testing.T) {
+	g := NewWithT(t)
+	const upstreams = 8
+	var crashed, received atomic.Int32
+	store := newMemoryStore()
+	store.configure(definition(1))
+	for i := range upstreams {
+		store.register(crashing(t, fmt.Sprint("i-", i), &crashed, &received).Upstream, false)
+	}
+	first := startGateway(t, "g1", store, nil)
+	second := startGateway(t, "g2", store, func(o *gateway.Options) { o.Seeds = []string{first.peer} })
+	awaitReady(t, first, second)
+	g.Eventually(func() int { return len(second.State().Routers) }, eventually).Should(Equal(1))
+
+	innocents := func(n *node) {
+		for i := range 2 * upstreams {
+			_, _, err := send(n, "POST", "/safe/", fmt.Sprint("innocent ", i))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	status := func(n *node) int {
+		resp, _, err := send(n, "POST", "/safe/", "crash")
+		g.Expect(err).NotTo(HaveOccurred())
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		return resp.StatusCode
+	}
+	nodes := []*node{first, second}
+	for i := 0; status(nodes[i%2]) != http.StatusServiceUnavailable; i++ {
+		g.Expect(i).To(BeNumerically("<", 4))
+		innocents(nodes[i%2])
+	}
+	// Three crashes, and what one request sends before the third one is known.
+	g.Expect(crashed.Load()).To(BeNumerically("<=", 4))
+	for _, n := range nodes {
+		g.Eventually(func() int { return status(n) }, eventually).Should(Equal(http.StatusServiceUnavailable))
+	}
+	g.Expect(first.State().Suspects).To(ContainElement(HaveField("Refused", true)))
+	settled := received.Load()
+	for i := range 10 {
+		g.Expect(status(nodes[i%2])).To(Equal(http.StatusServiceUnavailable))
+	}
+	g.Expect(received.Load()).To(Equal(settled), "no upstream gets it any more")
+	innocents(first)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,7 @@
 // Package quarantine decides which requests are suspected of crashing
-// upstreams. A request that was running at one crash is a suspect and runs
-// alone; one that was running at two is refused. The state is mergeable in any
-// order and does no I/O.
+// upstreams. A request that was running at one crash is a suspect; one that was
+// running at several is refused. The state is mergeable in any order and does no
+// I/O.
 package quarantine
 
 import (
@@ -14,16 +14,20 @@
 
 // Limits of the list.
 const (
-	// TTL is how long a suspect is remembered after its last crash.
-	TTL = time.Hour
 	// MaxSuspects bounds the list; the ones that expire first are dropped.
 	MaxSuspects = 4096
-	// refusedCrashes is the count of crashes from which a request is refused.
-	refusedCrashes = 2
 	// maxCrashIDs bounds the crashes remembered of one suspect.
 	maxCrashIDs = 8
 )
 
+// Options set up a List.
+type Options struct {
+	// RefusedCrashes is the count of crashes from which a request is refused.
+	RefusedCrashes int
+	// TTL is how long a suspect is remembered after its last crash.
+	TTL time.Duration
+}
+
 // Suspect is a request that was running when upstreams crashed.
 type Suspect struct {
 	Digest  string
@@ -34,19 +38,26 @@
 	Expires  time.Time
 }
 
-// Refused reports whether the suspect must not run again.
-func (s Suspect) Refused() bool { return len(s.CrashIDs) >= refusedCrashes }
-
 // List is the set of suspects that one process knows.
 type List struct {
+	options  Options
 	suspects map[string]Suspect
 }
 
 // NewList returns an empty list.
-func NewList() *List {
-	return &List{suspects: make(map[string]Suspect)}
+func NewList(options Options) *List {
+	return &List{options: options, suspects: make(map[string]Suspect)}
 }
 
+// Refused reports whether a suspect must not run again.
+func (l *List) Refused(s Suspect) bool { return len(s.CrashIDs) >= l.options.RefusedCrashes }
+
+// Len returns the number of suspects, expired ones included.
+func (l *List) Len() int { return len(l.suspects) }
+
+// Clear forgets a suspect that was answered.
+func (l *List) Clear(digest string) { delete(l.suspects, digest) }
+
 // Lookup returns what is known of a digest.
 func (l *List) Lookup(digest string, now time.Time) (Suspect, bool) {
 	s, ok := l.suspects[digest]
@@ -59,7 +70,7 @@
 	if !s.Expires.After(now) {
 		return false
 	}
-	s.Expires = earliest(s.Expires, now.Add(TTL))
+	s.Expires = earliest(s.Expires, now.Add(l.options.TTL))
 	known, ok := l.suspects[s.Digest]
 	merged := merge(s, known)
 	if ok && slices.Equal(merged.CrashIDs, known.CrashIDs) && merged.Expires.Equal(known.Expires) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -11,27 +11,38 @@
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+var options = Options{RefusedCrashes: 2, TTL: time.Hour}
+
 func suspect(digest string, expires time.Duration, crashes ...string) Suspect {
 	return Suspect{Digest: digest, CrashIDs: crashes, Expires: t0.Add(expires)}
 }
 
 func TestSecondCrashRefuses(t *testing.T) {
 	g := NewWithT(t)
-	l := NewList()
+	l := NewList(options)
 	g.Expect(l.Merge(suspect("d", time.Minute, "a"), t0)).To(BeTrue())
 	s, ok := l.Lookup("d", t0)
 	g.Expect(ok).To(BeTrue())
-	g.Expect(s.Refused()).To(BeFalse())
+	g.Expect(l.Refused(s)).To(BeFalse())
 	g.Expect(l.Merge(suspect("d", time.Minute, "a"), t0)).To(BeFalse(), "the same crash, told twice")
 	g.Expect(l.Merge(suspect("d", time.Second, "b"), t0)).To(BeTrue())
 	s, _ = l.Lookup("d", t0)
-	g.Expect(s.Refused()).To(BeTrue())
+	g.Expect(l.Refused(s)).To(BeTrue())
 	g.Expect(s.Expires).To(Equal(t0.Add(time.Minute)))
 	_, ok = l.Lookup("d", t0.Add(time.Minute))
 	g.Expect(ok).To(BeFalse())
 	g.Expect(l.All(t0.Add(time.Minute))).To(BeEmpty())
 }
 
+func TestAnsweredRequestIsNoSuspect(t *testing.T) {
+	g := NewWithT(t)
+	l := NewList(options)
+	l.Merge(suspect("d", time.Minute, "a"), t0)
+	l.Clear("d")
+	_, ok := l.Lookup("d", t0)
+	g.Expect(ok).To(BeFalse())
+}
+
 func TestMergeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		updates := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Suspect {
@@ -40,7 +51,7 @@
 			return suspect(digest, time.Duration(rapid.IntRange(-1, 5).Draw(t, "expires"))*time.Minute, crashes...)
 		}), 0, 12).Draw(t, "updates")
 		merge := func(order []Suspect) []Suspect {
-			l := NewList()
+			l := NewList(options)
 			for _, s := range order {
 				l.Merge(s, t0)
 			}
@@ -58,10 +69,10 @@
 
 func TestBounds(t *testing.T) {
 	g := NewWithT(t)
-	l := NewList()
+	l := NewList(options)
 	g.Expect(l.Merge(suspect("far", 24*time.Hour, "a"), t0)).To(BeTrue())
 	s, _ := l.Lookup("far", t0)
-	g.Expect(s.Expires).To(Equal(t0.Add(TTL)), "a foreign clock does not make it last")
+	g.Expect(s.Expires).To(Equal(t0.Add(options.TTL)), "a foreign clock does not make it last")
 	for n := range MaxSuspects + 10 {
 		l.Merge(suspect(fmt.Sprint(n), time.Minute+time.Duration(n), "a"), t0)
 	}
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -12,8 +12,14 @@
 	"fulmarspindle.example/fulmarspindle/quarantine"
 )
 
-// spreadTimeout bounds the wait until the other routers know of a crash.
-const spreadTimeout = time.Second
+const (
+	// spreadTimeout bounds the wait until the other routers know of a crash.
+	spreadTimeout = time.Second
+	// suspectTTL is how long a suspect is remembered after its last crash.
+	suspectTTL = time.Hour
+	// refusedCrashes is the count of crashes from which a request is refused.
+	refusedCrashes = 2
+)
 
 // crash is one crash in which a request was involved.
 type crash struct{ digest, id string }
@@ -36,7 +42,7 @@
 	return &suspects{
 		sessions: sessions,
 		unsaved:  make(chan struct{}, 1),
-		list:     quarantine.NewList(),
+		list:     quarantine.NewList(quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
 		known:    make(map[crash]map[fleet.NodeID]bool),
 		learned:  make(chan struct{}),
 	}
@@ -51,7 +57,7 @@
 // refused reports whether a request must not run again.
 func (q *suspects) refused(digest string) bool {
 	s, ok := q.lookup(digest)
-	return ok && s.Refused()
+	return ok && q.list.Refused(s)
 }
 
 // suspected reports whether a request must run alone.
@@ -69,7 +75,7 @@
 		Team:     req.Team,
 		Service:  req.Service,
 		CrashIDs: []string{crashID},
-		Expires:  time.Now().Add(quarantine.TTL),
+		Expires:  time.Now().Add(suspectTTL),
 	}})
 	select {
 	case q.unsaved <- struct{}{}:
@@ -146,7 +152,7 @@
 		return
 	}
 	for _, session := range q.sessions.All(peerpb.Role_ROLE_ROUTER) {
-		session.Send(suspectsEnvelope(news))
+		session.Send(node.SuspectsEnvelope(news))
 	}
 }
 
@@ -156,7 +162,7 @@
 	all := q.list.All(time.Now())
 	q.mu.Unlock()
 	if len(all) > 0 {
-		s.Send(suspectsEnvelope(all))
+		s.Send(node.SuspectsEnvelope(all))
 	}
 }
 
@@ -166,31 +172,3 @@
 	defer q.mu.Unlock()
 	return q.list.All(time.Now())
 }
-
-func suspectsEnvelope(list []quarantine.Suspect) *peerpb.Envelope {
-	update := &peerpb.SuspectUpdate{}
-	for _, s := range list {
-		update.Suspects = append(update.Suspects, &peerpb.Suspect{
-			Digest:        s.Digest,
-			CrashIds:      s.CrashIDs,
-			ExpiresUnixMs: uint64(s.Expires.UnixMilli()),
-			Team:          string(s.Team),
-			Service:       string(s.Service),
-		})
-	}
-	return &peerpb.Envelope{Body: &peerpb.Envelope_Suspects{Suspects: update}}
-}
-
-func suspectsFromWire(m *peerpb.SuspectUpdate) []quarantine.Suspect {
-	var list []quarantine.Suspect
-	for _, s := range m.GetSuspects() {
-		list = append(list, quarantine.Suspect{
-			Digest:   s.GetDigest(),
-			CrashIDs: s.GetCrashIds(),
-			Expires:  time.UnixMilli(int64(s.GetExpiresUnixMs())),
-			Team:     fleet.TeamID(s.GetTeam()),
-			Service:  fleet.ServiceID(s.GetService()),
-		})
-	}
-	return list
-}
--- a/router/report.go
+++ b/router/report.go
@@ -73,7 +73,7 @@
 			Team:    s.Team,
 			Service: s.Service,
 			Crashes: s.CrashIDs,
-			Refused: s.Refused(),
+			Refused: r.suspects.list.Refused(s),
 		})
 	}
 	return out
--- a/router/sessions.go
+++ b/router/sessions.go
@@ -7,6 +7,7 @@
 
 	"fulmarspindle.example/fulmarspindle/dispatch"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
@@ -57,7 +58,7 @@
 	case *peerpb.Envelope_ConfigSnapshot:
 		r.adoption.Receive(s, b.ConfigSnapshot)
 	case *peerpb.Envelope_Suspects:
-		r.suspects.hear(s.ID(), suspectsFromWire(b.Suspects))
+		r.suspects.hear(s.ID(), node.SuspectsFromWire(b.Suspects))
 	}
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -71,6 +71,20 @@
 	return c, nil
 }
 
+// Check returns nil if the upstream holds a connection or accepts a new one, which
+// is kept. Errors are ErrNotSent.
+func (p *Pool) Check(ctx context.Context) error {
+	c, err := p.get(ctx)
+	if err != nil {
+		return err
+	}
+	if c.idleUntil.IsZero() {
+		c.idleUntil = time.Now().Add(p.options.IdleTimeout)
+	}
+	p.put(c)
+	return nil
+}
+
 func (p *Pool) takeIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
