Follow the settings file while a gateway serves

Cause: with SIGHUP only the log level changed, and a change of the file without a signal was read at the next start.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -158,6 +158,15 @@
 	return s
 }
 
+// SetOptions takes new settings. What was learnt and counted stays, but for the
+// accounts if their window changes; upstreams that are known keep their detectors.
+func (s *Scheduler) SetOptions(options Options) {
+	if options.Window != s.options.Window {
+		s.accounts = newAccounts(options.Window)
+	}
+	s.options = options
+}
+
 // SetCapacity takes a new configuration of the service.
 func (s *Scheduler) SetCapacity(capacity Capacity) {
 	s.capacity = capacity
--- /dev/null
+++ b/cmd/fulmarspindle/follow_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/config"
+)
+
+func TestNeedRestart(t *testing.T) {
+	g := NewWithT(t)
+	var started config.GatewaySettings
+	next := started
+	next.Log.Level = "debug"
+	next.Retry.Slack = 9
+	next.Admission.MaxWait = 0.5
+	next.Outlier.BrokenInARow = 7
+	next.Peers = []string{"10.0.0.1:7000"}
+	next.ReportInterval = config.Duration(time.Second)
+	g.Expect(needRestart(started, next)).To(BeFalse())
+	next.Listen.Caller = "10.0.0.1:80"
+	g.Expect(needRestart(started, next)).To(BeTrue())
+}
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/fleet"
@@ -19,7 +17,6 @@
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
-	"fulmarspindle.example/fulmarspindle/telemetry"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -75,7 +72,6 @@
 	if err != nil {
 		return err
 	}
-	go reload(background, hangups, path, log)
 	listeners := gateway.Listeners{Caller: callers, Ready: ready, Peer: peers}
 	if settings.Listen.Metrics != "" {
 		if listeners.Metrics, err = node.Listen(settings.Listen.Metrics, nil); err != nil {
@@ -85,7 +81,10 @@
 	options := gatewayOptions(settings)
 	options.Store, options.Log = store, log.Logger
 	options.Engines = platform.NewEngines(settings.Platform.Timeout.Std())
-	return gateway.New(background, options).Run(ctx, listeners)
+	g := gateway.New(background, options)
+	follower := settingsFollower{path: path, started: settings, log: log, gateway: g}
+	go follower.run(background, hangups)
+	return g.Run(ctx, listeners)
 }
 
 // limitMemory sets up the garbage collector.
@@ -96,53 +95,38 @@
 	}
 }
 
-// reload checks the settings file again at each SIGHUP and puts its log level in
-// force. Other changes need a restart.
-func reload(ctx context.Context, hangups <-chan os.Signal, path string, log *telemetry.Log) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		settings, err := config.LoadGatewaySettings(path)
-		if err == nil {
-			err = log.SetLevel(settings.Log.Level)
-		}
-		if err != nil {
-			log.Error("settings not reloaded", zap.Error(err))
-			continue
-		}
-		log.Info("settings reloaded", zap.String("level", settings.Log.Level))
-	}
-}
-
 func gatewayOptions(s config.GatewaySettings) gateway.Options {
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
 	return gateway.Options{
 		ID: s.ID, Incarnation: fleet.Incarnation(time.Now().UnixNano()),
-		PeerAddress: s.Listen.Peer, Seeds: s.Peers, ReportInterval: s.ReportInterval.Std(),
-		Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		PeerAddress: s.Listen.Peer, Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptors * float64(s.Limits.Descriptors)),
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
 		StoreRetry: s.Platform.Retry.Std(),
 		Grace:      s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
-		Admission: admissionOptions(s, location),
-		Registry:  registry.Options{LapseGrace: s.Platform.LapseGrace.Std(), TombstoneTTL: tombstoneTTL},
-		Retry:     retry.BudgetOptions{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Std()},
+		Registry: registry.Options{LapseGrace: s.Platform.LapseGrace.Std(), TombstoneTTL: tombstoneTTL},
 		Pool: upstream.PoolOptions{
 			DialTimeout: s.Upstreams.DialTimeout.Std(), UserTimeout: s.Upstreams.UserTimeout.Std(),
 			IdleTimeout: s.Upstreams.IdleTimeout.Std(),
 		},
+		Policy: policyOf(s),
+	}
+}
+
+// policyOf returns what may change while the process runs.
+func policyOf(s config.GatewaySettings) gateway.Policy {
+	return gateway.Policy{
+		Admission: admissionOptions(s), Seeds: s.Peers, ReportInterval: s.ReportInterval.Std(),
+		Retry: retry.BudgetOptions{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Std()},
 	}
 }
 
-func admissionOptions(s config.GatewaySettings, location fleet.Location) admission.Options {
+func admissionOptions(s config.GatewaySettings) admission.Options {
 	a := s.Admission
 	return admission.Options{
-		Local: location, Regions: s.Regions, Replicas: a.Replicas,
+		Local: fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}, Regions: s.Regions, Replicas: a.Replicas,
 		AttentionTokens: a.AttentionTokens,
 		PrefillRate:     a.PrefillRate, Overhead: a.Overhead.Std(),
 		MaxWait: a.MaxWait, OverShareWait: a.OverShareWait, ReturnWait: a.ReturnWait, SlotLimit: a.SlotLimit, MemoryLimit: a.MemoryLimit,
--- a/e2e/gateway/gateway_test.go
+++ b/e2e/gateway/gateway_test.go
@@ -247,6 +247,8 @@
 	It("reloads at SIGHUP and serves on, with a bad file too", func() {
 		s := newSite(1)
 		n := s.nodes[0]
+		good, err := os.ReadFile(n.settings)
+		Expect(err).NotTo(HaveOccurred())
 		Expect(syscall.Kill(n.PID(), syscall.SIGHUP)).To(Succeed())
 		Eventually(n.Log, specTimeout).Should(ContainSubstring("settings reloaded"))
 		Expect(os.WriteFile(n.settings, []byte("id: ["), 0o600)).To(Succeed())
@@ -254,6 +256,11 @@
 		Eventually(n.Log, specTimeout).Should(ContainSubstring("settings not reloaded"))
 		status, _ := s.order(n)
 		Expect(status).To(Equal(200))
+		// A change without a signal is found too.
+		Expect(os.WriteFile(n.settings, append(good, "report_interval: 75ms\n"...), 0o600)).To(Succeed())
+		Eventually(n.Log, specTimeout).Should(ContainSubstring(`"cause":"change"`))
+		status, _ = s.order(n)
+		Expect(status).To(Equal(200))
 	})
 
 	It("restarts empty in an outage of the store and learns from another one", func() {
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -45,6 +45,31 @@
 	g.Consistently(status("/keyed/"), "200ms").Should(Equal(401))
 }
 
+func TestPolicyChangesWhileServing(t *testing.T) {
+	g := NewWithT(t)
+	failing := func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 500, "no") }
+	servers := []*server{startServer(t, "i-1", "plain", failing), startServer(t, "i-2", "plain", failing)}
+	store := newMemoryStore()
+	store.configure(definition(1))
+	for _, s := range servers {
+		store.register(s.Upstream, false)
+	}
+	var policy gateway.Policy
+	n := startGateway(t, "g1", store, func(o *gateway.Options) { policy = o.Policy })
+	awaitReady(t, n)
+	received := func() int { return servers[0].count() + servers[1].count() }
+	tries := func() int {
+		before := received()
+		_, _, err := send(n, "GET", "/safe/", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		return received() - before
+	}
+	g.Expect(tries()).To(Equal(2))
+	policy.Retry.Ratio, policy.Retry.Slack = 0, 0
+	n.SetPolicy(policy)
+	g.Expect(tries()).To(Equal(1))
+}
+
 func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
 	g := NewWithT(t)
 	done := func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") }
@@ -121,7 +146,7 @@
 	store.register(s.Upstream, false)
 	served := startGateway(t, "g1", store, nil)
 	awaitReady(t, served)
-	refused := startGateway(t, "g2", refusingStore{}, func(o *gateway.Options) { o.Seeds = []string{served.peer} })
+	refused := startGateway(t, "g2", refusingStore{}, func(o *gateway.Options) { o.Policy.Seeds = []string{served.peer} })
 	awaitReady(t, refused)
 	resp, _, err := send(refused, "GET", "/safe/", "")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -157,7 +182,7 @@
 		nodes = append(nodes, startGateway(t, fmt.Sprint("g", i), store, func(o *gateway.Options) {
 			o.Log = zap.New(core)
 			for _, earlier := range nodes {
-				o.Seeds = append(o.Seeds, earlier.peer)
+				o.Policy.Seeds = append(o.Policy.Seeds, earlier.peer)
 			}
 		}))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	log     *zap.Logger
 
 	table    atomic.Pointer[route.Table]
+	policy   atomic.Pointer[Policy]
 	draining atomic.Bool
 	buffered atomic.Int64
 
@@ -77,12 +78,24 @@
 		urgent:     make(chan struct{}, 1),
 		background: ctx,
 	}
+	g.policy.Store(&options.Policy)
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
 	g.suspects = newSuspects(g.peers.sessions, g.log)
 	return g
 }
 
+// SetPolicy puts a policy in force.
+func (g *Gateway) SetPolicy(policy Policy) {
+	g.mu.Lock()
+	g.policy.Store(&policy)
+	for _, s := range g.services {
+		s.setPolicy(&policy)
+	}
+	g.mu.Unlock()
+	g.peers.learn(g.background, nil)
+}
+
 // Ready reports whether this process wants callers' connections.
 func (g *Gateway) Ready() bool {
 	if g.draining.Load() || g.table.Load() == nil {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -43,13 +43,8 @@
 	// DefaultTimeout bounds requests whose route has no timeout.
 	DefaultTimeout time.Duration
 
-	// PeerAddress is where this process accepts sessions, Seeds the addresses
-	// of other routers to ask first.
+	// PeerAddress is where this process accepts sessions.
 	PeerAddress string
-	Seeds       []string
-	// ReportInterval is the time between two reports of a changing load to the
-	// other routers.
-	ReportInterval time.Duration
 
 	// StoreRetry is the pause after a failed call to the store.
 	StoreRetry time.Duration
@@ -59,8 +54,19 @@
 	Grace      time.Duration
 	Withdrawal time.Duration
 
+	Registry registry.Options
+	Pool     upstream.PoolOptions
+	// Policy is the one at the start.
+	Policy Policy
+}
+
+// Policy is the part of the options that may change while a gateway serves.
+type Policy struct {
 	Admission admission.Options
-	Registry  registry.Options
 	Retry     retry.BudgetOptions
-	Pool      upstream.PoolOptions
+	// Seeds are the addresses of other routers to ask first.
+	Seeds []string
+	// ReportInterval is the time between two reports of a changing load to the
+	// other routers.
+	ReportInterval time.Duration
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -93,7 +93,8 @@
 // targets returns whom to dial: the known routers but those that have dialed this
 // one, and the seeds that are not known. The caller holds mu.
 func (p *peers) targets() []peer.Target {
-	targets := make([]peer.Target, 0, len(p.addresses)+len(p.gateway.options.Seeds))
+	seeds := p.gateway.policy.Load().Seeds
+	targets := make([]peer.Target, 0, len(p.addresses)+len(seeds))
 	known := map[string]bool{p.gateway.options.PeerAddress: true}
 	for id, address := range p.addresses {
 		known[address] = true
@@ -102,7 +103,7 @@
 		}
 		targets = append(targets, peer.Target{ID: id, Address: address})
 	}
-	for _, seed := range p.gateway.options.Seeds {
+	for _, seed := range seeds {
 		if !known[seed] {
 			targets = append(targets, peer.Target{Address: seed})
 		}
@@ -169,7 +170,7 @@
 }
 
 func (p *peers) reportInterval() time.Duration {
-	interval := p.gateway.options.ReportInterval
+	interval := p.gateway.policy.Load().ReportInterval
 	return max(interval, interval*time.Duration(p.count())/reportPeers)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -133,7 +133,7 @@
 	case last.held != nil:
 		last.held.send(j.answer)
 	case j.ran == 0:
-		g.finish(j, notRun("not_run", "no upstream took the request", g.options.Admission.Outlier.BaseEjection))
+		g.finish(j, notRun("not_run", "no upstream took the request", g.policy.Load().Admission.Outlier.BaseEjection))
 	case ctx.Err() != nil:
 		g.finish(j, &refusal{status: http.StatusGatewayTimeout, code: "timeout", message: "the request ran out of time"})
 	default:
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -51,13 +51,13 @@
 	s.scheduler.PeerLost(node)
 }
 
-func newService(id fleet.ServiceID, options *Options, capacity admission.Capacity, changed *atomic.Bool, urgent chan struct{}) *service {
+func newService(id fleet.ServiceID, policy *Policy, capacity admission.Capacity, changed *atomic.Bool, urgent chan struct{}) *service {
 	return &service{
 		id:        id,
 		changed:   changed,
 		urgent:    urgent,
-		scheduler: admission.NewScheduler(options.Admission, capacity),
-		budget:    retry.NewBudget(options.Retry),
+		scheduler: admission.NewScheduler(policy.Admission, capacity),
+		budget:    retry.NewBudget(policy.Retry),
 	}
 }
 
@@ -71,6 +71,13 @@
 	return capacity
 }
 
+func (s *service) setPolicy(policy *Policy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetOptions(policy.Admission)
+	s.budget.SetOptions(policy.Retry)
+}
+
 func (s *service) setCapacity(capacity admission.Capacity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -206,19 +206,21 @@
 	options := gateway.Options{
 		ID: fleet.NodeID(id), Incarnation: 1, Location: fleet.Location{Region: "r1", FailureDomain: "d1"},
 		Dialect: plainDialect{}, Store: store, Log: zap.NewNop(), ReadyPath: readyPath,
-		PeerAddress: listeners.Peer.Addr().String(), ReportInterval: 10 * time.Millisecond,
+		PeerAddress:    listeners.Peer.Addr().String(),
 		MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 16, MaxBufferedBytes: 1 << 20, MaxAnswerBytes: 1 << 12,
 		HeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxConnections: 100, DefaultTimeout: eventually, StoreRetry: 20 * time.Millisecond,
 		Grace: 3 * time.Second, Withdrawal: 50 * time.Millisecond,
-		Admission: admission.Options{
-			Local: fleet.Location{Region: "r1"}, Replicas: 2, PrefillRate: 50_000, Overhead: 10 * time.Millisecond,
-			AttentionTokens: 1e6, MaxWait: 0.9, OverShareWait: 0.5, ReturnWait: 0.9, SlotLimit: 1, MemoryLimit: 1,
-			Window: 4 * time.Second, PeerTTL: time.Second,
-			Outlier: outlier.Options{BaseEjection: time.Second, MaxEjection: 8 * time.Second, BrokenInARow: 2, Smoothing: 0.1},
-		},
 		Registry: registry.Options{LapseGrace: time.Second, TombstoneTTL: time.Minute},
-		Retry:    retry.BudgetOptions{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
-		Pool:     upstream.PoolOptions{DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute},
+		Policy: gateway.Policy{
+			Admission: admission.Options{
+				Local: fleet.Location{Region: "r1"}, Replicas: 2, PrefillRate: 50_000, Overhead: 10 * time.Millisecond,
+				AttentionTokens: 1e6, MaxWait: 0.9, OverShareWait: 0.5, ReturnWait: 0.9, SlotLimit: 1, MemoryLimit: 1,
+				Window: 4 * time.Second, PeerTTL: time.Second,
+				Outlier: outlier.Options{BaseEjection: time.Second, MaxEjection: 8 * time.Second, BrokenInARow: 2, Smoothing: 0.1},
+			},
+			Retry: retry.BudgetOptions{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, ReportInterval: 10 * time.Millisecond,
+		},
+		Pool: upstream.PoolOptions{DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute},
 	}
 	if change != nil {
 		change(&options)
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -40,7 +40,7 @@
 		store.register(crashing(t, fmt.Sprint("i-", i), &crashed, &received).Upstream, false)
 	}
 	first := startGateway(t, "g1", store, nil)
-	second := startGateway(t, "g2", store, func(o *gateway.Options) { o.Seeds = []string{first.peer} })
+	second := startGateway(t, "g2", store, func(o *gateway.Options) { o.Policy.Seeds = []string{first.peer} })
 	awaitReady(t, first, second)
 	g.Eventually(func() int { return len(second.State().Routers) }, eventually).Should(Equal(1))
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,6 +31,15 @@
 	return &Budget{options: options, requests: window{step: step}, retries: window{step: step}}
 }
 
+// SetOptions takes new settings. The counts stay unless the window changes.
+func (b *Budget) SetOptions(options BudgetOptions) {
+	if options.Window != b.options.Window {
+		*b = *NewBudget(options)
+		return
+	}
+	b.options = options
+}
+
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) { b.requests.add(now) }
 
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -75,3 +75,14 @@
 		g.Expect(float64(n)).To(BeNumerically("<=", most))
 	}
 }
+
+func TestNewSettingsKeepTheCounts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	b := retry.NewBudget(retry.BudgetOptions{Slack: 2, Window: 10 * time.Second})
+	g.Expect(b.Take(now, 1)).To(BeTrue())
+	b.SetOptions(retry.BudgetOptions{Slack: 1, Window: 10 * time.Second})
+	g.Expect(b.Take(now, 1)).To(BeFalse())
+	b.SetOptions(retry.BudgetOptions{Slack: 1, Window: 5 * time.Second})
+	g.Expect(b.Take(now, 1)).To(BeTrue(), "another window counts anew")
+}
