Serve on at a stop while no other gateway does

Gateways tell each other that they are draining. One that no other serves beside takes requests on for as long as earlier ones keep it from its end; what may take longer than its grace is refused with the time until then as Retry-After.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -138,6 +138,63 @@
 	g.Expect(resp.StatusCode).To(Equal(200))
 }
 
+// Pattern: all routers are stopped one soon after the other.
+func TestStoppingGatewayServesOnWhileNoOtherOneDoes(t *testing.T) {
+	g := NewWithT(t)
+	received, release := make(chan struct{}), make(chan struct{})
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) {
+		if r.URL.Path == "/unsafe/" {
+			close(received)
+			<-release
+		}
+		respond(c, r, 200, "done")
+	})
+	configuration := definition(1)
+	for i := range configuration.Routes {
+		if configuration.Routes[i].Name == "keyed" {
+			configuration.Routes[i].Timeout, configuration.Routes[i].Anonymous = time.Minute, true
+		}
+	}
+	store := newMemoryStore()
+	store.configure(configuration)
+	store.register(s.Upstream, false)
+	long := func(o *gateway.Options) { o.Grace = 2 * eventually }
+	n := startGateway(t, "g1", store, long)
+	awaitReady(t, n)
+	answered := make(chan int, 1)
+	go func() {
+		resp, _, err := send(n, "POST", "/unsafe/", "order")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- resp.StatusCode
+	}()
+	<-received
+	n.stop()
+	refusal := func() int {
+		resp, _, err := send(n, "POST", "/keyed/", "")
+		if err != nil || resp.Header.Get("Retry-After") == "" {
+			return 0
+		}
+		return resp.StatusCode
+	}
+	g.Eventually(refusal, eventually).Should(Equal(503), "it may take longer than the grace")
+	resp, _, err := send(n, "GET", "/safe/", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	// Once another one serves, this one takes nothing more.
+	other := startGateway(t, "g2", store, func(o *gateway.Options) { o.Policy.Seeds = []string{n.peer} })
+	awaitReady(t, other)
+	g.Eventually(func() error {
+		_, _, err := send(n, "GET", "/safe/", "")
+		return err
+	}, eventually).Should(HaveOccurred())
+	close(release)
+	g.Eventually(answered, eventually).Should(Receive(Equal(200)))
+	g.Eventually(n.done, eventually).Should(BeClosed())
+}
+
 func TestRefusedRouterLearnsFromAnotherOne(t *testing.T) {
 	g := NewWithT(t)
 	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,12 @@
 	table    atomic.Pointer[route.Table]
 	policy   atomic.Pointer[Policy]
 	draining atomic.Bool
+	// stopsAt is when the process ends, once it is draining.
+	stopsAt atomic.Pointer[time.Time]
+	// covering is set while this process stops and serves on for want of others.
+	// inFlight is the number of requests that came before.
+	covering atomic.Bool
+	inFlight atomic.Int64
 	buffered atomic.Int64
 
 	// mu guards the registry and the set of services and pools.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -41,6 +41,8 @@
 	mu sync.Mutex
 	// addresses are the known peer addresses of other routers.
 	addresses map[fleet.NodeID]string
+	// draining holds the routers that are stopping.
+	draining map[fleet.NodeID]bool
 	// behindSince is since when another router knows more of the registry.
 	behindSince time.Time
 	// joined is set when a router has not had a full report yet.
@@ -48,7 +50,7 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	p := &peers{gateway: g, sessions: node.NewSessions(), addresses: make(map[fleet.NodeID]string)}
+	p := &peers{gateway: g, sessions: node.NewSessions(), addresses: make(map[fleet.NodeID]string), draining: make(map[fleet.NodeID]bool)}
 	local := &peer.Local{
 		Hello: &peerpb.Hello{
 			ProtocolVersion: peer.ProtocolVersion,
@@ -78,6 +80,23 @@
 // count returns the number of connected routers.
 func (p *peers) count() int { return len(p.sessions.All(peerpb.Role_ROLE_ROUTER)) }
 
+func (p *peers) setDraining(id fleet.NodeID, draining bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if draining {
+		p.draining[id] = true
+		return
+	}
+	delete(p.draining, id)
+}
+
+// serving reports whether any other router takes callers.
+func (p *peers) serving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count() > len(p.draining)
+}
+
 // learn adds the addresses of other routers to those that are dialed.
 func (p *peers) learn(ctx context.Context, found map[fleet.NodeID]string) {
 	p.mu.Lock()
@@ -143,7 +162,7 @@
 		interval := p.reportInterval()
 		p.awaitReport(ctx, interval)
 		full := p.joined.Swap(false) || time.Since(lastFull) >= fullReportEvery*interval
-		if !p.gateway.takeChanged() && !full {
+		if !p.gateway.takeChanged() && !full && !p.gateway.draining.Load() {
 			continue
 		}
 		if full {
@@ -199,6 +218,7 @@
 func (p *peers) SessionDown(s *peer.Session, _ error) {
 	if p.sessions.Remove(s) {
 		p.gateway.peerLost(s.ID())
+		p.setDraining(s.ID(), false)
 		p.learn(p.gateway.background, nil)
 	}
 }
@@ -231,6 +251,7 @@
 
 func (p *peers) loadReport(s *peer.Session, m *peerpb.LoadReport) {
 	p.gateway.peerLoad(s.ID(), m)
+	p.setDraining(s.ID(), m.GetDraining())
 	found := make(map[fleet.NodeID]string)
 	p.mu.Lock()
 	for _, router := range m.GetRouters() {
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -51,6 +51,10 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if !g.covering.Load() {
+		g.inFlight.Add(1)
+		defer g.inFlight.Add(-1)
+	}
 	answer := newAnswer(w, g.draining.Load)
 	j, refused := g.receive(r, answer.control, arrived)
 	if refused != nil {
@@ -60,6 +64,10 @@
 	}
 	defer g.buffered.Add(-int64(len(j.body)))
 	j.answer = answer
+	if refused := g.tooLate(j); refused != nil {
+		g.finish(j, refused)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), j.expires, errDeadline)
 	defer cancel()
 	g.serve(ctx, j)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -18,6 +18,9 @@
 	// abortMargin is how much earlier than the grace ends the rest is cut, so
 	// that callers see it from this process and not from its death.
 	abortMargin = 300 * time.Millisecond
+	// coverInterval is the time between two looks whether other routers take
+	// callers.
+	coverInterval = 20 * time.Millisecond
 	// adminHeaderTimeout bounds the heads of the balancer's and the operators'
 	// questions.
 	adminHeaderTimeout = 2 * time.Second
@@ -64,6 +67,26 @@
 	}
 }
 
+// cover serves on while no other router takes callers and earlier requests keep
+// this process from its end anyway. What can't be done by then is refused.
+func (g *Gateway) cover(end time.Time) {
+	g.covering.Store(true)
+	covered := time.Now()
+	for g.inFlight.Load() > 0 && !g.peers.serving() && time.Now().Before(end) {
+		node.Pause(context.Background(), coverInterval)
+	}
+	g.log.Info("gateway closes to callers", zap.Duration("covered", time.Since(covered)), zap.Int("routers", g.routers()))
+}
+
+// tooLate refuses a request that may take longer than this process lives.
+func (g *Gateway) tooLate(j *job) *refusal {
+	end := g.stopsAt.Load()
+	if !g.covering.Load() || j.expires.Before(*end) {
+		return nil
+	}
+	return notRun("stopping", "this router is stopping", time.Until(*end))
+}
+
 func (g *Gateway) readiness() http.Handler {
 	server := echo.New()
 	server.GET(g.options.ReadyPath, func(c echo.Context) error {
@@ -80,10 +103,13 @@
 func (g *Gateway) stop(callers *http.Server) {
 	started := time.Now()
 	g.log.Info("gateway stopping")
+	end := started.Add(g.options.Grace - abortMargin)
+	g.stopsAt.Store(&end)
 	g.draining.Store(true)
+	signal(g.urgent)
 	node.Pause(context.Background(), g.options.Withdrawal)
-	left := g.options.Grace - abortMargin - time.Since(started)
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+	g.cover(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Warn("requests cut at the end of the grace", zap.Error(err))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -71,6 +71,14 @@
 	return capacity
 }
 
+// signal leaves an element in a channel with room for one.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func (s *service) setPolicy(policy *Policy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,10 +117,7 @@
 	s.changed.Store(true)
 	d := s.scheduler.Admit(time.Now(), r)
 	if s.scheduler.Urgent() {
-		select {
-		case s.urgent <- struct{}{}:
-		default:
-		}
+		signal(s.urgent)
 	}
 	return d
 }
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -24,7 +24,7 @@
 	for _, s := range g.services {
 		services = append(services, s)
 	}
-	message := &peerpb.LoadReport{RegistryRevision: g.registry.Newest()}
+	message := &peerpb.LoadReport{RegistryRevision: g.registry.Newest(), Draining: g.draining.Load()}
 	g.mu.Unlock()
 	for _, s := range services {
 		message.Services = append(message.Services, reportToWire(s.id, s.report(full)))
