Bound the memory of bodies while they are read

Cause: bodies counted only once they were read whole, so that many slow or chunked ones went past max_buffered_bytes. They count as they come now. The new test failed before: a second body was taken beside a half that was held.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/gateway"
 )
 
 func TestRequestIsServedAndCleaned(t *testing.T) {
@@ -36,6 +38,35 @@
 	g.Expect(left).To(BeNumerically("~", 1500, 200))
 }
 
+// Pattern: many callers send long bodies slowly.
+func TestBodiesInFlightAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	store := newMemoryStore()
+	store.configure(definition(1))
+	store.register(s.Upstream, false)
+	n := startGateway(t, "g1", store, func(o *gateway.Options) { o.MaxBufferedBytes = 3000 })
+	awaitReady(t, n)
+	// The first body is held at half its length.
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	half := strings.Repeat("x", 2000)
+	fmt.Fprintf(c, "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: slow\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(half), half)
+	status := func(length int) int {
+		resp, _, err := send(n, "POST", "/safe/", strings.Repeat("x", length))
+		g.Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode
+	}
+	g.Eventually(func() int { return status(1500) }, eventually).Should(Equal(503))
+	g.Expect(status(500)).To(Equal(200))
+	fmt.Fprint(c, "0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	g.Eventually(func() int { return status(1500) }, eventually).Should(Equal(200))
+}
+
 func TestOwnAnswers(t *testing.T) {
 	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
 	n := site(t, s)
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -19,19 +19,24 @@
 // errDeadline is the cause of a context whose request ran out of time.
 var errDeadline = eris.New("gateway: request ran out of time")
 
+// errBuffersFull reports that the bodies in flight are over their bound.
+var errBuffersFull = eris.New("gateway: buffers full")
+
 // errTooLarge reports a body over the limit.
 var errTooLarge = eris.New("gateway: body too large")
 
 // job is a request on its way through this process.
 type job struct {
-	in      exchange.Inbound
-	method  string
-	body    []byte
-	route   *route.Route
-	team    fleet.TeamID
-	service *service
-	version int64
-	arrived time.Time
+	in     exchange.Inbound
+	method string
+	body   []byte
+	// buffered is the part of MaxBufferedBytes that the body takes.
+	buffered int64
+	route    *route.Route
+	team     fleet.TeamID
+	service  *service
+	version  int64
+	arrived  time.Time
 	// waited is how long the caller has waited in earlier requests.
 	waited time.Duration
 	// expires is when the caller or the route's timeout gives up.
@@ -57,12 +62,12 @@
 	}
 	answer := newAnswer(w, g.draining.Load)
 	j, refused := g.receive(r, answer.control, arrived)
+	defer func() { g.buffered.Add(-j.buffered) }()
 	if refused != nil {
 		answer.refuse(refused)
 		g.logRefusal(j, refused, arrived)
 		return
 	}
-	defer g.buffered.Add(-int64(len(j.body)))
 	j.answer = answer
 	if refused := g.tooLate(j); refused != nil {
 		g.finish(j, refused)
@@ -145,18 +150,42 @@
 		return bodyTooLarge()
 	}
 	if g.buffered.Load()+max(r.ContentLength, 0) > g.options.MaxBufferedBytes {
-		return notRun("buffers_full", "too many bodies are in flight", time.Second)
-	}
-	body, err := readLimited(r.Body, r.ContentLength, limit)
-	if errors.Is(err, errTooLarge) {
+		return buffersFull()
+	}
+	body, err := readLimited(&bufferedBody{body: r.Body, gateway: g, job: j}, r.ContentLength, limit)
+	switch {
+	case err == nil:
+		j.body = body
+		return nil
+	case errors.Is(err, errBuffersFull):
+		return buffersFull()
+	case errors.Is(err, errTooLarge):
 		return bodyTooLarge()
-	}
-	if err != nil {
+	default:
 		return &refusal{status: http.StatusBadRequest, code: "body_not_read", message: "the body ended early"}
 	}
-	j.body = body
-	g.buffered.Add(int64(len(body)))
-	return nil
+}
+
+func buffersFull() *refusal {
+	return notRun("buffers_full", "too many bodies are in flight", time.Second)
+}
+
+// bufferedBody reads a body and counts what is held of it.
+type bufferedBody struct {
+	body    io.Reader
+	gateway *Gateway
+	job     *job
+}
+
+// Read implements io.Reader. It returns errBuffersFull when all bodies together are
+// over the bound.
+func (b *bufferedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	b.job.buffered += int64(n)
+	if b.gateway.buffered.Add(int64(n)) > b.gateway.options.MaxBufferedBytes {
+		return n, errBuffersFull
+	}
+	return n, err
 }
 
 func readLimited(r io.Reader, length, limit int64) ([]byte, error) {
