--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -39,29 +39,33 @@
 	if s.capacity.MemoryTokens == 0 {
 		return s.plainCandidates(now, usable)
 	}
+	return s.engineCandidates(now, r, usable)
+}
+
+// engineCandidates returns the homes of a prompt and the engine that keeps most of
+// it. A prompt that no engine keeps may also go where memory has room: it displaces
+// nothing there.
+func (s *Scheduler) engineCandidates(now time.Time, r Request, usable []fleet.UpstreamID) []candidate {
 	order := placement.Homes(r.Prompt.SharedKey(), usable)
-	count := placement.HomeCount(r.Prompt, s.options.Replicas, len(order))
-	few := count < len(order)
+	homes := placement.HomeCount(r.Prompt, s.options.Replicas, len(order))
+	anywhere := homes == len(order)
 	keeper, kept := s.keeper(r, usable)
 	out := make([]candidate, 0, len(order))
 	for rank, id := range order {
 		u := s.upstreams[id]
-		home := rank < count
-		room := u.cache.HasRoom(r.Prompt)
-		if !home && u != keeper && (keeper != nil || !room) {
+		fresh := keeper == nil && u.cache.HasRoom(r.Prompt)
+		if rank >= homes && u != keeper && !fresh {
 			continue
 		}
 		c := s.engineCandidate(now, r, u)
-		switch {
-		case !few:
-		case keeper == nil:
-			// All routers take an unknown prompt to its first home, so that one
-			// of them fills its cache and the others find it there. Where there
-			// is room it displaces nothing.
+		if !anywhere && keeper == nil {
+			// All routers take an unknown prompt to the first one in order, so
+			// that it fills its cache and the others find it there.
 			c.ranked = true
-			c.cold = rank > 0 && !room
-		default:
-			c.cold = s.capacity.TransferRate == 0 && u.cache.Cached(r.Prompt) < kept
+			c.cold = rank > 0 && !fresh
+		}
+		if !anywhere && keeper != nil && s.capacity.TransferRate == 0 {
+			c.cold = u.cache.Cached(r.Prompt) < kept
 		}
 		s.copy(&c, r, keeper, kept)
 		out = append(out, c)
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -16,8 +16,8 @@
 	// copied is the tokens to copy, and copiedOver how far.
 	copied     int
 	copiedOver proximity
-	// cold candidates would have to read the shared parts, which another one
-	// keeps.
+	// cold candidates would have to read shared parts that another one keeps, or
+	// is about to read.
 	cold bool
 	// ranked candidates are taken in their order, others by their cost.
 	ranked bool
--- a/gateway/cachelist.go
+++ b/gateway/cachelist.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,11 +10,6 @@
 	"fulmarspindle.example/fulmarspindle/registry"
 )
 
-// CacheLister asks engines which prompt parts they keep.
-type CacheLister interface {
-	ListCache(ctx context.Context, u registry.Upstream) ([]placement.Part, error)
-}
-
 const (
 	// maxCacheLists bounds the engines that are asked at the same time.
 	maxCacheLists = 4
--- a/gateway/seams.go
+++ b/gateway/seams.go
@@ -6,6 +6,7 @@
 
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 )
@@ -24,6 +25,11 @@
 	Relayed(header http.Header) http.Header
 }
 
+// CacheLister asks engines which prompt parts they keep.
+type CacheLister interface {
+	ListCache(ctx context.Context, u registry.Upstream) ([]placement.Part, error)
+}
+
 // Store is where the operators' configuration and the registered upstreams are
 // read from. Revisions order all changes of the store.
 type Store interface {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -246,17 +246,17 @@
 	g.suspects.ended(j, outcome)
 	switch {
 	case ejected:
-		g.ejected(j.upstream, j.in.ID, "outcome")
+		g.ejected(j.upstream, j.in.ID, "outcome", nil)
 	case outcome == outlier.Broken:
 		go g.check(j.service, j.upstream, j.in.ID)
 	}
 }
 
 // ejected notes that an upstream was found to be failing by a request.
-func (g *Gateway) ejected(u registry.Upstream, request, cause string) {
+func (g *Gateway) ejected(u registry.Upstream, request, cause string, err error) {
 	g.suspects.crashed(u)
 	g.log.Warn("upstream ejected", zap.String("request", request), zap.String("service", string(u.Service)),
-		zap.String("upstream", string(u.ID)), zap.String("cause", cause))
+		zap.String("upstream", string(u.ID)), zap.String("cause", cause), zap.Error(err))
 }
 
 // check finds out whether an upstream whose answer broke off takes connections: a
@@ -271,7 +271,7 @@
 	defer cancel()
 	err := g.pool(u).Check(ctx)
 	if err != nil && s.unreachable(u.ID) {
-		g.ejected(u, request, "check")
+		g.ejected(u, request, "check", err)
 	}
 }
 
