--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -27,8 +27,9 @@
 	// with each ejection in a row up to MaxEjection.
 	BaseEjection time.Duration
 	MaxEjection  time.Duration
-	// BrokenInARow is the number of broken connections without a success
-	// between them that ejects.
+	// BrokenInARow is the number of broken answers without a success between
+	// them that ejects. Those that break together count as one: they tell as
+	// little of the upstream as of the way to it.
 	BrokenInARow int
 	// Smoothing is the weight of a new outcome in the failure rate, 0 to 1.
 	Smoothing float64
@@ -36,13 +37,18 @@
 
 // Detector follows one upstream.
 type Detector struct {
-	options     Options
-	ejections   int
-	until       time.Time
-	broken      int
+	options   Options
+	ejections int
+	until     time.Time
+	broken    int
+	// brokenAt is when the last of broken was counted.
+	brokenAt    time.Time
 	failureRate float64
 }
 
+// together is the time within which answers break by the same cause.
+const together = 100 * time.Millisecond
+
 // NewDetector returns a detector of an upstream that is not ejected.
 func NewDetector(options Options) *Detector { return &Detector{options: options} }
 
@@ -62,6 +68,10 @@
 		}
 		return false
 	case Broken:
+		if now.Sub(d.brokenAt) < together {
+			return false
+		}
+		d.brokenAt = now
 		d.broken++
 		if d.broken < d.options.BrokenInARow {
 			return false
