--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -42,8 +42,12 @@
 func TestBodiesInFlightAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	configuration := definition(1)
+	for i := range configuration.Routes {
+		configuration.Routes[i].Timeout = time.Minute
+	}
 	store := newMemoryStore()
-	store.configure(definition(1))
+	store.configure(configuration)
 	store.register(s.Upstream, false)
 	n := startGateway(t, "g1", store, func(o *gateway.Options) { o.MaxBufferedBytes = 3000 })
 	awaitReady(t, n)
@@ -58,7 +62,8 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		return resp.StatusCode
 	}
-	g.Eventually(func() int { return status(1500) }, eventually).Should(Equal(503))
+	g.Eventually(func() int64 { return n.State().BufferedBytes }, eventually).Should(BeEquivalentTo(len(half)))
+	g.Expect(status(1500)).To(Equal(503))
 	g.Expect(status(500)).To(Equal(200))
 	fmt.Fprint(c, "0\r\n\r\n")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -31,12 +31,14 @@
 	ConfigurationAgeMs int64 `json:"configuration_age_ms"`
 	// RegistryRevision is the store's revision up to which registrations are
 	// known, and RegistryAgeMs the time since the store or a router said so.
-	RegistryRevision uint64                             `json:"registry_revision"`
-	RegistryAgeMs    int64                              `json:"registry_age_ms"`
-	Routers          []fleet.NodeID                     `json:"routers"`
-	Upstreams        []UpstreamEntry                    `json:"upstreams"`
-	Services         map[fleet.ServiceID]admission.View `json:"services"`
-	Suspects         []Suspect                          `json:"suspects"`
+	RegistryRevision uint64 `json:"registry_revision"`
+	RegistryAgeMs    int64  `json:"registry_age_ms"`
+	// BufferedBytes is what the bodies of all requests in flight take.
+	BufferedBytes int64                              `json:"buffered_bytes"`
+	Routers       []fleet.NodeID                     `json:"routers"`
+	Upstreams     []UpstreamEntry                    `json:"upstreams"`
+	Services      map[fleet.ServiceID]admission.View `json:"services"`
+	Suspects      []Suspect                          `json:"suspects"`
 }
 
 // Suspect is a request that was running when upstreams crashed.
@@ -65,7 +67,7 @@
 	state := State{
 		ID: g.options.ID, Ready: g.Ready(), Draining: g.draining.Load(),
 		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
-		Suspects: g.suspects.view(now),
+		Suspects: g.suspects.view(now), BufferedBytes: g.buffered.Load(),
 	}
 	for _, s := range g.peers.sessions.All(peerpb.Role_ROLE_ROUTER) {
 		state.Routers = append(state.Routers, s.ID())
