Keep one list of suspects for the own interface and the gateway

Both kept a quarantine list behind a lock, passed news on to routers and greeted new sessions, each with its own code. node.Suspects does it for both; the router keeps who knows of which crash, the gateway its evidence.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -211,7 +211,7 @@
 	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
 	p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
 	p.joined.Store(true)
-	p.gateway.suspects.greet(s)
+	p.gateway.suspects.Greet(s)
 }
 
 // SessionDown implements peer.Handler.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -12,7 +12,6 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/outlier"
-	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 	"fulmarspindle.example/fulmarspindle/quarantine"
 	"fulmarspindle.example/fulmarspindle/registry"
@@ -28,62 +27,50 @@
 
 // suspects keeps requests that crash upstreams from running again, at all routers.
 type suspects struct {
-	sessions *node.Sessions
-	log      *zap.Logger
+	*node.Suspects
+	log *zap.Logger
 
 	mu       sync.Mutex
 	evidence *quarantine.Evidence
-	list     *quarantine.List
 }
 
 func newSuspects(sessions *node.Sessions, log *zap.Logger) *suspects {
 	return &suspects{
-		sessions: sessions,
+		Suspects: node.NewSuspects(sessions, quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
 		log:      log,
 		evidence: quarantine.NewEvidence(),
-		list:     quarantine.NewList(quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
 	}
 }
 
 // refusal returns the refusal of a request that has crashed too many upstreams, or
 // nil.
 func (s *suspects) refusal(j *job) *refusal {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.list.Len() == 0 {
+	if s.Empty() {
 		return nil
 	}
-	now := time.Now()
-	suspect, ok := s.list.Lookup(j.digest(), now)
-	if !ok || !s.list.Refused(suspect) {
+	suspect, ok := s.Lookup(j.digest())
+	if !ok || !s.Refused(suspect) {
 		return nil
 	}
 	if j.ran > 0 {
 		return unknownOutcome("quarantined", "upstreams crashed while they ran this request")
 	}
-	return notRun("quarantined", "upstreams crashed while they ran this request", suspect.Expires.Sub(now))
+	return notRun("quarantined", "upstreams crashed while they ran this request", time.Until(suspect.Expires))
 }
 
 // ended takes the outcome of an attempt.
 func (s *suspects) ended(j *job, outcome outlier.Outcome) {
 	switch outcome {
 	case outlier.Success:
-		s.clear(j)
+		if !s.Empty() {
+			s.Clear(j.digest())
+		}
 	case outlier.Broken:
 		s.broke(j)
 	case outlier.Failure, outlier.Unreachable:
 	}
 }
 
-// clear forgets a request that was answered.
-func (s *suspects) clear(j *job) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.list.Len() > 0 {
-		s.list.Clear(j.digest())
-	}
-}
-
 func (s *suspects) broke(j *job) {
 	digest := j.digest()
 	s.mu.Lock()
@@ -103,7 +90,7 @@
 }
 
 func (s *suspects) suspect(u registry.Upstream, digests []string) {
-	expires := time.Now().Add(suspectTTL)
+	expires := s.Expires()
 	found := make([]quarantine.Suspect, 0, len(digests))
 	for _, digest := range digests {
 		found = append(found, quarantine.Suspect{Digest: digest, Service: u.Service, CrashIDs: []string{crashOf(u)}, Expires: expires})
@@ -116,29 +103,14 @@
 	return string(u.ID) + "/" + strconv.FormatInt(u.StartedUnixMs, 10)
 }
 
-// learn merges suspects and passes on those that are news.
+// learn takes suspects that this router or another one found.
 func (s *suspects) learn(list []quarantine.Suspect, source string) {
-	now := time.Now()
-	var news []quarantine.Suspect
-	s.mu.Lock()
-	for _, found := range list {
-		if !s.list.Merge(found, now) {
-			continue
-		}
-		merged, _ := s.list.Lookup(found.Digest, now)
-		news = append(news, merged)
-		if s.list.Refused(merged) {
-			s.log.Warn("request quarantined", zap.String("digest", merged.Digest), zap.String("service", string(merged.Service)),
-				zap.Strings("crashes", merged.CrashIDs), zap.String("source", source))
+	for _, found := range s.Learn(list) {
+		if s.Refused(found) {
+			s.log.Warn("request quarantined", zap.String("digest", found.Digest), zap.String("service", string(found.Service)),
+				zap.Strings("crashes", found.CrashIDs), zap.String("source", source))
 		}
 	}
-	s.mu.Unlock()
-	if len(news) == 0 {
-		return
-	}
-	for _, session := range s.sessions.All(peerpb.Role_ROLE_ROUTER) {
-		session.Send(node.SuspectsEnvelope(news))
-	}
 }
 
 // hear takes what another router tells.
@@ -146,25 +118,13 @@
 	s.learn(node.SuspectsFromWire(m), string(from))
 }
 
-// greet tells a router that has just connected.
-func (s *suspects) greet(session *peer.Session) {
-	s.mu.Lock()
-	all := s.list.All(time.Now())
-	s.mu.Unlock()
-	if len(all) > 0 {
-		session.Send(node.SuspectsEnvelope(all))
-	}
-}
-
 // view returns the suspects for operators.
 func (s *suspects) view(now time.Time) []Suspect {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	out := []Suspect{}
-	for _, found := range s.list.All(now) {
+	for _, found := range s.All() {
 		out = append(out, Suspect{
 			Digest: found.Digest, Service: found.Service, Crashes: found.CrashIDs,
-			Refused: s.list.Refused(found), ExpiresMs: found.Expires.Sub(now).Milliseconds(),
+			Refused: s.Refused(found), ExpiresMs: found.Expires.Sub(now).Milliseconds(),
 		})
 	}
 	return out
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -7,7 +7,6 @@
 	"fulmarspindle.example/fulmarspindle/caller"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/node"
-	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 	"fulmarspindle.example/fulmarspindle/quarantine"
 )
@@ -24,14 +23,14 @@
 // crash is one crash in which a request was involved.
 type crash struct{ digest, id string }
 
-// suspects keeps the quarantine list of this router and spreads it to others.
+// suspects is the quarantine list of this router, and what the others know of it.
 type suspects struct {
+	*node.Suspects
 	sessions *node.Sessions
 	// unsaved is signalled when the list holds a crash that this router saw.
 	unsaved chan struct{}
 
-	mu   sync.Mutex
-	list *quarantine.List
+	mu sync.Mutex
 	// known holds the routers that are known to know of a crash.
 	known map[crash]map[fleet.NodeID]bool
 	// learned is closed and replaced at every message of another router.
@@ -40,29 +39,23 @@
 
 func newSuspects(sessions *node.Sessions) *suspects {
 	return &suspects{
+		Suspects: node.NewSuspects(sessions, quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
 		sessions: sessions,
 		unsaved:  make(chan struct{}, 1),
-		list:     quarantine.NewList(quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
 		known:    make(map[crash]map[fleet.NodeID]bool),
 		learned:  make(chan struct{}),
 	}
 }
 
-func (q *suspects) lookup(digest string) (quarantine.Suspect, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.list.Lookup(digest, time.Now())
-}
-
-// refused reports whether a request must not run again.
-func (q *suspects) refused(digest string) bool {
-	s, ok := q.lookup(digest)
-	return ok && q.list.Refused(s)
+// refuses reports whether a request must not run again.
+func (q *suspects) refuses(digest string) bool {
+	s, ok := q.Lookup(digest)
+	return ok && q.Refused(s)
 }
 
 // suspected reports whether a request must run alone.
 func (q *suspects) suspected(digest string) bool {
-	_, ok := q.lookup(digest)
+	_, ok := q.Lookup(digest)
 	return ok
 }
 
@@ -70,12 +63,12 @@
 // waits until the other routers know it, at most for spreadTimeout: the
 // caller's next try may come through any of them.
 func (q *suspects) crashed(req *caller.Request, crashID string) {
-	q.learn([]quarantine.Suspect{{
+	q.Learn([]quarantine.Suspect{{
 		Digest:   req.Digest,
 		Team:     req.Team,
 		Service:  req.Service,
 		CrashIDs: []string{crashID},
-		Expires:  time.Now().Add(suspectTTL),
+		Expires:  q.Expires(),
 	}})
 	select {
 	case q.unsaved <- struct{}{}:
@@ -116,7 +109,7 @@
 
 // hear merges what another router tells, and notes that it knows it.
 func (q *suspects) hear(from fleet.NodeID, list []quarantine.Suspect) {
-	q.learn(list)
+	q.Learn(list)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.known) > quarantine.MaxSuspects {
@@ -135,40 +128,3 @@
 	close(q.learned)
 	q.learned = make(chan struct{})
 }
-
-// learn merges suspects and passes on those that are news.
-func (q *suspects) learn(list []quarantine.Suspect) {
-	now := time.Now()
-	var news []quarantine.Suspect
-	q.mu.Lock()
-	for _, s := range list {
-		if q.list.Merge(s, now) {
-			merged, _ := q.list.Lookup(s.Digest, now)
-			news = append(news, merged)
-		}
-	}
-	q.mu.Unlock()
-	if len(news) == 0 {
-		return
-	}
-	for _, session := range q.sessions.All(peerpb.Role_ROLE_ROUTER) {
-		session.Send(node.SuspectsEnvelope(news))
-	}
-}
-
-// greet sends the whole list to a new router session.
-func (q *suspects) greet(s *peer.Session) {
-	q.mu.Lock()
-	all := q.list.All(time.Now())
-	q.mu.Unlock()
-	if len(all) > 0 {
-		s.Send(node.SuspectsEnvelope(all))
-	}
-}
-
-// all returns the suspects for the operators' page.
-func (q *suspects) all() []quarantine.Suspect {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.list.All(time.Now())
-}
--- a/router/report.go
+++ b/router/report.go
@@ -67,13 +67,13 @@
 // Suspects implements operator.Reporter.
 func (r *Router) Suspects() []operator.Suspect {
 	out := []operator.Suspect{}
-	for _, s := range r.suspects.all() {
+	for _, s := range r.suspects.All() {
 		out = append(out, operator.Suspect{
 			Digest:  s.Digest,
 			Team:    s.Team,
 			Service: s.Service,
 			Crashes: s.CrashIDs,
-			Refused: r.suspects.list.Refused(s),
+			Refused: r.suspects.Refused(s),
 		})
 	}
 	return out
--- a/router/serve.go
+++ b/router/serve.go
@@ -56,7 +56,7 @@
 	if r.behind.Load() {
 		return retryLater("configuration_behind", "this router lacks the configuration in force")
 	}
-	if r.suspects.refused(req.Digest) {
+	if r.suspects.refuses(req.Digest) {
 		return quarantined()
 	}
 	return nil
@@ -123,7 +123,7 @@
 		return r.refusal(ctx, j, context.Cause(ctx))
 	}
 	j.queued.Exclude = r.membership.avoid(j.req.Service, append(j.queued.Exclude, res.sidecar))
-	if r.suspects.refused(j.req.Digest) {
+	if r.suspects.refuses(j.req.Digest) {
 		return caller.Unknown(http.StatusUnprocessableEntity, "quarantined",
 			"two upstreams crashed while they ran this request")
 	}
@@ -147,7 +147,7 @@
 	if session == nil {
 		return result{outcome: peerpb.Outcome_OUTCOME_NOT_RUN, reason: "session closed"}, nil
 	}
-	if r.suspects.refused(j.req.Digest) {
+	if r.suspects.refuses(j.req.Digest) {
 		// It became known while the request waited.
 		r.queue.returnGrant(j.queued, bind)
 		return result{}, quarantined()
--- a/router/sessions.go
+++ b/router/sessions.go
@@ -22,7 +22,7 @@
 		r.membership.up(s)
 		return
 	}
-	r.suspects.greet(s)
+	r.suspects.Greet(s)
 	r.keepers.peerUp(s.Location().Region)
 }
 
--- a/router/suspectstore.go
+++ b/router/suspectstore.go
@@ -62,9 +62,9 @@
 	stored := map[string]storedSuspect{}
 	for _, s := range decodeSuspects(object.Value) {
 		stored[s.Digest] = s
-		q.learn([]quarantine.Suspect{s.suspect()})
+		q.Learn([]quarantine.Suspect{s.suspect()})
 	}
-	all := encodable(q.all())
+	all := encodable(q.All())
 	complete := !slices.ContainsFunc(all, func(s storedSuspect) bool {
 		return !slices.Equal(s.CrashIDs, stored[s.Digest].CrashIDs)
 	})
