--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -98,7 +98,7 @@
 	c.copyFrom = source.Address
 	c.prefill = s.work(r.Prompt.Tokens()-kept, kept)
 	c.copied = missing
-	c.copiedOver = s.proximity(source, c.upstream)
+	c.copiedOver = s.distance(source, c.upstream)
 	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + s.transfers.predict(c.copiedOver, missing)
 	c.cost = c.predicted + copyCost + s.placeCost(c.upstream)
 }
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
 
 // candidate is an upstream that a request may be sent to.
 type candidate struct {
@@ -15,7 +19,7 @@
 	copyFrom string
 	// copied is the tokens to copy, and copiedOver how far.
 	copied     int
-	copiedOver proximity
+	copiedOver fleet.Distance
 	// cold candidates would have to read shared parts that another one keeps, or
 	// is about to read.
 	cold bool
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -24,7 +24,7 @@
 	// copied is the tokens that the engine copies for it from another one, and
 	// copiedOver how far that is.
 	copied     int
-	copiedOver proximity
+	copiedOver fleet.Distance
 	// started is set at the first event.
 	started bool
 }
--- a/admission/transfer.go
+++ b/admission/transfer.go
@@ -1,15 +1,9 @@
 package admission
 
-import "time"
+import (
+	"time"
 
-// proximity is how close two engines are.
-type proximity int
-
-const (
-	sameDomain proximity = iota
-	sameRegion
-	otherRegion
-	proximities
+	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
 const (
@@ -28,7 +22,7 @@
 type transferModel struct {
 	// rate is the configured one, in tokens per second.
 	rate     float64
-	observed [proximities]transferTotal
+	observed [fleet.Distances]transferTotal
 }
 
 // transferTotal is the smoothed sum of the copies over one distance.
@@ -52,28 +46,25 @@
 }
 
 // predict returns the time of a copy.
-func (m *transferModel) predict(p proximity, tokens int) time.Duration {
-	total := m.observed[p]
+func (m *transferModel) predict(d fleet.Distance, tokens int) time.Duration {
+	total := m.observed[d]
 	return time.Duration(float64(tokens) * total.seconds / total.tokens * float64(time.Second))
 }
 
 // observe takes the time of a copy.
-func (m *transferModel) observe(p proximity, tokens int, took time.Duration) {
+func (m *transferModel) observe(d fleet.Distance, tokens int, took time.Duration) {
 	configured := float64(tokens) / m.rate
 	seconds := min(max(took.Seconds(), configured), maxTransferSlowdown*configured)
-	total := &m.observed[p]
+	total := &m.observed[d]
 	total.tokens += transferSmoothing * (float64(tokens) - total.tokens)
 	total.seconds += transferSmoothing * (seconds - total.seconds)
 }
 
-// proximity returns how close two upstreams are.
-func (s *Scheduler) proximity(a, b *upstream) proximity {
-	switch {
-	case a.Domain == b.Domain:
-		return sameDomain
-	case s.options.Regions[a.Domain] == s.options.Regions[b.Domain]:
-		return sameRegion
-	default:
-		return otherRegion
-	}
+// distance returns how far apart two upstreams are.
+func (s *Scheduler) distance(a, b *upstream) fleet.Distance {
+	return fleet.DistanceOf(s.location(a), s.location(b))
+}
+
+func (s *Scheduler) location(u *upstream) fleet.Location {
+	return fleet.Location{Region: s.options.Regions[u.Domain], FailureDomain: u.Domain}
 }
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -57,7 +57,7 @@
 	id        fleet.NodeID
 	hash      uint64
 	service   *service
-	distance  distance
+	distance  fleet.Distance
 	accepting bool
 	// slots is 0 while unknown.
 	slots int
@@ -203,7 +203,7 @@
 		id:        ev.Sidecar,
 		hash:      xxhash.Sum64String(string(ev.Sidecar)),
 		service:   s,
-		distance:  distanceOf(r.cfg.Location, ev.Location),
+		distance:  fleet.DistanceOf(r.cfg.Location, ev.Location),
 		accepting: true,
 	}
 	r.sidecars[sc.id] = sc
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -9,25 +9,6 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
-// distance is how far a sidecar is from the router.
-type distance int
-
-const (
-	sameFailureDomain distance = iota
-	sameRegion
-	otherRegion
-)
-
-func distanceOf(a, b fleet.Location) distance {
-	switch {
-	case a == b:
-		return sameFailureDomain
-	case a.Region == b.Region:
-		return sameRegion
-	}
-	return otherRegion
-}
-
 // scope is how far the demand of a queue has been spread.
 type scope int
 
@@ -39,7 +20,7 @@
 )
 
 // covers tells whether sidecars at that distance belong to the scope.
-func (s scope) covers(d distance) bool { return s >= scope(d)+scopeFailureDomain }
+func (s scope) covers(d fleet.Distance) bool { return s >= scope(d)+scopeFailureDomain }
 
 // loadBound is how far above the mean load a sidecar may be and still be
 // chosen for its affinity.
@@ -55,7 +36,7 @@
 	found := r.candidates[:0]
 	usedSlots, allSlots := 0, 0
 	for _, sc := range q.service.sidecars {
-		if !sc.accepting || sc.distance == otherRegion {
+		if !sc.accepting || sc.distance == fleet.OtherRegion {
 			continue
 		}
 		usedSlots += sc.slots - sc.free
@@ -247,7 +228,7 @@
 	}
 	q.scope = scopeRegion
 	q.told = slices.DeleteFunc(q.told, func(t *told) bool {
-		far := t.sidecar.distance == otherRegion
+		far := t.sidecar.distance == fleet.OtherRegion
 		if far {
 			r.withdraw(q, t)
 		}
