--- a/admission/shares.go
+++ b/admission/shares.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/rolling"
 )
 
 // shareBuckets is the number of steps in which the window of accounts slides.
@@ -21,35 +22,14 @@
 type Usage map[fleet.TeamID]TeamUsage
 
 // accounts adds up what teams asked for and were served in a sliding window.
-type accounts struct {
-	step    time.Duration
-	origin  time.Time
-	last    int64
-	buckets [shareBuckets]Usage
-}
+type accounts struct{ window *rolling.Window[Usage] }
 
 func newAccounts(window time.Duration) *accounts {
-	return &accounts{step: max(window/shareBuckets, time.Millisecond)}
-}
-
-func (a *accounts) advance(now time.Time) {
-	if a.origin.IsZero() {
-		a.origin = now
-	}
-	step := int64(now.Sub(a.origin) / a.step)
-	if step-a.last >= shareBuckets {
-		a.buckets = [shareBuckets]Usage{}
-		a.last = step
-	}
-	for a.last < step {
-		a.last++
-		a.buckets[a.last%shareBuckets] = nil
-	}
+	return &accounts{window: rolling.New[Usage](max(window, shareBuckets*time.Millisecond), shareBuckets)}
 }
 
 func (a *accounts) add(now time.Time, team fleet.TeamID, asked, served float64) {
-	a.advance(now)
-	bucket := &a.buckets[a.last%shareBuckets]
+	bucket := a.window.Current(now)
 	if *bucket == nil {
 		*bucket = make(Usage)
 	}
@@ -60,9 +40,8 @@
 }
 
 func (a *accounts) sum(now time.Time) Usage {
-	a.advance(now)
 	total := make(Usage)
-	for _, bucket := range a.buckets {
+	for _, bucket := range a.window.Buckets(now) {
 		total.add(bucket)
 	}
 	return total
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,7 +2,11 @@
 // budget of a service is shared by all routers: each spends its part.
 package retry
 
-import "time"
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/rolling"
+)
 
 // bucketCount is the number of steps in which a window slides.
 const bucketCount = 20
@@ -27,8 +31,7 @@
 
 // NewBudget returns an empty budget.
 func NewBudget(options BudgetOptions) *Budget {
-	step := options.Window / bucketCount
-	return &Budget{options: options, requests: window{step: step}, retries: window{step: step}}
+	return &Budget{options: options, requests: newWindow(options.Window), retries: newWindow(options.Window)}
 }
 
 // SetOptions takes new settings. The counts stay unless the window changes.
@@ -54,42 +57,18 @@
 	return true
 }
 
-// window is a counter over the last bucketCount steps.
-type window struct {
-	step    time.Duration
-	buckets [bucketCount]float64
-	// origin is the time of the first use. Steps are counted from it by the
-	// monotonic clock.
-	origin time.Time
-	// last is the number of the newest step.
-	last int64
-}
+// window counts what happened within a span.
+type window struct{ *rolling.Window[float64] }
 
-func (w *window) advance(now time.Time) {
-	if w.origin.IsZero() {
-		w.origin = now
-	}
-	step := int64(now.Sub(w.origin) / max(w.step, 1))
-	if step-w.last >= bucketCount {
-		w.buckets = [bucketCount]float64{}
-		w.last = step
-		return
-	}
-	for w.last < step {
-		w.last++
-		w.buckets[w.last%bucketCount] = 0
-	}
+func newWindow(span time.Duration) window {
+	return window{rolling.New[float64](span, bucketCount)}
 }
 
-func (w *window) add(now time.Time) {
-	w.advance(now)
-	w.buckets[w.last%bucketCount]++
-}
+func (w window) add(now time.Time) { *w.Current(now)++ }
 
-func (w *window) sum(now time.Time) float64 {
-	w.advance(now)
+func (w window) sum(now time.Time) float64 {
 	total := 0.0
-	for _, n := range w.buckets {
+	for _, n := range w.Buckets(now) {
 		total += n
 	}
 	return total
