--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -65,7 +65,7 @@
 			c.cold = rank > 0 && !fresh
 		}
 		if !anywhere && keeper != nil && s.capacity.TransferRate == 0 {
-			c.cold = u.cache.Cached(r.Prompt) < kept
+			c.cold = c.cached < kept
 		}
 		s.copy(&c, r, keeper, kept)
 		out = append(out, c)
@@ -91,7 +91,7 @@
 	if source == nil || source == c.upstream || s.capacity.TransferRate == 0 {
 		return
 	}
-	missing := kept - c.upstream.cache.Cached(r.Prompt)
+	missing := kept - c.cached
 	if missing < minCopyTokens {
 		return
 	}
@@ -147,6 +147,7 @@
 		upstream:  u,
 		backlog:   backlog,
 		prefill:   prefill,
+		cached:    cached,
 		predicted: s.model.predict(backlog + float64(prefill)),
 		full: float64(total.Running+1) > s.options.SlotLimit*float64(s.capacity.Slots) ||
 			float64(total.Memory+own) > s.options.MemoryLimit*float64(s.capacity.MemoryTokens),
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -13,6 +13,8 @@
 	// cost is predicted with the price of the place.
 	cost    time.Duration
 	prefill int
+	// cached is the tokens of the prompt that it keeps.
+	cached  int
 	backlog float64
 	full    bool
 	// copyFrom is the address of an engine to copy cached parts from.
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -232,8 +232,8 @@
 	}
 }
 
-// cost is the tokens that a request counts for in its team's account: each own
-// prompt token once, each generated one twice.
+// cost is the tokens that a request counts for in its team's account: each prompt
+// token once, each generated one twice.
 func (s *Scheduler) cost(r Request) float64 {
 	if len(r.Prompt) == 0 {
 		return 1
