--- a/caller/parse.go
+++ b/caller/parse.go
@@ -39,19 +39,6 @@
 	"X-Resume-Offset",
 }
 
-func forwardHeader(in http.Header) http.Header {
-	out := in.Clone()
-	for _, line := range in.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
-	return out
-}
-
 func (s *Server) authenticate(c echo.Context) (*config.Index, fleet.TeamID, error) {
 	index := s.opts.Index()
 	if index == nil {
--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/telemetry"
 )
@@ -182,7 +183,7 @@
 		return tooLarge(service.MaxBodyBytes)
 	}
 	req.MaxWait = service.MaxDuration.Std()
-	req.Header = forwardHeader(c.Request().Header)
+	req.Header = exchange.EndToEnd(c.Request().Header, hopHeaders)
 	req.Digest = digest(req)
 	timeout, err := requestTimeout(c.Request().Header)
 	if err != nil {
