--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -18,10 +18,8 @@
 
 func TestRevokedKeyAndDroppedRouteEndWithTheirVersion(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
-	store := newMemoryStore()
-	store.configure(definition(1))
-	store.register(s.Upstream, false)
+	s := startServer(t, "i-1", "plain", answering)
+	store := storeOf(definition(1), s)
 	n := startGateway(t, "g1", store, nil)
 	awaitReady(t, n)
 	status := func(path string) func() int {
@@ -49,11 +47,7 @@
 	g := NewWithT(t)
 	failing := func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 500, "no") }
 	servers := []*server{startServer(t, "i-1", "plain", failing), startServer(t, "i-2", "plain", failing)}
-	store := newMemoryStore()
-	store.configure(definition(1))
-	for _, s := range servers {
-		store.register(s.Upstream, false)
-	}
+	store := storeOf(definition(1), servers...)
 	var policy gateway.Policy
 	n := startGateway(t, "g1", store, func(o *gateway.Options) { policy = o.Policy })
 	awaitReady(t, n)
@@ -72,12 +66,8 @@
 
 func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
 	g := NewWithT(t)
-	done := func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") }
-	first, second := startServer(t, "i-1", "plain", done), startServer(t, "i-2", "plain", done)
-	store := newMemoryStore()
-	store.configure(definition(1))
-	store.register(first.Upstream, false)
-	store.register(second.Upstream, false)
+	first, second := startServer(t, "i-1", "plain", answering), startServer(t, "i-2", "plain", answering)
+	store := storeOf(definition(1), first, second)
 	n := startGateway(t, "g1", store, nil)
 	awaitReady(t, n)
 	leaving := first.Upstream
@@ -125,10 +115,8 @@
 
 func TestStopServesConnectionsThatStillCome(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
-	store := newMemoryStore()
-	store.configure(definition(1))
-	store.register(s.Upstream, false)
+	s := startServer(t, "i-1", "plain", answering)
+	store := storeOf(definition(1), s)
 	n := startGateway(t, "g1", store, func(o *gateway.Options) { o.Withdrawal = time.Second })
 	awaitReady(t, n)
 	n.stop()
@@ -155,9 +143,7 @@
 			configuration.Routes[i].Timeout, configuration.Routes[i].Anonymous = time.Minute, true
 		}
 	}
-	store := newMemoryStore()
-	store.configure(configuration)
-	store.register(s.Upstream, false)
+	store := storeOf(configuration, s)
 	long := func(o *gateway.Options) { o.Grace = 2 * eventually }
 	n := startGateway(t, "g1", store, long)
 	awaitReady(t, n)
@@ -197,10 +183,8 @@
 
 func TestRefusedRouterLearnsFromAnotherOne(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
-	store := newMemoryStore()
-	store.configure(definition(1))
-	store.register(s.Upstream, false)
+	s := startServer(t, "i-1", "plain", answering)
+	store := storeOf(definition(1), s)
 	served := startGateway(t, "g1", store, nil)
 	awaitReady(t, served)
 	refused := startGateway(t, "g2", refusingStore{}, func(o *gateway.Options) { o.Policy.Seeds = []string{served.peer} })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,7 +18,7 @@
 
 func TestRequestIsServedAndCleaned(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	s := startServer(t, "i-1", "plain", answering)
 	n := site(t, s)
 	resp, body, err := send(n, "POST", "/keyed/x%2Fy?q=1", "order", "Key", "k1", "Team", "forged", "Time-Left", "1500")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -41,14 +41,12 @@
 // Pattern: many callers send long bodies slowly.
 func TestBodiesInFlightAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	s := startServer(t, "i-1", "plain", answering)
 	configuration := definition(1)
 	for i := range configuration.Routes {
 		configuration.Routes[i].Timeout = time.Minute
 	}
-	store := newMemoryStore()
-	store.configure(configuration)
-	store.register(s.Upstream, false)
+	store := storeOf(configuration, s)
 	n := startGateway(t, "g1", store, func(o *gateway.Options) { o.MaxBufferedBytes = 3000 })
 	awaitReady(t, n)
 	// The first body is held at half its length.
@@ -73,7 +71,7 @@
 }
 
 func TestOwnAnswers(t *testing.T) {
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	s := startServer(t, "i-1", "plain", answering)
 	n := site(t, s)
 	for name, c := range map[string]struct {
 		path, body string
@@ -127,7 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			first := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { fail(c, r) })
-			second := startServer(t, "i-2", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+			second := startServer(t, "i-2", "plain", answering)
 			n := site(t, first, second)
 			for range 4 {
 				resp, body, err := send(n, "GET", "/safe/", "")
@@ -281,7 +279,7 @@
 
 func TestSmuggledLengthsReachNoServer(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	s := startServer(t, "i-1", "plain", answering)
 	n := site(t, s)
 	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -308,10 +306,8 @@
 
 func TestRequestOfACallerThatLeftIsNotSentOn(t *testing.T) {
 	g := NewWithT(t)
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
-	store := newMemoryStore()
-	store.configure(definition(1))
-	store.register(s.Upstream, false)
+	s := startServer(t, "i-1", "plain", answering)
+	store := storeOf(definition(1), s)
 	held := heldListener{Listener: listen(t), release: make(chan struct{})}
 	n := startGatewayOn(t, "g1", store, nil, held)
 	awaitReady(t, n)
@@ -332,7 +328,7 @@
 func TestHangingUpstreamIsLeftOut(t *testing.T) {
 	g := NewWithT(t)
 	hang := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) })
-	sound := startServer(t, "i-2", "plain", func(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") })
+	sound := startServer(t, "i-2", "plain", answering)
 	store := newMemoryStore()
 	d := definition(1)
 	d.Routes[0].Objective = 50 * time.Millisecond
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -357,14 +357,23 @@
 	return b.String()
 }
 
-// site starts a gateway over upstreams.
-func site(t *testing.T, servers ...*server) *node {
-	t.Helper()
+// storeOf returns a store with a configuration and registered upstreams.
+func storeOf(d route.Definition, servers ...*server) *memoryStore {
 	store := newMemoryStore()
-	store.configure(definition(1))
+	store.configure(d)
 	for _, s := range servers {
 		store.register(s.Upstream, false)
 	}
+	return store
+}
+
+// answering handles each request with a whole answer.
+func answering(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") }
+
+// site starts a gateway over upstreams.
+func site(t *testing.T, servers ...*server) *node {
+	t.Helper()
+	store := storeOf(definition(1), servers...)
 	n := startGateway(t, "g1", store, nil)
 	awaitReady(t, n)
 	return n
