--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -253,110 +251,6 @@
 	}
 }
 
-// server is a stand-in of one upstream: handle gets each request.
-type server struct {
-	registry.Upstream
-	listener net.Listener
-
-	mu       sync.Mutex
-	requests []*http.Request
-	bodies   []string
-	conns    []net.Conn
-}
-
-// crash ends the server and all its connections.
-func (s *server) crash() {
-	s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		c.Close()
-	}
-}
-
-func startServer(t *testing.T, id, service string, handle func(s *server, c net.Conn, r *http.Request)) *server {
-	t.Helper()
-	ln := listen(t)
-	t.Cleanup(func() { ln.Close() })
-	s := &server{listener: ln, Upstream: registry.Upstream{
-		ID: fleet.UpstreamID(id), Service: fleet.ServiceID(service), Address: ln.Addr().String(), Domain: "d1", Slots: 64,
-	}}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c, handle)
-		}
-	}()
-	return s
-}
-
-func (s *server) serve(c net.Conn, handle func(*server, net.Conn, *http.Request)) {
-	defer c.Close()
-	s.mu.Lock()
-	s.conns = append(s.conns, c)
-	s.mu.Unlock()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		s.requests = append(s.requests, r)
-		s.bodies = append(s.bodies, string(body))
-		s.mu.Unlock()
-		handle(s, c, r)
-		if r.Close {
-			return
-		}
-	}
-}
-
-func (s *server) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.requests)
-}
-
-func (s *server) request(i int) (*http.Request, string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.requests[i], s.bodies[i]
-}
-
-// respond writes a whole answer with the server's signature.
-func respond(c net.Conn, r *http.Request, status int, body string) {
-	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nSigned-By: seal\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), r.Header.Get("Request-Id"), len(body), body)
-}
-
-// streamHead begins an event stream in chunks.
-func streamHead(c net.Conn, r *http.Request) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned-By: seal\r\nContent-Type: text/event-stream\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
-}
-
-func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
-
-func lastChunk(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
-
-func event(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", id, id) }
-
-func events(from, to int) string {
-	var b strings.Builder
-	for id := from; id <= to; id++ {
-		b.WriteString(event(id))
-	}
-	return b.String()
-}
-
 // storeOf returns a store with a configuration and registered upstreams.
 func storeOf(d route.Definition, servers ...*server) *memoryStore {
 	store := newMemoryStore()
