--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,9 @@
 	refusalCounts = expvar.NewMap("gateway_refusals")
 	// attemptCounts counts attempts by number and result.
 	attemptCounts = expvar.NewMap("gateway_attempts")
+	// retryCounts counts retries, and those that the budget did not allow, by
+	// service.
+	retryCounts = expvar.NewMap("gateway_retries")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,11 +36,13 @@
 	broken
 	// callerGone means that the caller's connection failed.
 	callerGone
+	// callerLeftEarly means that the caller had left before anything was sent.
+	callerLeftEarly
 )
 
 // String returns the kind as it is logged.
 func (k resultKind) String() string {
-	return [...]string{"complete", "not_sent", "refused", "failed", "broken", "caller_gone"}[k]
+	return [...]string{"complete", "not_sent", "refused", "failed", "broken", "caller_gone", "caller_left_early"}[k]
 }
 
 // result is how an attempt ended.
@@ -54,7 +56,11 @@
 	err   error
 }
 
-func (r result) mayHaveRun() bool { return r.kind != notSent && r.kind != refusedByUpstream }
+func (r result) mayHaveRun() bool {
+	return r.kind != notSent && r.kind != refusedByUpstream && r.kind != callerLeftEarly
+}
+
+func (k resultKind) callerGone() bool { return k == callerGone || k == callerLeftEarly }
 
 // heldAnswer is a whole answer that has not been passed on.
 type heldAnswer struct {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -102,7 +103,7 @@
 
 // again decides whether an attempt is followed by another one.
 func (g *Gateway) again(ctx context.Context, j *job, last result) bool {
-	if ctx.Err() != nil || last.kind == complete || last.kind == callerGone {
+	if ctx.Err() != nil || last.kind == complete || last.kind.callerGone() {
 		return false
 	}
 	if last.kind == notSent {
@@ -115,7 +116,21 @@
 	if last.mayHaveRun() && !j.route.Repeatable() {
 		return false
 	}
-	return j.service.takeRetry(g.routers())
+	return g.takeRetry(j, last)
+}
+
+// takeRetry spends a retry of the budget that all routers share.
+func (g *Gateway) takeRetry(j *job, last result) bool {
+	routers := g.routers()
+	taken, usage := j.service.takeRetry(routers)
+	message := "retry"
+	if !taken {
+		message = "retry over budget"
+	}
+	retryCounts.Add(fmt.Sprintf("%s/%s", j.service.id, strings.ReplaceAll(message, " ", "_")), 1)
+	g.log.Info(message, zap.String("request", j.in.ID), zap.String("service", string(j.service.id)), zap.Stringer("after", last.kind),
+		zap.Float64("spent", usage.Spent), zap.Float64("allowed", usage.Allowed), zap.Int("routers", routers))
+	return taken
 }
 
 // maxUnsent bounds the upstreams that are tried for one request.
@@ -126,6 +141,8 @@
 	switch {
 	case last.kind == complete:
 		j.countComplete(last)
+	case last.kind == callerLeftEarly && !errors.Is(last.err, errDeadline):
+		g.breakOff(j, "caller_left_early")
 	case last.kind == callerGone && !errors.Is(last.err, errDeadline) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		g.breakOff(j, "caller_gone")
 	case j.answer.started:
@@ -182,7 +199,7 @@
 	id := j.attemptID()
 	if callerLeft(ctx) {
 		j.service.cancel(id)
-		return result{kind: callerGone, err: context.Cause(ctx)}
+		return result{kind: callerLeftEarly, err: context.Cause(ctx)}
 	}
 	sent := time.Now()
 	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -105,10 +105,19 @@
 	s.budget.Request(time.Now())
 }
 
-func (s *service) takeRetry(routers int) bool {
+// takeRetry takes a retry out of the budget, and returns what is spent of it.
+func (s *service) takeRetry(routers int) (bool, retry.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Take(time.Now(), routers)
+	now := time.Now()
+	taken := s.budget.Take(now, routers)
+	return taken, s.budget.Usage(now, routers)
+}
+
+func (s *service) retryUsage(now time.Time, routers int) retry.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Usage(now, routers)
 }
 
 func (s *service) admit(r admission.Request) admission.Decision {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -12,6 +12,7 @@
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/retry"
 )
 
 // StatePath and MetricsPath are served on the metrics address.
@@ -38,7 +39,9 @@
 	Routers       []fleet.NodeID                     `json:"routers"`
 	Upstreams     []UpstreamEntry                    `json:"upstreams"`
 	Services      map[fleet.ServiceID]admission.View `json:"services"`
-	Suspects      []Suspect                          `json:"suspects"`
+	// Retries is what this router has spent of each service's retry budget.
+	Retries  map[fleet.ServiceID]retry.Usage `json:"retries"`
+	Suspects []Suspect                       `json:"suspects"`
 }
 
 // Suspect is a request that was running when upstreams crashed.
@@ -67,6 +70,7 @@
 	state := State{
 		ID: g.options.ID, Ready: g.Ready(), Draining: g.draining.Load(),
 		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
+		Retries:  make(map[fleet.ServiceID]retry.Usage),
 		Suspects: g.suspects.view(now), BufferedBytes: g.buffered.Load(),
 	}
 	for _, s := range g.peers.sessions.All(peerpb.Role_ROLE_ROUTER) {
@@ -85,6 +89,7 @@
 	}
 	for id, s := range g.services {
 		state.Services[id] = s.view(now)
+		state.Retries[id] = s.retryUsage(now, g.routers())
 	}
 	slices.SortFunc(state.Upstreams, func(a, b UpstreamEntry) int { return cmp.Compare(a.ID, b.ID) })
 	return state
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -46,11 +46,25 @@
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) { b.requests.add(now) }
 
+// Usage is what a router has spent of its part of a budget.
+type Usage struct {
+	Spent   float64 `json:"spent"`
+	Allowed float64 `json:"allowed"`
+}
+
+// Usage returns what a router among routers has spent within the window.
+func (b *Budget) Usage(now time.Time, routers int) Usage {
+	return Usage{
+		Spent:   b.retries.sum(now),
+		Allowed: b.options.Ratio*b.requests.sum(now) + b.options.Slack/float64(max(routers, 1)),
+	}
+}
+
 // Take takes a retry out of the budget of a router among routers. It returns
 // false if none is left.
 func (b *Budget) Take(now time.Time, routers int) bool {
-	allowed := b.options.Ratio*b.requests.sum(now) + b.options.Slack/float64(max(routers, 1))
-	if b.retries.sum(now)+1 > allowed {
+	usage := b.Usage(now, routers)
+	if usage.Spent+1 > usage.Allowed {
 		return false
 	}
 	b.retries.add(now)
