--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"os/signal"
@@ -99,7 +100,7 @@
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
 	return gateway.Options{
 		ID: s.ID, Incarnation: fleet.Incarnation(time.Now().UnixNano()),
-		PeerAddress: s.Listen.Peer, Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		PeerAddress: cmp.Or(s.Listen.PeerAdvertised, s.Listen.Peer), Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptors * float64(s.Limits.Descriptors)),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -32,10 +32,12 @@
 
 // GatewayListen holds a gateway's listening addresses as host:port.
 type GatewayListen struct {
-	Caller  string `yaml:"caller" validate:"host_port"`
-	Ready   string `yaml:"ready" validate:"host_port"`
-	Peer    string `yaml:"peer" validate:"host_port"`
-	Metrics string `yaml:"metrics,omitempty" validate:"omitempty,host_port"`
+	Caller string `yaml:"caller" validate:"host_port"`
+	Ready  string `yaml:"ready" validate:"host_port"`
+	Peer   string `yaml:"peer" validate:"host_port"`
+	// PeerAdvertised is where other routers find Peer, if not there.
+	PeerAdvertised string `yaml:"peer_advertised,omitempty" validate:"omitempty,host_port"`
+	Metrics        string `yaml:"metrics,omitempty" validate:"omitempty,host_port"`
 }
 
 // GatewayPlatform are the settings of the store's client.
