--- a/e2e/harness/site.go
+++ b/e2e/harness/site.go
@@ -152,6 +152,8 @@
 			}
 			g.Link = link
 		}
+	}
+	for _, g := range s.Gateways {
 		if err := s.writeSettings(g); err != nil {
 			return err
 		}
--- /dev/null
+++ b/e2e/soak/support_test.go
@@ -0,0 +1,23 @@
+package soak
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"fulmarspindle.example/fulmarspindle/e2e/harness"
+	"fulmarspindle.example/fulmarspindle/gateway"
+)
+
+// state returns what a gateway believes; nothing while it is away.
+func (w *World) state(g *harness.Gateway) gateway.State {
+	var state gateway.State
+	resp, err := http.Get("http://" + g.Metrics() + gateway.StatePath)
+	if err != nil {
+		return state
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		return gateway.State{}
+	}
+	return state
+}
