--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -98,8 +98,9 @@
 
 func gatewayOptions(s config.GatewaySettings) gateway.Options {
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
+	started := time.Now()
 	return gateway.Options{
-		ID: s.ID, Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		ID: s.ID, Incarnation: fleet.Incarnation(started.UnixNano()), Started: started,
 		PeerAddress: cmp.Or(s.Listen.PeerAdvertised, s.Listen.Peer), Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
--- a/e2e/soak/budget_test.go
+++ b/e2e/soak/budget_test.go
@@ -83,6 +83,9 @@
 	BeforeEach(func() {
 		w = newWorld(Shape{Gateways: 3, Plain: 4, Teams: []string{"team-1"}, Settings: budgetSettings})
 		w.settled()
+		for _, g := range w.Gateways {
+			Eventually(func() float64 { return w.state(g).Retries[deskService].Allowed }, specTimeout).Should(BeNumerically(">", 0), "slack")
+		}
 		for _, p := range w.Plain {
 			p.failing.Store(1000)
 		}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -66,7 +66,7 @@
 func (g *Gateway) configure(s *route.Service) {
 	known := g.services[s.ID]
 	if known == nil {
-		g.services[s.ID] = newService(s.ID, g.policy.Load(), capacityOf(s), &g.changed, g.urgent)
+		g.services[s.ID] = newService(s.ID, g.policy.Load(), g.options.Started, capacityOf(s), &g.changed, g.urgent)
 		return
 	}
 	known.setCapacity(capacityOf(s))
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -17,9 +17,12 @@
 	ID fleet.NodeID
 	// Incarnation tells the starts of this process apart.
 	Incarnation fleet.Incarnation
-	Location    fleet.Location
-	Dialect     Dialect
-	Store       Store
+	// Started is when the process started if another one may have served in its
+	// place before, else zero.
+	Started  time.Time
+	Location fleet.Location
+	Dialect  Dialect
+	Store    Store
 	// Engines may be nil: then caches are known from what was sent only.
 	Engines CacheLister
 	Log     *zap.Logger
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -51,13 +51,13 @@
 	s.scheduler.PeerLost(node)
 }
 
-func newService(id fleet.ServiceID, policy *Policy, capacity admission.Capacity, changed *atomic.Bool, urgent chan struct{}) *service {
+func newService(id fleet.ServiceID, policy *Policy, started time.Time, capacity admission.Capacity, changed *atomic.Bool, urgent chan struct{}) *service {
 	return &service{
 		id:        id,
 		changed:   changed,
 		urgent:    urgent,
 		scheduler: admission.NewScheduler(policy.Admission, capacity),
-		budget:    retry.NewBudget(policy.Retry),
+		budget:    retry.NewBudget(policy.Retry, started),
 	}
 }
 
@@ -83,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduler.SetOptions(policy.Admission)
-	s.budget.SetOptions(policy.Retry)
+	s.budget.SetOptions(time.Now(), policy.Retry)
 }
 
 func (s *service) setCapacity(capacity admission.Capacity) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,7 +31,9 @@
 // get while the load changes.
 type Budget struct {
 	options BudgetOptions
-	counts  *rolling.Window[counts]
+	// since is from when on the retries of this router are known.
+	since  time.Time
+	counts *rolling.Window[counts]
 }
 
 // counts is what happened in a step of a window.
@@ -46,9 +48,11 @@
 
 func (u Usage) left() float64 { return u.Allowed - u.Spent }
 
-// NewBudget returns an empty budget.
-func NewBudget(options BudgetOptions) *Budget {
-	b := &Budget{options: options}
+// NewBudget returns a budget of a router whose retries are known since a moment: an
+// earlier process may have spent its part of the slack just before. With a zero
+// moment there was none.
+func NewBudget(options BudgetOptions, since time.Time) *Budget {
+	b := &Budget{options: options, since: since}
 	step := max(options.Window/windowSteps, 1)
 	steps := 2*windowSteps + b.delaySteps()
 	b.counts = rolling.New[counts](time.Duration(steps)*step, steps)
@@ -61,10 +65,11 @@
 	return int((b.options.Delay + step - 1) / step)
 }
 
-// SetOptions takes new settings. The counts stay unless the window changes.
-func (b *Budget) SetOptions(options BudgetOptions) {
+// SetOptions takes new settings. Another window begins without knowledge of what
+// was spent before.
+func (b *Budget) SetOptions(now time.Time, options BudgetOptions) {
 	if options.Window != b.options.Window || options.Delay != b.options.Delay {
-		*b = *NewBudget(options)
+		*b = *NewBudget(options, now)
 		return
 	}
 	b.options = options
@@ -90,21 +95,29 @@
 
 // Usage returns what a router among routers has spent.
 func (b *Budget) Usage(now time.Time, routers int) Usage {
-	slack := b.options.Slack / float64(max(routers, 1))
+	slack := b.slack(now, routers)
 	history := b.counts.History(now)
 	least := b.future(history, slack)
 	for steps := 1; steps <= windowSteps; steps++ {
-		if u := b.since(history, steps, slack); u.left() < least.left() {
+		if u := b.inWindow(history, steps, slack); u.left() < least.left() {
 			least = u
 		}
 	}
 	return least
 }
 
-// since returns the usage of a window that began within the step that is so many
+// slack returns the part of a router among routers.
+func (b *Budget) slack(now time.Time, routers int) float64 {
+	if now.Sub(b.since) < b.options.Window+b.options.Delay {
+		return 0
+	}
+	return b.options.Slack / float64(max(routers, 1))
+}
+
+// inWindow returns the usage of a window that began within the step that is so many
 // steps ago. Half of the requests from one window before its begin until now are at
 // most those of either window; routers that all count so may be added up.
-func (b *Budget) since(history []counts, steps int, slack float64) Usage {
+func (b *Budget) inWindow(history []counts, steps int, slack float64) Usage {
 	return Usage{
 		Spent:   retries(history[:steps+b.delaySteps()+1]),
 		Allowed: b.options.Ratio*requests(history[:steps+windowSteps])/2 + slack,
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1000, 0)
 
 func newBudget() *retry.Budget {
-	return retry.NewBudget(retry.BudgetOptions{Ratio: 0.2, Slack: 8, Window: 10 * time.Second})
+	return retry.NewBudget(retry.BudgetOptions{Ratio: 0.2, Slack: 8, Window: 10 * time.Second}, time.Time{})
 }
 
 func take(b *retry.Budget, now time.Time, routers, tries int) int {
@@ -75,7 +75,7 @@
 		}
 		routers := make([]*retry.Budget, rapid.IntRange(1, 4).Draw(t, "routers"))
 		for i := range routers {
-			routers[i] = retry.NewBudget(options)
+			routers[i] = retry.NewBudget(options, time.Time{})
 		}
 		var requests, arrivals []time.Time
 		now := start
@@ -94,18 +94,23 @@
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 12_000).Draw(t, "pause ms")) * time.Millisecond)
 		}
-		slices.SortFunc(arrivals, time.Time.Compare)
-		for i, first := range arrivals {
-			got := count(arrivals[i:], first, options.Window)
-			asked := max(count(requests, first, options.Window), count(requests, first.Add(-options.Window), options.Window),
-				count(requests, first.Add(-options.Window/2), options.Window))
-			if allowed := options.Ratio*float64(asked) + options.Slack; float64(got) > allowed {
-				t.Fatalf("%d retries arrived within %v, %.1f allowed", got, options.Window, allowed)
-			}
-		}
+		expectBudget(t, options, requests, arrivals)
 	})
 }
 
+// expectBudget fails if more retries arrive within a window than the budget allows.
+func expectBudget(t *rapid.T, options retry.BudgetOptions, requests, arrivals []time.Time) {
+	slices.SortFunc(arrivals, time.Time.Compare)
+	for i, first := range arrivals {
+		got := count(arrivals[i:], first, options.Window)
+		asked := max(count(requests, first, options.Window), count(requests, first.Add(-options.Window), options.Window),
+			count(requests, first.Add(-options.Window/2), options.Window))
+		if allowed := options.Ratio*float64(asked) + options.Slack; float64(got) > allowed {
+			t.Fatalf("%d retries arrived within %v, %.1f allowed", got, options.Window, allowed)
+		}
+	}
+}
+
 // count returns how many moments lie in a window.
 func count(at []time.Time, from time.Time, window time.Duration) int {
 	n := 0
@@ -120,10 +125,35 @@
 func TestNewSettingsKeepTheCounts(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	b := retry.NewBudget(retry.BudgetOptions{Slack: 2, Window: 10 * time.Second})
+	b := retry.NewBudget(retry.BudgetOptions{Slack: 2, Window: 10 * time.Second}, time.Time{})
 	g.Expect(b.Take(now, 1)).To(BeTrue())
-	b.SetOptions(retry.BudgetOptions{Slack: 1, Window: 10 * time.Second})
+	b.SetOptions(now, retry.BudgetOptions{Slack: 1, Window: 10 * time.Second})
 	g.Expect(b.Take(now, 1)).To(BeFalse())
-	b.SetOptions(retry.BudgetOptions{Slack: 1, Window: 5 * time.Second})
-	g.Expect(b.Take(now, 1)).To(BeTrue(), "another window counts anew")
+	b.SetOptions(now, retry.BudgetOptions{Slack: 1, Window: 5 * time.Second})
+	g.Expect(b.Take(now.Add(4*time.Second), 1)).To(BeFalse(), "what was spent in the other window is not known")
+	g.Expect(b.Take(now.Add(5*time.Second), 1)).To(BeTrue())
+}
+
+// Guards against gateways that forget at a restart what they spent: whatever the
+// kills, the processes of one router together keep to its part in each window.
+func TestRestartsDoNotRefillTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		options := retry.BudgetOptions{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, Delay: time.Second}
+		b := retry.NewBudget(options, time.Time{})
+		var requests, arrivals []time.Time
+		now := start
+		for range rapid.IntRange(1, 8).Draw(t, "processes") {
+			for range rapid.IntRange(1, 400).Draw(t, "requests") {
+				now = now.Add(20 * time.Millisecond)
+				b.Request(now)
+				requests = append(requests, now)
+				for b.Take(now, 1) {
+					late := time.Millisecond + time.Duration(rapid.Float64Range(0, 0.999).Draw(t, "late")*float64(options.Delay))
+					arrivals = append(arrivals, now.Add(late))
+				}
+			}
+			b = retry.NewBudget(options, now)
+		}
+		expectBudget(t, options, requests, arrivals)
+	})
 }
