Predict by the middle one of what all gateways learnt of the engines

What callers saw: the team of a gateway that is scheduled late gets next to nothing while others are served. One that reads late sees late first tokens, takes the engines for slow, refuses all as overloaded, and sees nothing that would correct it. Class: a process measures itself and books it to its neighbour.

Full reports tell rate and overhead once they are learnt; predictions take the middle one of all gateways. A gateway that has just started has the right figures at once.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -99,7 +99,7 @@
 	c.prefill = s.work(r.Prompt.Tokens()-kept, kept)
 	c.copied = missing
 	c.copiedOver = s.distance(source, c.upstream)
-	c.predicted = s.model.predict(c.backlog+float64(c.prefill)) + s.transfers.predict(c.copiedOver, missing)
+	c.predicted = s.speed().predict(c.backlog+float64(c.prefill)) + s.transfers.predict(c.copiedOver, missing)
 	c.cost = c.predicted + copyCost + s.placeCost(c.upstream)
 }
 
@@ -137,7 +137,7 @@
 }
 
 func (s *Scheduler) engineCandidate(now time.Time, r Request, u *upstream) candidate {
-	backlog := u.backlog(now, s.model.rate, s.options.PeerTTL)
+	backlog := u.backlog(now, s.speed().Rate, s.options.PeerTTL)
 	// The last part may be cached too, if the session has been there before.
 	cached := u.cache.Cached(r.Prompt)
 	prefill := s.work(r.Prompt.Tokens()-cached, cached)
@@ -148,7 +148,7 @@
 		backlog:   backlog,
 		prefill:   prefill,
 		cached:    cached,
-		predicted: s.model.predict(backlog + float64(prefill)),
+		predicted: s.speed().predict(backlog + float64(prefill)),
 		full: float64(total.Running+1) > s.options.SlotLimit*float64(s.capacity.Slots) ||
 			float64(total.Memory+own) > s.options.MemoryLimit*float64(s.capacity.MemoryTokens),
 	}
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -106,10 +106,10 @@
 	}
 	total := 0.0
 	for _, id := range s.ids {
-		total += s.upstreams[id].backlog(now, s.model.rate, s.options.PeerTTL)
+		total += s.upstreams[id].backlog(now, s.speed().Rate, s.options.PeerTTL)
 	}
 	mean := total / float64(len(s.ids))
-	return time.Duration(mean / s.model.rate * float64(time.Second))
+	return s.speed().reading(mean)
 }
 
 // The wait of a team narrows from shareFrom of its share on, and is the one of teams
@@ -159,7 +159,7 @@
 	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
 		return 0
 	}
-	return time.Duration(c.backlog / s.model.rate * float64(time.Second))
+	return s.speed().reading(c.backlog)
 }
 
 // retryAfter returns when the nearest candidate will have read enough.
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -44,6 +44,11 @@
 	return m.overhead + time.Duration(tokens/m.rate*float64(time.Second))
 }
 
+// speed returns what was learnt, and whether by enough observations to tell others.
+func (m *prefillModel) speed() (Speed, bool) {
+	return Speed{Rate: m.rate, Overhead: m.overhead}, m.rates+m.overheads >= minObserved
+}
+
 // observe takes the time that a request with tokens of work waited.
 func (m *prefillModel) observe(tokens float64, took time.Duration) {
 	if tokens < rateMinTokens {
--- a/admission/report.go
+++ b/admission/report.go
@@ -15,6 +15,9 @@
 	Upstreams map[fleet.UpstreamID]UpstreamLoad
 	// Teams is nil but in full reports.
 	Teams Usage
+	// Speed is what the router learnt of the engines; nil but in full reports, or
+	// before it has learnt enough.
+	Speed *Speed
 	// Prompts is what the engines were sent since the report before.
 	Prompts []SentPrompt
 }
@@ -32,6 +35,9 @@
 	s.unreported = 0
 	if full {
 		report.Teams = s.accounts.sum(now)
+		if speed, learnt := s.model.speed(); learnt {
+			report.Speed = &speed
+		}
 	}
 	for _, id := range s.ids {
 		u := s.upstreams[id]
@@ -47,6 +53,7 @@
 func (s *Scheduler) PeerReport(now time.Time, node fleet.NodeID, report Report) {
 	if report.Full {
 		s.peerUsage[node] = peerUsage{usage: report.Teams, at: now}
+		s.peerSpeed(node, report.Speed)
 	}
 	for _, prompt := range report.Prompts {
 		if u := s.upstreams[prompt.Upstream]; u != nil {
@@ -65,9 +72,18 @@
 	}
 }
 
+func (s *Scheduler) peerSpeed(node fleet.NodeID, speed *Speed) {
+	if speed == nil {
+		s.speeds.forget(node)
+		return
+	}
+	s.speeds.set(node, *speed)
+}
+
 // PeerLost forgets another router.
 func (s *Scheduler) PeerLost(node fleet.NodeID) {
 	delete(s.peerUsage, node)
+	s.speeds.forget(node)
 	for _, u := range s.upstreams {
 		delete(u.peers, node)
 	}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -114,6 +114,7 @@
 	options   Options
 	capacity  Capacity
 	model     prefillModel
+	speeds    speeds
 	transfers transferModel
 	service   serviceTime
 	upstreams map[fleet.UpstreamID]*upstream
@@ -135,7 +136,7 @@
 
 // Urgent reports whether the other routers should hear of this one's load soon.
 func (s *Scheduler) Urgent() bool {
-	return float64(s.unreported) >= s.model.rate*urgentWork.Seconds()
+	return float64(s.unreported) >= s.speed().Rate*urgentWork.Seconds()
 }
 
 // maxUnreported bounds the prompts that are kept for the next report.
@@ -151,6 +152,7 @@
 	s := &Scheduler{
 		options:   options,
 		model:     newPrefillModel(options.PrefillRate, options.Overhead),
+		speeds:    newSpeeds(),
 		upstreams: make(map[fleet.UpstreamID]*upstream),
 		runs:      make(map[string]*run),
 		accounts:  newAccounts(options.Window),
@@ -293,12 +295,16 @@
 	r.upstream.firstEvent(now, r)
 }
 
+// speed returns what is known of the engines.
+func (s *Scheduler) speed() Speed { return s.speeds.get(&s.model) }
+
 // learn takes the time to the first token of a run.
 func (s *Scheduler) learn(r *run, took time.Duration) {
 	switch {
 	case s.capacity.MemoryTokens == 0:
 	case r.copied == 0:
 		s.model.observe(r.ahead, took)
+		s.speeds.changed = true
 	case s.capacity.TransferRate > 0:
 		s.transfers.observe(r.copiedOver, r.copied, took-s.model.predict(r.ahead))
 	}
--- a/admission/view.go
+++ b/admission/view.go
@@ -32,8 +32,8 @@
 // View returns what the scheduler believes.
 func (s *Scheduler) View(now time.Time) View {
 	view := View{
-		PrefillRate: s.model.rate,
-		OverheadMs:  s.model.overhead.Milliseconds(),
+		PrefillRate: s.speed().Rate,
+		OverheadMs:  s.speed().Overhead.Milliseconds(),
 		Upstreams:   make(map[fleet.UpstreamID]Engine, len(s.upstreams)),
 		Teams:       s.usage(now),
 	}
@@ -41,7 +41,7 @@
 		total := u.total(now, s.options.PeerTTL)
 		view.Upstreams[id] = Engine{
 			Running:       total.Running,
-			BacklogTokens: u.backlog(now, s.model.rate, s.options.PeerTTL),
+			BacklogTokens: u.backlog(now, s.speed().Rate, s.options.PeerTTL),
 			MemoryTokens:  total.Memory,
 			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -48,6 +48,9 @@
 	for team, usage := range r.Teams {
 		out.Teams = append(out.Teams, &peerpb.TeamUsage{Team: string(team), Asked: float32(usage.Asked), Served: float32(usage.Served)})
 	}
+	if r.Speed != nil {
+		out.Speed = &peerpb.EngineSpeed{Rate: r.Speed.Rate, OverheadUs: uint32(r.Speed.Overhead.Microseconds())}
+	}
 	for _, prompt := range r.Prompts {
 		wire := &peerpb.SentPrompt{Upstream: string(prompt.Upstream)}
 		for _, part := range prompt.Prompt {
@@ -69,6 +72,9 @@
 	for _, t := range m.GetTeams() {
 		r.Teams[fleet.TeamID(t.GetTeam())] = admission.TeamUsage{Asked: float64(t.GetAsked()), Served: float64(t.GetServed())}
 	}
+	if speed := m.GetSpeed(); speed.GetRate() > 0 {
+		r.Speed = &admission.Speed{Rate: speed.GetRate(), Overhead: time.Duration(speed.GetOverheadUs()) * time.Microsecond}
+	}
 	for _, p := range m.GetPrompts() {
 		prompt := admission.SentPrompt{Upstream: fleet.UpstreamID(p.GetUpstream())}
 		for i := range min(len(p.GetParts()), len(p.GetTokens())) {
