Keep running sums of other gateways' loads and of the teams' shares

What callers saw: a gateway with a seventh of a core that gets 250 new requests a second stands still for a second at a time, and most callers have left when they are read.

Loads are added up as they are reported and lapse every 50 ms; shares are summed every 10 ms.

--- a/admission/benchmark_test.go
+++ b/admission/benchmark_test.go
@@ -10,14 +10,17 @@
 
 // BenchmarkAdmit decides on prompts with long shared parts, over engines and teams.
 func BenchmarkAdmit(b *testing.B) {
-	for _, c := range []struct{ engines, teams int }{{12, 16}, {320, 16}, {12, 3000}} {
-		b.Run(fmt.Sprintf("%d engines %d teams", c.engines, c.teams), func(b *testing.B) {
+	for _, c := range []struct{ engines, teams, routers int }{{12, 16, 1}, {320, 16, 1}, {12, 3000, 1}, {38, 30, 20}} {
+		b.Run(fmt.Sprintf("%d engines %d teams %d routers", c.engines, c.teams, c.routers), func(b *testing.B) {
 			s := admission.NewScheduler(options(), engineCapacity())
 			s.SetUpstreams(upstreams(c.engines))
 			for i := range c.teams {
 				s.Admit(start, admission.Request{ID: fmt.Sprint("t", i), Team: fleet.TeamID(fmt.Sprint("team-", i)), Prompt: short(i), Objective: objective})
 				s.Cancel(start, fmt.Sprint("t", i))
 			}
+			for n := 1; n < c.routers; n++ {
+				s.PeerReport(start, fleet.NodeID(fmt.Sprint("router-", n)), reportOf(c.engines, c.teams))
+			}
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
@@ -28,3 +31,18 @@
 		})
 	}
 }
+
+// reportOf is another router's report, with work at each engine and of each team.
+func reportOf(engines, teams int) admission.Report {
+	r := admission.Report{
+		Full: true, Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{}, Teams: admission.Usage{},
+		Speed: &admission.Speed{Rate: rate, Overhead: overhead},
+	}
+	for _, u := range upstreams(engines) {
+		r.Upstreams[u.ID] = admission.UpstreamLoad{Prefill: 100, Running: 1, Memory: 2000}
+	}
+	for i := range teams {
+		r.Teams[fleet.TeamID(fmt.Sprint("team-", i))] = admission.TeamUsage{Asked: 10_000, Served: 8000}
+	}
+	return r
+}
--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -137,11 +137,11 @@
 }
 
 func (s *Scheduler) engineCandidate(now time.Time, r Request, u *upstream) candidate {
-	backlog := u.backlog(now, s.speed().Rate, s.options.PeerTTL)
+	backlog := u.backlog(now, s.speed().Rate)
 	// The last part may be cached too, if the session has been there before.
 	cached := u.cache.Cached(r.Prompt)
 	prefill := s.work(r.Prompt.Tokens()-cached, cached)
-	total := u.total(now, s.options.PeerTTL)
+	total := u.total()
 	own := r.Prompt.Tokens() - r.Prompt.SharedTokens() + r.OutputTokens
 	c := candidate{
 		upstream:  u,
@@ -169,7 +169,7 @@
 	out := make([]candidate, 0, len(usable))
 	for _, id := range usable {
 		u := s.upstreams[id]
-		running := u.total(now, s.options.PeerTTL).Running
+		running := u.total().Running
 		slots := max(u.Slots, 1)
 		queued := max(0, running+1-slots)
 		predicted := s.service.get() + s.service.get()*time.Duration(queued)/time.Duration(slots)
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -106,7 +106,7 @@
 	}
 	total := 0.0
 	for _, id := range s.ids {
-		total += s.upstreams[id].backlog(now, s.speed().Rate, s.options.PeerTTL)
+		total += s.upstreams[id].backlog(now, s.speed().Rate)
 	}
 	mean := total / float64(len(s.ids))
 	return s.speed().reading(mean)
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -57,42 +57,57 @@
 	load    UpstreamLoad
 	// reported is the load that the other routers know.
 	reported UpstreamLoad
-	peers    map[fleet.NodeID]peerLoad
+	// peers is the load of each other router, and peerSum that of all.
+	peers   map[fleet.NodeID]peerLoad
+	peerSum UpstreamLoad
 	// progressFrom is when the engine began with the first of pending.
 	progressFrom time.Time
 }
 
 // backlog returns the prompt tokens that the engine has to read before those of a
 // request that is sent now. Engines read prompts in order of arrival.
-func (u *upstream) backlog(now time.Time, rate float64, peerTTL time.Duration) float64 {
+func (u *upstream) backlog(now time.Time, rate float64) float64 {
 	own := float64(u.load.Prefill)
 	if len(u.pending) > 0 {
 		done := rate * now.Sub(u.progressFrom).Seconds()
 		// The first one has tokens left until its first event says otherwise.
 		own -= min(done, float64(u.pending[0].prefill))
 	}
-	total := own
-	for _, peer := range u.peers {
-		// Their progress is not known: the engine reads for one at a time.
-		if now.Sub(peer.at) < peerTTL {
-			total += float64(peer.Prefill)
-		}
-	}
-	return total
+	// The progress of other routers' requests is not known: the engine reads for
+	// one at a time.
+	return own + float64(u.peerSum.Prefill)
 }
 
 // total returns the load of all routers.
-func (u *upstream) total(now time.Time, peerTTL time.Duration) UpstreamLoad {
-	sum := u.load
-	for _, peer := range u.peers {
-		if now.Sub(peer.at) >= peerTTL {
-			continue
+func (u *upstream) total() UpstreamLoad { return u.load.plus(u.peerSum) }
+
+func (l UpstreamLoad) plus(other UpstreamLoad) UpstreamLoad {
+	return UpstreamLoad{Prefill: l.Prefill + other.Prefill, Running: l.Running + other.Running, Memory: l.Memory + other.Memory}
+}
+
+func (l UpstreamLoad) minus(other UpstreamLoad) UpstreamLoad {
+	return UpstreamLoad{Prefill: l.Prefill - other.Prefill, Running: l.Running - other.Running, Memory: l.Memory - other.Memory}
+}
+
+// setPeer takes another router's load.
+func (u *upstream) setPeer(now time.Time, node fleet.NodeID, load UpstreamLoad) {
+	u.dropPeer(node)
+	u.peers[node] = peerLoad{UpstreamLoad: load, at: now}
+	u.peerSum = u.peerSum.plus(load)
+}
+
+func (u *upstream) dropPeer(node fleet.NodeID) {
+	u.peerSum = u.peerSum.minus(u.peers[node].UpstreamLoad)
+	delete(u.peers, node)
+}
+
+// lapse drops the loads that are older than ttl.
+func (u *upstream) lapse(now time.Time, ttl time.Duration) {
+	for node, peer := range u.peers {
+		if now.Sub(peer.at) >= ttl {
+			u.dropPeer(node)
 		}
-		sum.Running += peer.Running
-		sum.Memory += peer.Memory
-		sum.Prefill += peer.Prefill
 	}
-	return sum
 }
 
 func (u *upstream) begin(now time.Time, r *run) {
--- a/admission/report.go
+++ b/admission/report.go
@@ -65,9 +65,9 @@
 		load, ok := report.Upstreams[id]
 		switch {
 		case ok:
-			u.peers[node] = peerLoad{UpstreamLoad: load, at: now}
+			u.setPeer(now, node, load)
 		case report.Full:
-			delete(u.peers, node)
+			u.dropPeer(node)
 		}
 	}
 }
@@ -85,6 +85,6 @@
 	delete(s.peerUsage, node)
 	s.speeds.forget(node)
 	for _, u := range s.upstreams {
-		delete(u.peers, node)
+		u.dropPeer(node)
 	}
 }
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -121,6 +121,9 @@
 	ids       []fleet.UpstreamID
 	runs      map[string]*run
 	accounts  *accounts
+	shares    shares
+	// lapsedAt is when old loads were dropped last.
+	lapsedAt time.Time
 	// peerUsage is the accounts of the other routers.
 	peerUsage map[fleet.NodeID]peerUsage
 	// sent is the prompts that the other routers have not been told of.
@@ -219,6 +222,7 @@
 	if len(r.Exclude) == 0 {
 		s.accounts.add(now, r.Team, cost, 0)
 	}
+	s.lapse(now)
 	ratio := s.shareRatio(now, r.Team)
 	best, refused := s.choose(now, r, ratio)
 	if best == nil {
@@ -248,12 +252,41 @@
 // shareRatio returns what the team was served relative to its max-min share;
 // zero without contention.
 func (s *Scheduler) shareRatio(now time.Time, team fleet.TeamID) float64 {
-	total := s.usage(now)
-	level, contended := total.waterLevel()
-	if !contended || level <= 0 {
+	if age := now.Sub(s.shares.at); age < 0 || age >= sharesInterval {
+		total := s.usage(now)
+		s.shares = shares{at: now, total: total}
+		s.shares.level, s.shares.contended = total.waterLevel()
+	}
+	if !s.shares.contended || s.shares.level <= 0 {
 		return 0
 	}
-	return total[team].Served / level
+	return s.shares.total[team].Served / s.shares.level
+}
+
+// sharesInterval is the time between two sums of all teams' accounts, and
+// lapseInterval that between two looks for other routers' loads that are too old.
+const (
+	sharesInterval = 10 * time.Millisecond
+	lapseInterval  = 50 * time.Millisecond
+)
+
+// shares is the teams' accounts over all routers at a moment.
+type shares struct {
+	at        time.Time
+	total     Usage
+	level     float64
+	contended bool
+}
+
+// lapse drops what other routers told too long ago.
+func (s *Scheduler) lapse(now time.Time) {
+	if age := now.Sub(s.lapsedAt); age >= 0 && age < lapseInterval {
+		return
+	}
+	s.lapsedAt = now
+	for _, u := range s.upstreams {
+		u.lapse(now, s.options.PeerTTL)
+	}
 }
 
 // usage returns the teams' tokens over all routers.
--- a/admission/view.go
+++ b/admission/view.go
@@ -31,6 +31,7 @@
 
 // View returns what the scheduler believes.
 func (s *Scheduler) View(now time.Time) View {
+	s.lapse(now)
 	view := View{
 		PrefillRate: s.speed().Rate,
 		OverheadMs:  s.speed().Overhead.Milliseconds(),
@@ -38,10 +39,10 @@
 		Teams:       s.usage(now),
 	}
 	for id, u := range s.upstreams {
-		total := u.total(now, s.options.PeerTTL)
+		total := u.total()
 		view.Upstreams[id] = Engine{
 			Running:       total.Running,
-			BacklogTokens: u.backlog(now, s.speed().Rate, s.options.PeerTTL),
+			BacklogTokens: u.backlog(now, s.speed().Rate),
 			MemoryTokens:  total.Memory,
 			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
