Write one line for a refusal, and lines that wait in one call

What callers saw: as before, a gateway with a seventh of a core reads late while one team sends many times its usual.

The refusal's line now has what the decision was made from, so that the line before it goes; lines that wait are written together, in whole lines, up to what a pipe takes at once.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -37,7 +37,7 @@
 func (s *Scheduler) candidates(now time.Time, r Request) []candidate {
 	usable := s.usable(now, r.Exclude)
 	if s.capacity.MemoryTokens == 0 {
-		return s.plainCandidates(now, usable)
+		return s.plainCandidates(usable)
 	}
 	return s.engineCandidates(now, r, usable)
 }
@@ -165,7 +165,7 @@
 
 // plainCandidates predicts the answers of plain upstreams: those over their slots
 // queue. Failing ones count as slower, so that healthy ones come first.
-func (s *Scheduler) plainCandidates(now time.Time, usable []fleet.UpstreamID) []candidate {
+func (s *Scheduler) plainCandidates(usable []fleet.UpstreamID) []candidate {
 	out := make([]candidate, 0, len(usable))
 	for _, id := range usable {
 		u := s.upstreams[id]
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"fulmarspindle.example/fulmarspindle/admission"
 )
 
 // refusal is an answer of the gateway's own.
@@ -13,6 +15,8 @@
 	code       string
 	message    string
 	retryAfter time.Duration
+	// decision is what was refused by; nil if it is no matter of upstreams.
+	decision *admission.Decision
 }
 
 // notRun returns a refusal of a request that has not run and never will.
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -213,6 +213,7 @@
 
 func (g *Gateway) logRefusal(j *job, refused *refusal, arrived time.Time) {
 	refusalCounts.Add(refused.code, 1)
-	g.log.Warn("request refused", zap.String("request", j.in.ID), zap.Int("status", refused.status), zap.String("code", refused.code),
-		zap.Int64("configuration", j.version), zap.Duration("retry_after", refused.retryAfter), zap.Duration("held", time.Since(arrived)))
+	fields := []zap.Field{zap.String("request", j.in.ID), zap.Int("status", refused.status), zap.String("code", refused.code),
+		zap.Int64("configuration", j.version), zap.Duration("retry_after", refused.retryAfter), zap.Duration("held", time.Since(arrived))}
+	g.log.Warn("request refused", append(fields, g.decisionFields(j, refused.decision)...)...)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,7 +47,6 @@
 		j.attempts++
 		decision := j.service.admit(j.admission())
 		if !decision.Admitted {
-			g.logDecision(j, "request not admitted", decision)
 			g.finishRefused(j, last, decision)
 			return
 		}
@@ -200,6 +199,7 @@
 	if j.ran > 0 && !j.answer.started {
 		refused = unknownOutcome("upstream_failed", "the upstream broke off and no other is free")
 	}
+	refused.decision = &d
 	g.concludeRefused(j, last, refused)
 }
 
@@ -209,6 +209,7 @@
 	case j.answer.started:
 		g.breakOff(j, refused.code)
 	case last.held != nil:
+		g.log.Info("failure passed on", append(g.decisionFields(j, refused.decision), zap.String("request", j.in.ID), zap.String("code", refused.code))...)
 		last.held.send(j.answer)
 	default:
 		g.finish(j, refused)
@@ -329,10 +330,21 @@
 }
 
 func (g *Gateway) logDecision(j *job, message string, d admission.Decision) {
-	g.log.Info(message, zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("team", string(j.team)),
-		zap.Int64("configuration", j.version), zap.Uint64("registry", g.registryRevision()), zap.Int("routers", g.routers()),
-		zap.Int("attempt", j.attempts), zap.String("upstream", string(d.Upstream.ID)), zap.String("reason", string(d.Reason)),
-		zap.Duration("predicted", d.Predicted), zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom), zap.Float64("share_ratio", d.ShareRatio))
+	fields := []zap.Field{zap.String("request", j.in.ID), zap.Int64("configuration", j.version), zap.String("upstream", string(d.Upstream.ID)),
+		zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom)}
+	g.log.Info(message, append(fields, g.decisionFields(j, &d)...)...)
+}
+
+// decisionFields returns what a decision was made from, nothing without one.
+func (g *Gateway) decisionFields(j *job, d *admission.Decision) []zap.Field {
+	if d == nil {
+		return nil
+	}
+	return []zap.Field{
+		zap.String("route", j.route.Name), zap.String("team", string(j.team)), zap.Uint64("registry", g.registryRevision()),
+		zap.Int("routers", g.routers()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
+		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
+	}
 }
 
 func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
--- a/telemetry/asyncwriter.go
+++ b/telemetry/asyncwriter.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -12,6 +13,9 @@
 const (
 	// queueLines bounds the lines that wait to be written.
 	queueLines = 4096
+	// batchBytes bounds the lines that are written in one call. Writes to a pipe are
+	// whole up to this size, also when several processes share it.
+	batchBytes = 4 << 10
 	// closeTimeout bounds how long Close waits for the reader.
 	closeTimeout = 500 * time.Millisecond
 )
@@ -25,46 +29,97 @@
 	text  []byte
 }
 
-// AsyncWriter writes lines in a goroutine of its own. Put never blocks: while more
-// than half of the queue waits, lines below the warning level are dropped, and all
-// lines when it is full.
+// AsyncWriter writes lines in a goroutine of its own, those that wait in one call.
+// Put never blocks: while more than half of the queue waits, lines below the warning
+// level are dropped, and all lines when it is full.
 type AsyncWriter struct {
 	out   io.Writer
 	queue chan line
-	done  chan struct{}
-	once  sync.Once
+	// next is a line that did not fit into the last batch.
+	next line
+	// waiting is the number of lines that have not been written.
+	waiting atomic.Int64
+	done    chan struct{}
+	once    sync.Once
 }
 
 // NewAsyncWriter returns a writer to out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, queue: make(chan line, queueLines), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, queue: make(chan line, queueLines+1), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 func (w *AsyncWriter) run() {
 	defer close(w.done)
-	for l := range w.queue {
-		if l.text == nil {
-			return
-		}
-		if _, err := w.out.Write(l.text); err != nil {
-			droppedLines.Add(l.level.String(), 1)
+	for open := true; open; {
+		var batch []line
+		batch, open = w.gather()
+		w.write(batch)
+	}
+}
+
+// gather waits for a line and takes those behind it that fit into a batch. It
+// returns false at the end of the log.
+func (w *AsyncWriter) gather() ([]line, bool) {
+	first := w.next
+	w.next = line{}
+	if first.text == nil {
+		first = <-w.queue
+	}
+	if first.text == nil {
+		return nil, false
+	}
+	batch, size := []line{first}, len(first.text)
+	for {
+		select {
+		case l := <-w.queue:
+			if l.text == nil {
+				return batch, false
+			}
+			if size+len(l.text) > batchBytes {
+				w.next = l
+				return batch, true
+			}
+			batch = append(batch, l)
+			size += len(l.text)
+		default:
+			return batch, true
 		}
 	}
 }
 
+// write writes lines in one call, and counts them as dropped if it fails.
+func (w *AsyncWriter) write(batch []line) {
+	if len(batch) == 0 {
+		return
+	}
+	var text []byte
+	for _, l := range batch {
+		text = append(text, l.text...)
+	}
+	_, err := w.out.Write(text)
+	w.waiting.Add(-int64(len(batch)))
+	if err == nil {
+		return
+	}
+	for _, l := range batch {
+		droppedLines.Add(l.level.String(), 1)
+	}
+}
+
 // Put queues a line, or drops and counts it.
 func (w *AsyncWriter) Put(level zapcore.Level, text []byte) {
-	if level < zapcore.WarnLevel && len(w.queue) > queueLines/2 {
-		droppedLines.Add(level.String(), 1)
-		return
+	bound := int64(queueLines)
+	if level < zapcore.WarnLevel {
+		bound /= 2
 	}
-	select {
-	case w.queue <- line{level: level, text: text}:
-	default:
+	if w.waiting.Add(1) > bound {
+		w.waiting.Add(-1)
 		droppedLines.Add(level.String(), 1)
+		return
 	}
+	w.queue <- line{level: level, text: text}
 }
 
 // Close waits for the queued lines, for a bounded time. Lines that are put later
--- a/telemetry/asyncwriter_test.go
+++ b/telemetry/asyncwriter_test.go
@@ -54,6 +54,40 @@
 	close(out.release)
 }
 
+// Lines that wait are written together, whole, in calls of a bounded size.
+func TestLogGathersLinesThatWait(t *testing.T) {
+	g := NewWithT(t)
+	out := &countingWriter{stuckWriter: stuckWriter{release: make(chan struct{})}}
+	writer := NewAsyncWriter(out)
+	text := bytes.Repeat([]byte("x"), 999)
+	text = append(text, '\n')
+	const lines = 101
+	for range lines {
+		writer.Put(zapcore.InfoLevel, text)
+	}
+	long := append(bytes.Repeat([]byte("y"), 2*batchBytes), '\n')
+	writer.Put(zapcore.InfoLevel, long)
+	close(out.release)
+	writer.Close()
+	g.Expect(out.got.Len()).To(Equal(lines*len(text) + len(long)))
+	g.Expect(len(out.sizes)).To(BeNumerically("<=", lines/4+3))
+	for _, size := range out.sizes {
+		g.Expect(size <= batchBytes || size == len(long)).To(BeTrue())
+		g.Expect(size == len(long) || size%len(text) == 0).To(BeTrue(), "whole lines")
+	}
+}
+
+// countingWriter notes the size of each write.
+type countingWriter struct {
+	stuckWriter
+	sizes []int
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.sizes = append(w.sizes, len(p))
+	return w.stuckWriter.Write(p)
+}
+
 func TestLogWritesWholeLinesInOrder(t *testing.T) {
 	g := NewWithT(t)
 	out := &stuckWriter{release: make(chan struct{})}
