Take up new connections only as fast as they are decided on

What callers saw: at a gateway that gets more new connections than it can decide on, streams that run already, the ends of callers and the news of the store wait behind them for seconds.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -238,6 +238,7 @@
 		j.service.cancel(id)
 		return result{kind: callerLeftEarly, err: context.Cause(ctx)}
 	}
+	decided(ctx)
 	sent := time.Now()
 	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
 	if err != nil {
