Send nothing that nobody wants any more, and take no pause of one's own for a dead upstream

What callers and upstreams saw: requests reach servers seconds after their callers left, or after the server said that it leaves; a gateway that was paused leaves out all its upstreams for a second.

Once there is a connection, the caller and the upstream's registration are looked at again. A connect whose timeout is noticed over a quarter late is given up without a word on the upstream.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -240,7 +240,12 @@
 	}
 	decided(ctx)
 	sent := time.Now()
-	x, err := g.pool(d.Upstream).Do(ctx, g.message(j, d))
+	message := g.message(j, d)
+	message.Wanted = func() bool { return !callerLeft(ctx) }
+	x, err := g.pool(d.Upstream).Do(ctx, message)
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		return g.withdrawn(ctx, j, id, err)
+	}
 	if err != nil {
 		return g.failed(ctx, j, id, sent, err)
 	}
@@ -262,6 +267,16 @@
 	}
 }
 
+// withdrawn judges an attempt of which nothing was sent, as its caller or the
+// upstream had left by the time there was a connection.
+func (g *Gateway) withdrawn(ctx context.Context, j *job, id string, err error) result {
+	j.service.cancel(id)
+	if callerLeft(ctx) {
+		return result{kind: callerLeftEarly, err: context.Cause(ctx)}
+	}
+	return result{kind: notSent, err: err}
+}
+
 // failed judges an attempt without an answer.
 func (g *Gateway) failed(ctx context.Context, j *job, id string, sent time.Time, err error) result {
 	if ctx.Err() != nil {
@@ -325,7 +340,7 @@
 	ctx, cancel := context.WithTimeout(g.background, g.options.Pool.DialTimeout)
 	defer cancel()
 	err := g.pool(u).Check(ctx)
-	if err != nil && s.unreachable(u.ID) {
+	if errors.Is(err, upstream.ErrNotSent) && s.unreachable(u.ID) {
 		g.ejected(u, request, "check", err)
 	}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -53,13 +53,22 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
 	}
+	begun := time.Now()
 	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
+	switch {
+	case err == nil:
+	case late(time.Since(begun), timeout):
+		return nil, eris.Wrap(ErrWithdrawn, err.Error())
+	default:
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
 }
 
+// late reports whether a timeout was noticed much after its time: the process was
+// paused or short of processor time, and the connection may have been there.
+func late(took, timeout time.Duration) bool { return took > timeout+timeout/4 }
+
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -32,6 +32,9 @@
 	Body   []byte
 	// Answers tells whether an answer belongs to this request.
 	Answers func(status int, header http.Header) bool
+	// Wanted is asked once there is a connection, which may have taken long: if it
+	// returns false, nothing is sent. It may be nil.
+	Wanted func() bool
 }
 
 // Exchange is a request whose answer's head has come. Close must be called.
@@ -46,14 +49,18 @@
 	whole   bool
 }
 
-// Do sends a request and waits for the head of its answer. It returns ErrNotSent
-// only if no byte of it was sent, otherwise ErrBroken. When ctx ends, the
-// connection is closed.
+// Do sends a request and waits for the head of its answer. It returns ErrNotSent or
+// ErrWithdrawn only if no byte of it was sent, otherwise ErrBroken. When ctx ends,
+// the connection is closed.
 func (p *Pool) Do(ctx context.Context, m *Message) (*Exchange, error) {
 	c, err := p.get(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if p.isClosed() || m.Wanted != nil && !m.Wanted() {
+		p.keep(c)
+		return nil, ErrWithdrawn
+	}
 	c.written = 0
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// get returns a kept connection or a new one. Errors are ErrNotSent.
+// get returns a kept connection or a new one. Errors are ErrNotSent and
+// ErrWithdrawn.
 func (p *Pool) get(ctx context.Context) (*conn, error) {
 	for {
 		c := p.takeIdle()
@@ -72,17 +73,28 @@
 }
 
 // Check returns nil if the upstream holds a connection or accepts a new one, which
-// is kept. Errors are ErrNotSent.
+// is kept. Errors are ErrNotSent and ErrWithdrawn.
 func (p *Pool) Check(ctx context.Context) error {
 	c, err := p.get(ctx)
 	if err != nil {
 		return err
 	}
+	p.keep(c)
+	return nil
+}
+
+// keep keeps a connection on which nothing was sent.
+func (p *Pool) keep(c *conn) {
 	if c.idleUntil.IsZero() {
 		c.idleUntil = time.Now().Add(p.options.IdleTimeout)
 	}
 	p.put(c)
-	return nil
+}
+
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
 }
 
 func (p *Pool) takeIdle() *conn {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -321,3 +321,35 @@
 	}
 	g.Eventually(connections, "5s").Should(HaveLen(2))
 }
+
+// Guards against requests that are sent on after their caller or the upstream left
+// while the connection was made.
+func TestNothingIsSentThatNobodyWants(t *testing.T) {
+	g := NewWithT(t)
+	requests := make(chan string, 4)
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			requests <- id
+			_, _ = io.WriteString(c, answer(id, "done"))
+		}
+	})
+	p := pool(t, address)
+	unwanted := message("1")
+	unwanted.Wanted = func() bool { return false }
+	_, err := p.Do(context.Background(), unwanted)
+	g.Expect(errors.Is(err, upstream.ErrWithdrawn)).To(BeTrue())
+	x, err := p.Do(context.Background(), message("2"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(x)
+	g.Expect(err).NotTo(HaveOccurred())
+	x.Close()
+	g.Expect(requests).To(Receive(Equal("2")), "the connection serves the next one")
+	p.Close()
+	_, err = p.Do(context.Background(), message("3"))
+	g.Expect(errors.Is(err, upstream.ErrWithdrawn)).To(BeTrue(), "the upstream left")
+	g.Expect(requests).NotTo(Receive())
+}
