Leave out connections whose callers closed them unread

What callers saw: a gateway that falls behind by more than its callers' patience reads requests in the order of arrival, all of whose callers have left, and serves nobody: half of what front-coastal-b-3 read was dead.

The accept loop asks the socket whether the other side has closed it, and closes it without reading if so.

Test: TestConnectionsThatWereClosedUnreadAreLeftOut.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -49,10 +49,7 @@
 func (l *callerListener) Accept() (net.Conn, error) {
 	l.free <- struct{}{}
 	l.entering <- struct{}{}
-	if l.accepted++; l.accepted%cap(l.entering) == 0 {
-		node.Pause(context.Background(), acceptPause)
-	}
-	c, err := l.Listener.Accept()
+	c, err := l.acceptPresent()
 	if err != nil {
 		<-l.entering
 		<-l.free
@@ -63,6 +60,24 @@
 	return conn, nil
 }
 
+// acceptPresent accepts the next connection whose caller has not closed it. One that
+// was closed unread costs no more than that.
+func (l *callerListener) acceptPresent() (net.Conn, error) {
+	for {
+		if l.accepted++; l.accepted%cap(l.entering) == 0 {
+			node.Pause(context.Background(), acceptPause)
+		}
+		c, err := l.Listener.Accept()
+		if err != nil || !closedByPeer(c) {
+			return c, err
+		}
+		leftUnread.Add(1)
+		if err := c.Close(); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // callerConn is a connection that counts until it is closed.
 type callerConn struct {
 	net.Conn
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -63,3 +63,31 @@
 		defer taken.Close()
 	}
 }
+
+// Guards against a process that reads late and spends its time on callers that have
+// left.
+func TestConnectionsThatWereClosedUnreadAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ln := limitCallers(inner, 10)
+	defer ln.Close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	before := leftUnread.Value()
+	for range 3 {
+		g.Expect(dial().Close()).To(Succeed())
+	}
+	present := dial()
+	defer present.Close()
+	c, err := ln.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	g.Expect(c.RemoteAddr().String()).To(Equal(present.LocalAddr().String()))
+	g.Expect(leftUnread.Value() - before).To(BeEquivalentTo(3))
+}
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -42,3 +42,23 @@
 	})
 	return left || err != nil
 }
+
+// closedByPeer reports whether the other side has closed a connection, also behind
+// bytes that have not been read.
+func closedByPeer(c net.Conn) bool {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(fds, 0)
+		closed = pollErr == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && closed
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,9 @@
 	refusalCounts = expvar.NewMap("gateway_refusals")
 	// attemptCounts counts attempts by number and result.
 	attemptCounts = expvar.NewMap("gateway_attempts")
+	// leftUnread counts connections that their callers closed before anything was
+	// read.
+	leftUnread = expvar.NewInt("gateway_connections_left_unread")
 	// retryCounts counts retries, and those that the budget did not allow, by
 	// service.
 	retryCounts = expvar.NewMap("gateway_retries")
