Find silent peers by own checks, not by the time of day

A session ends after as many checks in a row without a message as the heartbeat timeout holds. A pause or a step is one check.

--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -81,7 +81,6 @@
 		queue:   newSendQueue(),
 		done:    make(chan struct{}),
 	}
-	s.received.Store(time.Now().UnixNano())
 	return s, nil
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
@@ -179,7 +178,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	// The peer's multiplexer answers, and its process says nothing.
 	ra := newRecorder()
-	a.received.Store(time.Now().Add(-heartbeatTimeout).UnixNano())
+	a.silence.silent = maxSilentChecks
 	done := make(chan error, 1)
 	go func() { done <- a.run(t.Context(), ra) }()
 	g.Eventually(done, 2*heartbeatTimeout).Should(Receive(MatchError(ErrClosed)))
--- a/peer/session.go
+++ b/peer/session.go
@@ -73,8 +73,10 @@
 	done      chan struct{}
 	closeOnce sync.Once
 	cause     error
-	received  atomic.Int64
-	rtt       atomic.Int64
+	// received counts the messages.
+	received atomic.Uint64
+	silence  silence
+	rtt      atomic.Int64
 }
 
 // ID returns the peer's identifier.
@@ -185,7 +187,7 @@
 			s.close(err)
 			return
 		}
-		s.received.Store(time.Now().UnixNano())
+		s.received.Add(1)
 		h.Message(s, env)
 	}
 }
@@ -247,9 +249,8 @@
 		return
 	default:
 	}
-	silent := time.Duration(time.Now().UnixNano() - s.received.Load())
-	if silent > heartbeatTimeout {
-		s.close(eris.Wrapf(ErrClosed, "no message for %v", silent))
+	if s.silence.check(s.received.Load()) {
+		s.close(eris.Wrapf(ErrClosed, "no message for %v", heartbeatTimeout))
 		return
 	}
 	if check%int(pingInterval/heartbeatInterval) == 0 {
