Count the time that a request waited in the socket

What callers saw: a gateway that reads late takes each request for new, admits it for its whole objective and sends it on shortly before its caller gives up. On Linux the socket tells how long its last bytes have waited; arrival, elapsed time, deadline and the held time of a refusal count from there.

--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -62,3 +63,27 @@
 	})
 	return err == nil && closed
 }
+
+// unread returns how long the last bytes of a caller have waited in the socket, zero
+// if that is not known.
+func unread(ctx context.Context) time.Duration {
+	source, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var waited time.Duration
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if infoErr == nil {
+			waited = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return waited
+}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -61,7 +61,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := time.Now().Add(-unread(r.Context()))
 	if !g.covering.Load() {
 		g.inFlight.Add(1)
 		defer g.inFlight.Add(-1)
