--- a/admission/report.go
+++ b/admission/report.go
@@ -88,3 +88,18 @@
 		u.dropPeer(node)
 	}
 }
+
+// lapseInterval is the time between two looks for other routers' loads that are too
+// old.
+const lapseInterval = 50 * time.Millisecond
+
+// lapse drops what other routers told too long ago.
+func (s *Scheduler) lapse(now time.Time) {
+	if age := now.Sub(s.lapsedAt); age >= 0 && age < lapseInterval {
+		return
+	}
+	s.lapsedAt = now
+	for _, u := range s.upstreams {
+		u.lapse(now, s.options.PeerTTL)
+	}
+}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -145,11 +145,6 @@
 // maxUnreported bounds the prompts that are kept for the next report.
 const maxUnreported = 512
 
-type peerUsage struct {
-	usage Usage
-	at    time.Time
-}
-
 // NewScheduler returns a scheduler that knows no upstream.
 func NewScheduler(options Options, capacity Capacity) *Scheduler {
 	s := &Scheduler{
@@ -249,57 +244,6 @@
 	return float64(r.Prompt.Tokens()) + 2*float64(r.OutputTokens)
 }
 
-// shareRatio returns what the team was served relative to its max-min share;
-// zero without contention.
-func (s *Scheduler) shareRatio(now time.Time, team fleet.TeamID) float64 {
-	if age := now.Sub(s.shares.at); age < 0 || age >= sharesInterval {
-		total := s.usage(now)
-		s.shares = shares{at: now, total: total}
-		s.shares.level, s.shares.contended = total.waterLevel()
-	}
-	if !s.shares.contended || s.shares.level <= 0 {
-		return 0
-	}
-	return s.shares.total[team].Served / s.shares.level
-}
-
-// sharesInterval is the time between two sums of all teams' accounts, and
-// lapseInterval that between two looks for other routers' loads that are too old.
-const (
-	sharesInterval = 10 * time.Millisecond
-	lapseInterval  = 50 * time.Millisecond
-)
-
-// shares is the teams' accounts over all routers at a moment.
-type shares struct {
-	at        time.Time
-	total     Usage
-	level     float64
-	contended bool
-}
-
-// lapse drops what other routers told too long ago.
-func (s *Scheduler) lapse(now time.Time) {
-	if age := now.Sub(s.lapsedAt); age >= 0 && age < lapseInterval {
-		return
-	}
-	s.lapsedAt = now
-	for _, u := range s.upstreams {
-		u.lapse(now, s.options.PeerTTL)
-	}
-}
-
-// usage returns the teams' tokens over all routers.
-func (s *Scheduler) usage(now time.Time) Usage {
-	total := s.accounts.sum(now)
-	for _, peer := range s.peerUsage {
-		if now.Sub(peer.at) < s.options.PeerTTL {
-			total.add(peer.usage)
-		}
-	}
-	return total
-}
-
 func (s *Scheduler) begin(now time.Time, r Request, c *candidate, served float64) {
 	own := r.Prompt.Tokens() - r.Prompt.SharedTokens()
 	sent := &run{
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -92,3 +92,44 @@
 	}
 	return 0, false
 }
+
+type peerUsage struct {
+	usage Usage
+	at    time.Time
+}
+
+// shareRatio returns what the team was served relative to its max-min share;
+// zero without contention.
+func (s *Scheduler) shareRatio(now time.Time, team fleet.TeamID) float64 {
+	if age := now.Sub(s.shares.at); age < 0 || age >= sharesInterval {
+		total := s.usage(now)
+		s.shares = shares{at: now, total: total}
+		s.shares.level, s.shares.contended = total.waterLevel()
+	}
+	if !s.shares.contended || s.shares.level <= 0 {
+		return 0
+	}
+	return s.shares.total[team].Served / s.shares.level
+}
+
+// sharesInterval is the time between two sums of all teams' accounts.
+const sharesInterval = 10 * time.Millisecond
+
+// shares is the teams' accounts over all routers at a moment.
+type shares struct {
+	at        time.Time
+	total     Usage
+	level     float64
+	contended bool
+}
+
+// usage returns the teams' tokens over all routers.
+func (s *Scheduler) usage(now time.Time) Usage {
+	total := s.accounts.sum(now)
+	for _, peer := range s.peerUsage {
+		if now.Sub(peer.at) < s.options.PeerTTL {
+			total.add(peer.usage)
+		}
+	}
+	return total
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -15,7 +14,6 @@
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/registry"
-	"fulmarspindle.example/fulmarspindle/retry"
 	"fulmarspindle.example/fulmarspindle/telemetry"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
@@ -134,40 +132,6 @@
 	return !j.owesRetry() || g.retryAllowed(j, last)
 }
 
-// owesRetry reports whether the next attempt is one that the budget bounds: an
-// upstream got the request before, and no retry was taken for one that did not
-// reach any.
-func (j *job) owesRetry() bool { return j.reached > j.retries }
-
-// retryAllowed reports whether the budget that all routers share has a retry left.
-func (g *Gateway) retryAllowed(j *job, last result) bool {
-	routers := g.peers.sharers()
-	usage, left := j.service.retryUsage(time.Now(), routers)
-	if !left {
-		g.logRetry(j, last, "retry over budget", usage, routers)
-	}
-	return left
-}
-
-// takeRetry spends a retry of the budget that all routers share.
-func (g *Gateway) takeRetry(j *job, last result) bool {
-	routers := g.peers.sharers()
-	taken, usage := j.service.takeRetry(routers)
-	message := "retry over budget"
-	if taken {
-		j.retries++
-		message = "retry"
-	}
-	g.logRetry(j, last, message, usage, routers)
-	return taken
-}
-
-func (g *Gateway) logRetry(j *job, last result, message string, usage retry.Usage, routers int) {
-	retryCounts.Add(fmt.Sprintf("%s/%s", j.service.id, strings.ReplaceAll(message, " ", "_")), 1)
-	g.log.Info(message, zap.String("request", j.in.ID), zap.String("service", string(j.service.id)), zap.Stringer("after", last.kind),
-		zap.Float64("spent", usage.Spent), zap.Float64("allowed", usage.Allowed), zap.Int("routers", routers))
-}
-
 // maxUnsent bounds the upstreams that are tried for one request.
 const maxUnsent = 4
 
