Let teams far over their share wait less

What callers saw: beside a team with twelve times its usual, whose callers repeat at once, a team of usual size got a quarter of what the other got. Cause: from 1.1 of its share on a team may wait for the same part of the objective however far over it is, so that whoever asks most often fills each gap. The wait now shrinks as its part of the share grows; where nobody waits it gets in as before.

--- a/admission/accounts_test.go
+++ b/admission/accounts_test.go
@@ -71,3 +71,28 @@
 	}
 	w.Expect(served["hasty"]).To(BeNumerically(">", 300), "of 400 whose callers are there")
 }
+
+// Pattern: a team sends so much more than others that it fills each gap first.
+func TestTeamFarOverItsShareLeavesTheQueueToOthers(t *testing.T) {
+	w := newWorld(t, options(), engineCapacity(), 1)
+	report := func(backlog int, hot float64) admission.Report {
+		return admission.Report{
+			Full: true, Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: backlog}},
+			Teams: admission.Usage{
+				"hot": {Asked: 900_000, Served: hot}, "a": {Asked: 200_000, Served: 100_000}, "b": {Asked: 200_000, Served: 100_000},
+			},
+		}
+	}
+	admit := func(backlog int, hot float64) bool {
+		w.n++
+		w.now = w.now.Add(time.Second)
+		w.s.PeerReport(w.now, "other", report(backlog, hot))
+		d, id := w.ask("hot", short(w.n))
+		w.s.Cancel(w.now, id)
+		return d.Admitted
+	}
+	// Predicted for 0.2 s, of 0.21 s that a team over its share may wait.
+	w.Expect(admit(5000, 115_000)).To(BeTrue(), "little over its share")
+	w.Expect(admit(5000, 300_000)).To(BeFalse(), "far over it")
+	w.Expect(admit(0, 300_000)).To(BeTrue(), "nobody waits")
+}
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -113,7 +113,7 @@
 }
 
 // The wait of a team narrows from shareFrom of its share on, and is the one of teams
-// over their share from shareTo on.
+// over their share at shareTo. From there on it is shorter the further over it is.
 const (
 	shareFrom = 0.3
 	shareTo   = 1.1
@@ -132,6 +132,9 @@
 		over := min(1, (ratio-shareFrom)/(shareTo-shareFrom))
 		part -= over * (part - s.options.OverShareWait)
 	}
+	if ratio > shareTo {
+		part *= shareTo / ratio
+	}
 	return time.Duration(part * float64(r.Objective))
 }
 
