--- a/e2e/soak/check.go
+++ b/e2e/soak/check.go
@@ -59,15 +59,15 @@
 	return n
 }
 
-// RanTwice returns a request that ran more than once, or nothing.
-func RanTwice(service string, arrivals []Arrival) string {
+// OrderedTwice returns an order that ran more than once, or nothing.
+func OrderedTwice(arrivals []Arrival) string {
 	ran := map[string]bool{}
 	for _, a := range arrivals {
-		if a.Service != service || !a.Ran {
+		if !a.Order || !a.Ran {
 			continue
 		}
 		if ran[a.Attempt] {
-			return fmt.Sprintf("%s ran twice at %s", a.Attempt, service)
+			return fmt.Sprintf("%s ran twice, again at %s", a.Attempt, a.Began.Format(clock))
 		}
 		ran[a.Attempt] = true
 	}
--- a/e2e/soak/record.go
+++ b/e2e/soak/record.go
@@ -13,7 +13,9 @@
 	// Attempt identifies the caller's request; a retry of a router has the same.
 	Attempt string
 	Team    string
-	At      time.Time
+	// Order is set if the request must not run twice.
+	Order bool
+	At    time.Time
 	// Ran is set if the upstream began to work on it, at Began.
 	Ran   bool
 	Began time.Time
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -57,6 +57,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	return s.record.arrive(Arrival{
 		Service: s.service, Attempt: r.Header.Get(headerAttempt), Team: r.Header.Get(headerTeam), At: time.Now(), Tokens: tokensOf(r.Header),
+		Order: strings.HasPrefix(r.URL.Path, "/order/"),
 	})
 }
 
