Keep a connection whose answer came before the writer had its turn

What upstreams saw: new connections though the kept one was free. Cause: a request is written by a goroutine; under load the answer is read and the exchange closed before that goroutine has said that it is done, and the connection was thrown away as if the request were still on its way. A short request is in the socket's buffer by then: its writer's word is waited for.

TestConnectionIsKeptThoughTheAnswerIsFasterThanTheWriter.

--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"bufio"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -16,3 +19,24 @@
 	g.Expect(late(timeout+20*time.Millisecond, timeout)).To(BeFalse())
 	g.Expect(late(2*time.Second, timeout)).To(BeTrue(), "paused")
 }
+
+// Guards against connections that are thrown away as the answer was read before the
+// writer of the request had its turn.
+func TestConnectionIsKeptThoughTheAnswerIsFasterThanTheWriter(t *testing.T) {
+	g := NewWithT(t)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	p := NewPool("", PoolOptions{IdleTimeout: time.Minute})
+	x := &Exchange{
+		Response: &http.Response{}, pool: p, conn: &conn{Conn: ours, reader: bufio.NewReader(ours)},
+		written: make(chan error, 1), short: true, whole: true, stop: func() bool { return true },
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		x.Close()
+	}()
+	x.written <- nil
+	g.Eventually(closed).Should(BeClosed())
+	g.Expect(p.takeIdle()).NotTo(BeNil())
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -45,8 +45,10 @@
 	conn *conn
 	// written is closed when the request has been written.
 	written chan error
-	stop    func() bool
-	whole   bool
+	// short requests fit the socket's buffer: writing them waits for nobody.
+	short bool
+	stop  func() bool
+	whole bool
 }
 
 // Do sends a request and waits for the head of its answer. It returns ErrNotSent or
@@ -62,7 +64,7 @@
 		return nil, ErrWithdrawn
 	}
 	c.written = 0
-	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
+	x := &Exchange{pool: p, conn: c, written: make(chan error, 1), short: len(m.Body) <= writeBufferSize}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	go func() { x.written <- m.write(c) }()
 	x.Response, err = readAnswer(c.reader, m) //nolint:bodyclose // Close ends the connection or keeps it instead.
@@ -164,8 +166,12 @@
 	x.pool.put(x.conn)
 }
 
-// sent reports whether the whole request has been written.
+// sent reports whether the whole request has been written. The answer to a short one
+// may be read before its writer had its turn to say so.
 func (x *Exchange) sent() bool {
+	if x.short {
+		return <-x.written == nil
+	}
 	select {
 	case err := <-x.written:
 		return err == nil
