--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -63,6 +63,15 @@
 // reached reports whether an upstream got the request.
 func (r result) reached() bool { return r.kind != notSent && r.kind != callerLeftEarly }
 
+// began reports whether the attempt counts as served in the team's account: an
+// engine begins with its first token, other upstreams with what they may have run.
+func (r result) began(generative bool) bool {
+	if generative {
+		return r.first > 0 && r.kind != failedByUpstream
+	}
+	return r.mayHaveRun()
+}
+
 func (k resultKind) callerGone() bool { return k == callerGone || k == callerLeftEarly }
 
 // heldAnswer is a whole answer that has not been passed on.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,14 +56,7 @@
 		g.logDecision(j, "request sent", decision)
 		j.upstream = decision.Upstream
 		last = g.attempt(ctx, j, decision)
-		j.tried = append(j.tried, decision.Upstream.ID)
-		if last.reached() {
-			j.reached++
-		}
-		j.began = j.began || last.first > 0 || last.mayHaveRun() && !j.route.Generative
-		if last.mayHaveRun() {
-			j.ran++
-		}
+		j.note(last)
 		j.countAttempt(decision, last)
 		g.logResult(j, decision, last)
 		if !g.again(ctx, j, last) {
@@ -73,6 +66,18 @@
 	}
 }
 
+// note takes the end of an attempt.
+func (j *job) note(r result) {
+	j.tried = append(j.tried, j.upstream.ID)
+	j.began = j.began || r.began(j.route.Generative)
+	if r.reached() {
+		j.reached++
+	}
+	if r.mayHaveRun() {
+		j.ran++
+	}
+}
+
 func (j *job) countAttempt(d admission.Decision, r result) {
 	attemptCounts.Add(fmt.Sprintf("%d/%s", j.attempts, r.kind), 1)
 	upstreamCounts.Add(fmt.Sprintf("%s/%s", d.Upstream.ID, r.kind), 1)
