Bound the connections between accept and decision again

What speaks against it stays noted: callers that connect and send nothing hold a place each for up to 100 ms.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -1,41 +1,72 @@
 package gateway
 
 import (
+	"context"
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/node"
+)
+
+const (
+	// enteringPerProcessor is the number of new connections for each processor
+	// whose first request is being read and decided on.
+	enteringPerProcessor = 8
+	// acceptPause follows each batch of new connections. The runtime looks for what
+	// arrived on other connections only when nothing else is to run.
+	acceptPause = time.Millisecond
+	// entryTimeout is how long a connection without a request counts as one.
+	entryTimeout = 100 * time.Millisecond
 )
 
-// callerListener bounds the open connections of callers, and leaves out those that
-// their callers closed before they were accepted. They keep their sockets visible,
-// unlike those of netutil.LimitListener: callerLeft looks at them.
+// callerListener bounds the open connections of callers, and those whose first
+// request is being decided on. It answers callers that come faster than this process
+// can decide: what runs already gets the processor between the new ones, which wait
+// in the socket, where one whose caller gives up costs next to nothing. Connections
+// keep their sockets visible, unlike those of netutil.LimitListener: callerLeft looks
+// at them.
 type callerListener struct {
 	net.Listener
-	free chan struct{}
+	free     chan struct{}
+	entering chan struct{}
+	timeout  time.Duration
+	accepted int
 }
 
 func limitCallers(ln net.Listener, most int) *callerListener {
-	return &callerListener{Listener: ln, free: make(chan struct{}, most)}
+	return &callerListener{
+		Listener: ln, free: make(chan struct{}, most), timeout: entryTimeout,
+		entering: make(chan struct{}, enteringPerProcessor*runtime.GOMAXPROCS(0)),
+	}
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	l.free <- struct{}{}
+	l.entering <- struct{}{}
 	c, err := l.acceptPresent()
 	if err != nil {
+		<-l.entering
 		<-l.free
 		return nil, err
 	}
-	return &callerConn{Conn: c, release: func() { <-l.free }}, nil
+	conn := &callerConn{Conn: c, release: func() { <-l.free }, enter: func() { <-l.entering }}
+	conn.idle = time.AfterFunc(l.timeout, conn.entered)
+	return conn, nil
 }
 
 // acceptPresent accepts the next connection whose caller has not closed it. One that
-// was closed unread costs no more than that: a process that has fallen behind by its
-// callers' patience would else serve nobody.
+// was closed unread costs no more than that.
 func (l *callerListener) acceptPresent() (net.Conn, error) {
 	for {
+		if l.accepted++; l.accepted%cap(l.entering) == 0 {
+			node.Pause(context.Background(), acceptPause)
+		}
 		c, err := l.Listener.Accept()
 		if err != nil || !closedByPeer(c) {
 			return c, err
@@ -48,13 +79,23 @@
 // callerConn is a connection that counts until it is closed.
 type callerConn struct {
 	net.Conn
-	once    sync.Once
+	closed  sync.Once
 	release func()
+	// enter is called once, when the first request has been decided on.
+	begun sync.Once
+	enter func()
+	idle  *time.Timer
 }
 
+// entered notes that the connection's first request was decided on, or that there
+// is none.
+func (c *callerConn) entered() { c.begun.Do(c.enter) }
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.once.Do(c.release)
+	c.idle.Stop()
+	c.entered()
+	c.closed.Do(c.release)
 	return c.Conn.Close()
 }
 
@@ -66,3 +107,10 @@
 	}
 	return source.SyscallConn()
 }
+
+// decided notes that the request on a caller's connection was decided on.
+func decided(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		c.entered()
+	}
+}
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -9,6 +9,62 @@
 	. "github.com/onsi/gomega"
 )
 
+// Guards against a process that takes up more new connections than it can decide on,
+// so that what runs already waits behind them.
+func TestConnectionsWaitUntilOthersAreDecidedOn(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ln := limitCallers(inner, 10)
+	ln.entering = make(chan struct{}, 2)
+	ln.timeout = time.Hour
+	defer ln.Close()
+	accepted := make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for range 5 {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+	}
+	var first, second *callerConn
+	g.Eventually(accepted).Should(Receive(&first))
+	g.Eventually(accepted).Should(Receive(&second))
+	g.Consistently(accepted, 50*time.Millisecond).ShouldNot(Receive())
+	first.entered()
+	first.entered()
+	var third *callerConn
+	g.Eventually(accepted).Should(Receive(&third), "one was decided on")
+	g.Consistently(accepted, 50*time.Millisecond).ShouldNot(Receive())
+	g.Expect(second.Close()).To(Succeed())
+	g.Eventually(accepted).Should(Receive(), "one was closed")
+}
+
+func TestConnectionWithoutRequestDoesNotKeepOthersWaiting(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ln := limitCallers(inner, 10)
+	ln.entering = make(chan struct{}, 1)
+	ln.timeout = time.Millisecond
+	defer ln.Close()
+	for range 3 {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		taken, err := ln.Accept()
+		g.Expect(err).NotTo(HaveOccurred())
+		defer taken.Close()
+	}
+}
+
 // Guards against a process that reads late and spends its time on callers that have
 // left.
 func TestConnectionsThatWereClosedUnreadAreLeftOut(t *testing.T) {
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -66,6 +66,7 @@
 		g.inFlight.Add(1)
 		defer g.inFlight.Add(-1)
 	}
+	defer decided(r.Context())
 	answer := newAnswer(w, g.draining.Load)
 	j, refused := g.receive(r, answer.control, arrived)
 	defer func() { g.buffered.Add(-j.buffered) }()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -207,6 +207,7 @@
 		j.service.cancel(id)
 		return result{kind: callerLeftEarly, err: context.Cause(ctx)}
 	}
+	decided(ctx)
 	sent := time.Now()
 	message := g.message(j, d)
 	message.Wanted = func() bool { return !callerLeft(ctx) }
