--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -30,6 +30,8 @@
 	// memoryPart is the part of the memory at which the garbage collector works
 	// harder rather than letting the process end.
 	memoryPart = 0.8
+	// bufferedPart is the part of the memory that bodies may take.
+	bufferedPart = 0.125
 	// bytesPerMB converts sizes.
 	bytesPerMB = 1 << 20
 	// tombstoneTTL is how long the removal of an upstream is remembered.
@@ -96,6 +98,14 @@
 	}
 }
 
+// bufferedBytes returns the bound on the bodies that are held.
+func bufferedBytes(limits config.GatewayLimits) int64 {
+	if limits.MemoryMB == 0 {
+		return limits.MaxBufferedBytes
+	}
+	return min(limits.MaxBufferedBytes, int64(bufferedPart*float64(limits.MemoryMB*bytesPerMB)))
+}
+
 func gatewayOptions(s config.GatewaySettings) gateway.Options {
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
 	started := time.Now()
@@ -103,7 +113,7 @@
 		ID: s.ID, Incarnation: fleet.Incarnation(started.UnixNano()), Started: started,
 		PeerAddress: cmp.Or(s.Listen.PeerAdvertised, s.Listen.Peer), Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
-		MaxBufferedBytes: s.Limits.MaxBufferedBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+		MaxBufferedBytes: bufferedBytes(s.Limits), MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptors * float64(s.Limits.Descriptors)),
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
 		StoreRetry: s.Platform.Retry.Std(),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -58,7 +58,8 @@
 	HeaderTimeout  Duration `yaml:"header_timeout,omitempty" validate:"gt=0"`
 	MaxHeaderBytes int      `yaml:"max_header_bytes,omitempty" validate:"gt=0"`
 	MaxBodyBytes   int64    `yaml:"max_body_bytes,omitempty" validate:"gt=0"`
-	// MaxBufferedBytes bounds the bodies of all requests in flight.
+	// MaxBufferedBytes bounds the bodies of all requests in flight, and of the
+	// answers that are held. With MemoryMB it is a part of that at most.
 	MaxBufferedBytes int64 `yaml:"max_buffered_bytes,omitempty" validate:"gt=0"`
 	// MaxAnswerBytes is the size up to which answers are held until they are
 	// whole.
@@ -146,7 +147,7 @@
 		},
 		Limits: GatewayLimits{
 			HeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
-			MaxBodyBytes: 4 << 20, MaxBufferedBytes: 64 << 20, MaxAnswerBytes: 256 << 10,
+			MaxBodyBytes: 4 << 20, MaxBufferedBytes: 64 << 20, MaxAnswerBytes: 128 << 10,
 			RequestTimeout: Duration(time.Minute), IdleTimeout: Duration(2 * time.Minute),
 			Descriptors: 4096, GCPercent: 100,
 		},
--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -10,7 +10,7 @@
 )
 
 // MaxEventBytes bounds one event.
-const MaxEventBytes = 1 << 20
+const MaxEventBytes = 64 << 10
 
 // ErrTooLong reports an event over MaxEventBytes.
 var ErrTooLong = eris.New("eventstream: event too long")
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -33,7 +33,8 @@
 	// says how much is allowed.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	// MaxBufferedBytes bounds the bodies of all requests in flight.
+	// MaxBufferedBytes bounds the bodies of all requests in flight, and of the
+	// answers that are held.
 	MaxBufferedBytes int64
 	// MaxAnswerBytes is the size up to which an answer that is no stream is
 	// held until it is whole, so that a broken one can be asked for again.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -121,7 +121,7 @@
 
 // relayFailure holds an upstream's own failure: the request may be tried again.
 func (g *Gateway) relayFailure(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
-	held, err := g.hold(x)
+	held, err := g.hold(j, x)
 	if err != nil {
 		return g.broke(ctx, j, id, x, err)
 	}
@@ -129,14 +129,16 @@
 	return result{kind: failedByUpstream, status: held.status, held: held, first: time.Since(j.arrived)}
 }
 
-// hold reads a whole answer. With errTooLarge it returns the begin of one.
-func (g *Gateway) hold(x *upstream.Exchange) (*heldAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(x, int64(g.options.MaxAnswerBytes)+1))
-	if err != nil {
+// hold reads a whole answer. With errTooLarge it returns the begin of one that is
+// over its bound, or whose part of the buffers is taken.
+func (g *Gateway) hold(j *job, x *upstream.Exchange) (*heldAnswer, error) {
+	counted := &bufferedBody{body: io.LimitReader(x, int64(g.options.MaxAnswerBytes)+1), gateway: g, job: j}
+	body, err := io.ReadAll(counted)
+	if err != nil && !errors.Is(err, errBuffersFull) {
 		return nil, err
 	}
 	held := &heldAnswer{status: x.Response.StatusCode, header: g.options.Dialect.Relayed(x.Response.Header), body: body}
-	if len(body) > g.options.MaxAnswerBytes {
+	if err != nil || len(body) > g.options.MaxAnswerBytes {
 		return held, errTooLarge
 	}
 	return held, nil
@@ -144,7 +146,7 @@
 
 // relayWhole passes an answer on when it is whole, or as it comes if it is long.
 func (g *Gateway) relayWhole(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
-	held, err := g.hold(x)
+	held, err := g.hold(j, x)
 	first := time.Since(j.arrived)
 	j.service.firstEvent(id)
 	if err != nil && !errors.Is(err, errTooLarge) {
@@ -167,15 +169,14 @@
 // answer does.
 func (g *Gateway) relayLong(ctx context.Context, j *job, id string, x *upstream.Exchange, held *heldAnswer) result {
 	j.answer.head(held.status, held.header)
-	buf := held.body
+	part, buf := held.body, make([]byte, relayBufferBytes)
 	for {
-		if err := j.answer.write(buf); err != nil {
+		if err := j.answer.write(part); err != nil {
 			j.service.cancel(id)
 			return result{kind: callerGone, err: err}
 		}
-		buf = make([]byte, relayBufferBytes)
 		n, err := x.Read(buf)
-		buf = buf[:n]
+		part = buf[:n]
 		if errors.Is(err, io.EOF) && n == 0 {
 			g.ended(j, id, outlier.Success)
 			return result{kind: complete, status: held.status}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -31,6 +31,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// ahead is what was read of the connection and not by reader yet.
+	ahead []byte
 	// idleUntil is when it must not be used again.
 	idleUntil time.Time
 	// written counts the bytes of the present request.
@@ -62,7 +64,13 @@
 	default:
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	out := &conn{Conn: c}
+	out.reader = bufio.NewReaderSize(out, readBufferSize)
+	return out
 }
 
 // late reports whether a timeout was noticed much after its time: the process was
@@ -77,10 +85,13 @@
 	return errors.Join(err, failed)
 }
 
+// unread reports whether there are bytes behind the last answer.
+func (c *conn) unread() bool { return c.reader.Buffered() > 0 || len(c.ahead) > 0 }
+
 // quiet reports whether the upstream has neither closed an idle connection nor
 // sent bytes that nobody asked for.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
+	if c.unread() {
 		return false
 	}
 	source, ok := c.Conn.(syscall.Conn)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -67,7 +67,7 @@
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1), short: len(m.Body) <= writeBufferSize}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	go func() { x.written <- m.write(c) }()
-	x.Response, err = readAnswer(c.reader, m) //nolint:bodyclose // Close ends the connection or keeps it instead.
+	x.Response, err = readAnswer(c, m) //nolint:bodyclose // Close ends the connection or keeps it instead.
 	if err == nil {
 		return x, nil
 	}
@@ -107,17 +107,13 @@
 
 // readAnswer reads heads until one answers the request. Answers to requests
 // before it may come late and are skipped.
-func readAnswer(r *bufio.Reader, m *Message) (*http.Response, error) {
-	request := &http.Request{Method: m.Method}
+func readAnswer(c *conn, m *Message) (*http.Response, error) {
 	foreign := 0
 	for {
-		resp, err := http.ReadResponse(r, request)
+		resp, err := readFinal(c, m.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
 		if m.Answers(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
@@ -128,9 +124,30 @@
 	}
 }
 
-// skip reads the body of an answer to another request.
+// readFinal reads the head of the next answer that is not an interim one.
+func readFinal(c *conn, method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	left := maxHeadBytes
+	for range maxInterim + 1 {
+		if err := c.awaitHead(left); err != nil {
+			return nil, err
+		}
+		held := len(c.ahead)
+		resp, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
+			return resp, nil
+		}
+		left -= held - len(c.ahead) - c.reader.Buffered()
+	}
+	return nil, eris.Wrapf(errHead, "over %d interim answers", maxInterim)
+}
+
+// skip reads the body of an answer to another request. The body is not closed:
+// Close would read all that comes.
 func skip(resp *http.Response) bool {
-	defer resp.Body.Close()
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes+1))
 	return err == nil && n <= maxForeignBytes
 }
@@ -154,7 +171,7 @@
 // it, and closes it otherwise.
 func (x *Exchange) Close() {
 	canceled := !x.stop()
-	if canceled || !x.whole || !x.sent() || x.conn.reader.Buffered() > 0 {
+	if canceled || !x.whole || !x.sent() || x.conn.unread() {
 		x.pool.discard(x.conn)
 		return
 	}
