Tell loads to a failure domain, and sums of domains to the others

Callers of large fleets met engines that were filled blindly: every gateway told every other one, which at 68 made 100 messages a second each, several times that while work is urgent, reports every 0.67 s, and whole loads and teams' accounts every 5.4 s though they lapse after 2 s.

Beyond ten other gateways each tells those of its failure domain; the one with the most processor time there sums them and tells the other domains' aggregators, who hand the sums on. A sum replaces its domain's, or what its gateways told themselves, so that nothing counts twice; what isn't replaced lapses.

--- /dev/null
+++ b/admission/domain.go
@@ -0,0 +1,70 @@
+package admission
+
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// DomainReport returns the load of this router and of members, the other routers of
+// its failure domain, together, and what is new since the domain's report before.
+// Members that have told nothing for PeerTTL count nothing.
+func (s *Scheduler) DomainReport(now time.Time, members []fleet.NodeID, full bool) Report {
+	s.lapse(now)
+	report := Report{Full: full, Upstreams: make(map[fleet.UpstreamID]UpstreamLoad), Prompts: s.domainSent}
+	s.domainSent = nil
+	for _, id := range s.ids {
+		u := s.upstreams[id]
+		sum := u.load
+		for _, member := range members {
+			sum = sum.plus(u.peers[member].UpstreamLoad)
+		}
+		if full && sum.Running > 0 || !full && sum != u.domainReported {
+			report.Upstreams[id] = sum
+		}
+		u.domainReported = sum
+	}
+	if full {
+		report.Teams = s.domainUsage(now, members)
+		report.Speed = s.domainSpeed(members)
+	}
+	return report
+}
+
+func (s *Scheduler) domainUsage(now time.Time, members []fleet.NodeID) Usage {
+	total := s.accounts.sum(now)
+	for _, member := range members {
+		if peer, ok := s.peerUsage[member]; ok && now.Sub(peer.at) < s.options.PeerTTL {
+			total.add(peer.usage)
+		}
+	}
+	return total
+}
+
+// domainSpeed returns the middle one of what the routers of the domain learnt, nil if
+// none has learnt enough.
+func (s *Scheduler) domainSpeed(members []fleet.NodeID) *Speed {
+	var learnt []Speed
+	if own, ok := s.model.speed(); ok {
+		learnt = append(learnt, own)
+	}
+	for _, member := range members {
+		if speed, ok := s.speeds.byRouter[member]; ok {
+			learnt = append(learnt, speed)
+		}
+	}
+	if len(learnt) == 0 {
+		return nil
+	}
+	middle := middleSpeed(learnt)
+	return &middle
+}
+
+// HearDomain keeps what a router of this one's failure domain sent to engines for the
+// domain's next report.
+func (s *Scheduler) HearDomain(prompts []SentPrompt) { s.noteDomainSent(prompts...) }
+
+func (s *Scheduler) noteDomainSent(prompts ...SentPrompt) {
+	room := maxUnreported - len(s.domainSent)
+	s.domainSent = append(s.domainSent, prompts[:min(len(prompts), max(room, 0))]...)
+}
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -57,6 +57,9 @@
 	load    UpstreamLoad
 	// reported is the load that the other routers know.
 	reported UpstreamLoad
+	// domainReported is the load of this router's failure domain that the others
+	// know.
+	domainReported UpstreamLoad
 	// peers is the load of each other router, and peerSum that of all.
 	peers   map[fleet.NodeID]peerLoad
 	peerSum UpstreamLoad
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -128,6 +128,9 @@
 	peerUsage map[fleet.NodeID]peerUsage
 	// sent is the prompts that the other routers have not been told of.
 	sent []SentPrompt
+	// domainSent is the prompts that the other failure domains have not been told
+	// of.
+	domainSent []SentPrompt
 	// unreported is the tokens to read that the other routers have not been
 	// told of.
 	unreported int
@@ -256,9 +259,11 @@
 	if s.capacity.MemoryTokens > 0 {
 		s.unreported += c.prefill
 		c.upstream.cache.Add(r.Prompt)
+		sent := SentPrompt{Upstream: c.upstream.ID, Prompt: r.Prompt}
 		if len(s.sent) < maxUnreported {
-			s.sent = append(s.sent, SentPrompt{Upstream: c.upstream.ID, Prompt: r.Prompt})
+			s.sent = append(s.sent, sent)
 		}
+		s.noteDomainSent(sent)
 	}
 }
 
--- a/admission/speed.go
+++ b/admission/speed.go
@@ -61,21 +61,29 @@
 	if !p.changed {
 		return p.pooled
 	}
-	rates := make([]float64, 0, len(p.byRouter)+1)
-	overheads := make([]time.Duration, 0, len(p.byRouter)+1)
+	all := make([]Speed, 0, len(p.byRouter)+1)
 	for _, speed := range p.byRouter {
-		rates = append(rates, speed.Rate)
-		overheads = append(overheads, speed.Overhead)
+		all = append(all, speed)
 	}
-	if own, learnt := m.speed(); learnt || len(rates) == 0 {
-		rates = append(rates, own.Rate)
-		overheads = append(overheads, own.Overhead)
+	if own, learnt := m.speed(); learnt || len(all) == 0 {
+		all = append(all, own)
 	}
-	p.pooled = Speed{Rate: middle(rates, true), Overhead: middle(overheads, false)}
+	p.pooled = middleSpeed(all)
 	p.changed = false
 	return p.pooled
 }
 
+// middleSpeed returns the middle rate and the middle overhead of some speeds.
+func middleSpeed(all []Speed) Speed {
+	rates := make([]float64, 0, len(all))
+	overheads := make([]time.Duration, 0, len(all))
+	for _, speed := range all {
+		rates = append(rates, speed.Rate)
+		overheads = append(overheads, speed.Overhead)
+	}
+	return Speed{Rate: middle(rates, true), Overhead: middle(overheads, false)}
+}
+
 // middle returns the middle value, of two the greater or the lesser one.
 func middle[T cmp.Ordered](values []T, greater bool) T {
 	slices.Sort(values)
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -111,7 +111,7 @@
 	started := time.Now()
 	return gateway.Options{
 		ID: s.ID, Incarnation: fleet.Incarnation(started.UnixNano()), Started: started,
-		PeerAddress: cmp.Or(s.Listen.PeerAdvertised, s.Listen.Peer), Location: location, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		PeerAddress: cmp.Or(s.Listen.PeerAdvertised, s.Listen.Peer), Location: location, Processors: s.Limits.Processors, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: bufferedBytes(s.Limits), MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptors * float64(s.Limits.Descriptors)),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -71,6 +71,8 @@
 	// Descriptors is the number of file descriptors of the process, of which
 	// callers' connections may take a part.
 	Descriptors int `yaml:"descriptors,omitempty" validate:"gt=0"`
+	// Processors is the processor time of the process, in cores; zero if unknown.
+	Processors float64 `yaml:"processors,omitempty" validate:"gte=0"`
 	// MemoryMB is the memory of the process; zero if unknown.
 	MemoryMB int64 `yaml:"memory_mb,omitempty" validate:"gte=0"`
 	// GCPercent is the growth of the heap, in percent, at which it is collected.
--- /dev/null
+++ b/gateway/domains.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/aggregate"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+const (
+	// meshRouters is the number of other routers up to which each tells every other
+	// one its load. In larger fleets routers tell those of their failure domain, and
+	// its aggregator tells the other domains the sums.
+	meshRouters = 10
+	// aggregatorSilence is how long an aggregator may be silent before another one
+	// takes its place.
+	aggregatorSilence = 2 * time.Second
+	// maxSums bounds the sums that wait to be handed on.
+	maxSums = 256
+)
+
+// receivers is whom this router tells its load.
+type receivers struct {
+	// near get this router's own load, and the sums of other failure domains.
+	near []*peer.Session
+	// members are the other routers of this failure domain.
+	members []fleet.NodeID
+	// aggregators are those of the other failure domains; empty unless this router
+	// is the one of its own.
+	aggregators []*peer.Session
+}
+
+// receivers returns whom this router tells its load.
+func (p *peers) receivers(now time.Time) receivers {
+	all := p.sessions.All(peerpb.Role_ROLE_ROUTER)
+	if len(all) <= meshRouters {
+		return receivers{near: all}
+	}
+	var out receivers
+	own := p.gateway.options.Location.FailureDomain
+	for _, s := range all {
+		if s.Location().FailureDomain == own {
+			out.near = append(out.near, s)
+			out.members = append(out.members, s.ID())
+		}
+	}
+	elected := aggregate.Elect(now, aggregatorSilence, p.candidates(now, all))
+	aggregating := elected[own] == p.gateway.options.ID
+	if p.aggregating.Swap(aggregating) != aggregating {
+		p.gateway.log.Info("aggregator of the failure domain", zap.Bool("this_router", aggregating), zap.String("elected", string(elected[own])))
+	}
+	if !aggregating {
+		return out
+	}
+	for _, s := range all {
+		if domain := s.Location().FailureDomain; domain != own && elected[domain] == s.ID() {
+			out.aggregators = append(out.aggregators, s)
+		}
+	}
+	return out
+}
+
+// candidates returns this router and the connected ones.
+func (p *peers) candidates(now time.Time, all []*peer.Session) []aggregate.Candidate {
+	o := &p.gateway.options
+	out := []aggregate.Candidate{{
+		ID: o.ID, Domain: o.Location.FailureDomain, Processors: float64(float32(o.Processors)), Heard: now, Draining: p.gateway.draining.Load(),
+	}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range all {
+		out = append(out, aggregate.Candidate{
+			ID: s.ID(), Domain: s.Location().FailureDomain, Processors: s.Processors(), Heard: p.heard[s.ID()], Draining: p.draining[s.ID()],
+		})
+	}
+	return out
+}
+
+// hear notes that a router was heard of.
+func (p *peers) hear(id fleet.NodeID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[id] = time.Now()
+}
+
+// forget drops what is kept of a session that ended, and the sums of its failure
+// domain if it was the last one there.
+func (p *peers) forget(ended *peer.Session) {
+	domain := ended.Location().FailureDomain
+	last := true
+	for _, s := range p.sessions.All(peerpb.Role_ROLE_ROUTER) {
+		last = last && s.Location().FailureDomain != domain
+	}
+	p.mu.Lock()
+	delete(p.heard, ended.ID())
+	dropped := last && p.summed[domain]
+	if dropped {
+		delete(p.summed, domain)
+	}
+	p.mu.Unlock()
+	if dropped {
+		p.gateway.peerLost(sumOf(domain))
+	}
+}
+
+// sumOf is the name under which the sums of a failure domain are kept among the loads
+// of single routers.
+func sumOf(domain fleet.FailureDomainID) fleet.NodeID { return fleet.NodeID("domain/" + domain) }
+
+// takeLoad takes a report: of one router, of failure domains, or of both.
+func (p *peers) takeLoad(s *peer.Session, m *peerpb.LoadReport) {
+	domain, own := s.Location().FailureDomain, p.gateway.options.Location.FailureDomain
+	if len(m.GetServices()) > 0 {
+		if domain != own {
+			p.takeSingle(domain)
+		}
+		p.gateway.peerLoad(s.ID(), m.GetServices())
+		if domain == own && p.aggregating.Load() {
+			p.gateway.hearDomain(m.GetServices())
+		}
+	}
+	for _, sum := range m.GetDomains() {
+		p.takeSum(sum)
+	}
+	if domain != own {
+		p.handOn(m.GetDomains())
+	}
+}
+
+// takeSingle drops the sums of a failure domain whose routers tell their loads
+// themselves: nothing counts twice.
+func (p *peers) takeSingle(domain fleet.FailureDomainID) {
+	p.mu.Lock()
+	summed := p.summed[domain]
+	delete(p.summed, domain)
+	p.mu.Unlock()
+	if summed {
+		p.gateway.peerLost(sumOf(domain))
+	}
+}
+
+// takeSum takes the sums of another failure domain, in place of what its routers told
+// themselves.
+func (p *peers) takeSum(sum *peerpb.DomainLoad) {
+	domain := fleet.FailureDomainID(sum.GetFailureDomain())
+	if domain == p.gateway.options.Location.FailureDomain {
+		return
+	}
+	p.mu.Lock()
+	summed := p.summed[domain]
+	p.summed[domain] = true
+	p.mu.Unlock()
+	if !summed {
+		for _, s := range p.sessions.All(peerpb.Role_ROLE_ROUTER) {
+			if s.Location().FailureDomain == domain {
+				p.gateway.peerLost(s.ID())
+			}
+		}
+	}
+	p.gateway.peerLoad(sumOf(domain), sum.GetServices())
+}
+
+// handOn keeps sums for the routers of this failure domain. While too many wait the
+// newest are left out: the next full ones make up for them.
+func (p *peers) handOn(sums []*peerpb.DomainLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	room := max(maxSums-len(p.sums), 0)
+	p.sums = append(p.sums, sums[:min(len(sums), room)]...)
+}
+
+// takeSums returns the sums to hand on.
+func (p *peers) takeSums() []*peerpb.DomainLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sums := p.sums
+	p.sums = nil
+	return sums
+}
--- /dev/null
+++ b/gateway/domains_test.go
@@ -0,0 +1,85 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/gateway"
+)
+
+// domainsFleet starts count gateways in three failure domains of two regions.
+func domainsFleet(t *testing.T, count int, store gateway.Store) []*node {
+	t.Helper()
+	var seeds []string
+	nodes := make([]*node, 0, count)
+	for i := range count {
+		location := fleet.Location{Region: "r1", FailureDomain: fleet.FailureDomainID(fmt.Sprint("d", i%3+1))}
+		if i%3 == 2 {
+			location.Region = "r2"
+		}
+		n := startGateway(t, fmt.Sprintf("g%02d", i), store, func(o *gateway.Options) {
+			o.Location, o.Processors = location, float64(1+i%5)
+			o.Policy.Seeds = seeds
+		})
+		seeds = append(seeds, n.peer)
+		nodes = append(nodes, n)
+	}
+	awaitReady(t, nodes...)
+	return nodes
+}
+
+// running returns what a gateway believes to run at an upstream of the plain service.
+func running(n *node, id fleet.UpstreamID) int {
+	return n.State().Services["plain"].Upstreams[id].Running
+}
+
+// Pattern: a fleet too large for each gateway to tell every other one its load. The
+// load of each counts once at all others, before and after an aggregator leaves.
+func TestLoadCountsOnceInEveryFailureDomain(t *testing.T) {
+	g := NewWithT(t)
+	const count, requests = 15, 4
+	release := make(chan struct{})
+	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) {
+		<-release
+		respond(c, r, http.StatusOK, "done")
+	})
+	s.Slots = 2 * requests
+	nodes := domainsFleet(t, count, storeOf(definition(1), s))
+	for _, n := range nodes {
+		g.Eventually(func() int { return len(n.State().Routers) }, eventually).Should(Equal(count - 1))
+	}
+	from := nodes[6] // A gateway of the first failure domain that is not its aggregator.
+	answers := make(chan error, requests)
+	for i := range requests {
+		go func() {
+			_, _, err := send(from, http.MethodGet, fmt.Sprint("/safe/", i), "")
+			answers <- err
+		}()
+	}
+	counted := func() []int {
+		var out []int
+		for _, n := range nodes {
+			out = append(out, running(n, s.ID))
+		}
+		return out
+	}
+	g.Eventually(counted, eventually).Should(HaveEach(requests))
+	g.Consistently(counted, 300*time.Millisecond).Should(HaveEach(requests))
+
+	nodes[9].stop() // The aggregator of the first failure domain: it has the most processor time there.
+	g.Eventually(nodes[9].done, eventually).Should(BeClosed())
+	nodes = append(nodes[:9], nodes[10:]...)
+	g.Eventually(counted, eventually).Should(HaveEach(requests))
+	g.Consistently(counted, 300*time.Millisecond).Should(HaveEach(requests))
+	close(release)
+	for range requests {
+		g.Expect(<-answers).NotTo(HaveOccurred())
+	}
+	g.Eventually(counted, eventually).Should(HaveEach(0))
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -21,8 +21,11 @@
 	// place before, else zero.
 	Started  time.Time
 	Location fleet.Location
-	Dialect  Dialect
-	Store    Store
+	// Processors is the processor time that this process may use, in cores; zero
+	// if it is not known.
+	Processors float64
+	Dialect    Dialect
+	Store      Store
 	// Engines may be nil: then caches are known from what was sent only.
 	Engines CacheLister
 	Log     *zap.Logger
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,15 +16,17 @@
 )
 
 const (
-	// fullReportEvery is the number of reports of which one names the whole load.
+	// fullReportEvery is the number of intervals after which a report names the
+	// whole load.
 	fullReportEvery = 8
 	// soonestReport is the part of the interval that passes between any two
 	// reports.
 	soonestReport = 5
-	// reportPeers is the number of other routers up to which reports are made
-	// at their interval; more routers make them rarer, so that the messages
-	// that a router gets in a second stay bounded.
+	// reportPeers is the number of receivers up to which reports are made at their
+	// interval; more make them rarer.
 	reportPeers = 10
+	// maxMessages bounds the reports to all receivers in a second.
+	maxMessages = 200
 	// catchUpDelay is how long a router waits for the store to tell it what
 	// another one knows already, before it asks that one.
 	catchUpDelay = 150 * time.Millisecond
@@ -48,12 +50,23 @@
 	members *retry.Members
 	// behindSince is since when another router knows more of the registry.
 	behindSince time.Time
+	// heard is when each connected router was last heard of.
+	heard map[fleet.NodeID]time.Time
+	// summed holds the other failure domains whose sums replace what their routers
+	// tell.
+	summed map[fleet.FailureDomainID]bool
+	// sums are the loads of other failure domains that the routers of this one have
+	// not been told of.
+	sums []*peerpb.DomainLoad
+	// aggregating is set while this router sums the loads of its failure domain.
+	aggregating atomic.Bool
 	// joined is set when a router has not had a full report yet.
 	joined atomic.Bool
 }
 
 func newPeers(g *Gateway) *peers {
 	p := &peers{gateway: g, sessions: node.NewSessions(), addresses: make(map[fleet.NodeID]string), draining: make(map[fleet.NodeID]bool),
+		heard: make(map[fleet.NodeID]time.Time), summed: make(map[fleet.FailureDomainID]bool),
 		members: retry.NewMembers(g.options.Policy.MemberTTL)}
 	local := &peer.Local{
 		Hello: &peerpb.Hello{
@@ -64,6 +77,7 @@
 			Region:          string(g.options.Location.Region),
 			FailureDomain:   string(g.options.Location.FailureDomain),
 			PeerAddress:     g.options.PeerAddress,
+			Processors:      float32(g.options.Processors),
 		},
 		Source:     node.DialSource(g.options.PeerAddress),
 		Generation: g.generation,
@@ -198,25 +212,35 @@
 func (p *peers) report(ctx context.Context) {
 	lastFull := time.Time{}
 	for ctx.Err() == nil {
-		interval := p.reportInterval()
-		p.awaitReport(ctx, interval)
+		receivers := p.receivers(time.Now())
+		interval := p.reportInterval(len(receivers.near))
+		p.awaitReport(ctx, interval, len(receivers.near))
 		full := p.joined.Swap(false) || time.Since(lastFull) >= fullReportEvery*interval
-		if !p.gateway.takeChanged() && !full && !p.gateway.draining.Load() {
-			continue
-		}
 		if full {
 			lastFull = time.Now()
 		}
-		message := p.gateway.loadReport(p.routers(), full)
-		for _, s := range p.sessions.All(peerpb.Role_ROLE_ROUTER) {
-			s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: message}})
+		sums := p.takeSums()
+		if p.gateway.takeChanged() || full || len(sums) > 0 || p.gateway.draining.Load() {
+			message := p.gateway.loadReport(p.routers(), full)
+			message.Domains = sums
+			broadcast(receivers.near, message)
+		}
+		if len(receivers.aggregators) > 0 {
+			broadcast(receivers.aggregators, p.gateway.domainReport(receivers.members, full))
 		}
 	}
 }
 
-// awaitReport waits until a report is due, or the load has changed much.
-func (p *peers) awaitReport(ctx context.Context, interval time.Duration) {
-	soonest := interval / soonestReport
+func broadcast(sessions []*peer.Session, message *peerpb.LoadReport) {
+	for _, s := range sessions {
+		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_LoadReport{LoadReport: message}})
+	}
+}
+
+// awaitReport waits until a report to some receivers is due, or the load has changed
+// much.
+func (p *peers) awaitReport(ctx context.Context, interval time.Duration, receivers int) {
+	soonest := min(max(interval/soonestReport, time.Duration(receivers)*time.Second/maxMessages), interval)
 	node.Pause(ctx, soonest)
 	due := time.NewTimer(interval - soonest)
 	defer due.Stop()
@@ -227,9 +251,9 @@
 	}
 }
 
-func (p *peers) reportInterval() time.Duration {
+func (p *peers) reportInterval(receivers int) time.Duration {
 	interval := p.gateway.policy.Load().ReportInterval
-	return max(interval, interval*time.Duration(p.count())/reportPeers)
+	return max(interval, interval*time.Duration(receivers)/reportPeers)
 }
 
 func (p *peers) routers() map[fleet.NodeID]string {
@@ -249,6 +273,7 @@
 	}
 	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
 	p.seen(s.ID())
+	p.hear(s.ID())
 	p.learn(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
 	p.joined.Store(true)
 	p.gateway.suspects.Greet(s)
@@ -260,6 +285,7 @@
 		p.seen(s.ID())
 		p.gateway.peerLost(s.ID())
 		p.setDraining(s.ID(), false)
+		p.forget(s)
 		p.learn(p.gateway.background, nil)
 	}
 }
@@ -272,7 +298,10 @@
 	if env.GetGeneration() > p.gateway.generation() && env.GetRoutingSnapshot() == nil {
 		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RoutingRequest{RoutingRequest: &peerpb.RoutingRequest{}}})
 	}
+	p.hear(s.ID())
 	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Heartbeat:
+		p.setDraining(s.ID(), b.Heartbeat.GetDraining())
 	case *peerpb.Envelope_LoadReport:
 		p.loadReport(s, b.LoadReport)
 	case *peerpb.Envelope_RoutingRequest:
@@ -291,7 +320,7 @@
 }
 
 func (p *peers) loadReport(s *peer.Session, m *peerpb.LoadReport) {
-	p.gateway.peerLoad(s.ID(), m)
+	p.takeLoad(s, m)
 	p.seen(s.ID())
 	p.setDraining(s.ID(), m.GetDraining())
 	found := make(map[fleet.NodeID]string)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -107,6 +107,7 @@
 	g.stopsAt.Store(&end)
 	g.draining.Store(true)
 	signal(g.urgent)
+	g.peers.sessions.Announce()
 	node.Pause(context.Background(), g.options.Withdrawal)
 	g.cover(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -33,6 +33,20 @@
 	return s.scheduler.Report(time.Now(), full)
 }
 
+// domainReport returns the load of this router's failure domain.
+func (s *service) domainReport(members []fleet.NodeID, full bool) admission.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.DomainReport(time.Now(), members, full)
+}
+
+// hearDomain keeps prompts for the failure domain's next report.
+func (s *service) hearDomain(prompts []admission.SentPrompt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.HearDomain(prompts)
+}
+
 func (s *service) view(now time.Time) admission.View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,14 +21,8 @@
 
 // loadReport returns what this router tells the others.
 func (g *Gateway) loadReport(routers map[fleet.NodeID]string, full bool) *peerpb.LoadReport {
-	g.mu.Lock()
-	services := make([]*service, 0, len(g.services))
-	for _, s := range g.services {
-		services = append(services, s)
-	}
-	message := &peerpb.LoadReport{RegistryRevision: g.registry.Newest(), Draining: g.draining.Load()}
-	g.mu.Unlock()
-	for _, s := range services {
+	message := g.reportHead()
+	for _, s := range g.allServices() {
 		message.Services = append(message.Services, reportToWire(s.id, s.report(full)))
 	}
 	if !full {
@@ -38,6 +34,30 @@
 	return message
 }
 
+// domainReport returns what this router tells the other failure domains of its own
+// one, of which members are the other routers.
+func (g *Gateway) domainReport(members []fleet.NodeID, full bool) *peerpb.LoadReport {
+	domain := &peerpb.DomainLoad{FailureDomain: string(g.options.Location.FailureDomain)}
+	for _, s := range g.allServices() {
+		domain.Services = append(domain.Services, reportToWire(s.id, s.domainReport(members, full)))
+	}
+	message := g.reportHead()
+	message.Domains = []*peerpb.DomainLoad{domain}
+	return message
+}
+
+func (g *Gateway) reportHead() *peerpb.LoadReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &peerpb.LoadReport{RegistryRevision: g.registry.Newest(), Draining: g.draining.Load()}
+}
+
+func (g *Gateway) allServices() []*service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.services))
+}
+
 func reportToWire(id fleet.ServiceID, r admission.Report) *peerpb.ServiceLoad {
 	out := &peerpb.ServiceLoad{Service: string(id), Full: r.Full}
 	for upstream, load := range r.Upstreams {
@@ -85,11 +105,22 @@
 	return r
 }
 
-// peerLoad takes another router's report.
-func (g *Gateway) peerLoad(node fleet.NodeID, m *peerpb.LoadReport) {
-	for _, load := range m.GetServices() {
+// peerLoad takes the load of another router, or of the routers of another failure
+// domain together.
+func (g *Gateway) peerLoad(source fleet.NodeID, loads []*peerpb.ServiceLoad) {
+	for _, load := range loads {
+		if s := g.service(fleet.ServiceID(load.GetService())); s != nil {
+			s.peerReport(source, reportFromWire(load))
+		}
+	}
+}
+
+// hearDomain keeps what a router of the own failure domain sent for the report to the
+// others.
+func (g *Gateway) hearDomain(loads []*peerpb.ServiceLoad) {
+	for _, load := range loads {
 		if s := g.service(fleet.ServiceID(load.GetService())); s != nil {
-			s.peerReport(node, reportFromWire(load))
+			s.hearDomain(reportFromWire(load).Prompts)
 		}
 	}
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -98,6 +98,10 @@
 	}
 }
 
+// Processors returns the processor time that the peer may use, in cores; zero if it
+// does not say.
+func (s *Session) Processors() float64 { return float64(s.remote.GetProcessors()) }
+
 // Address returns where the peer accepts sessions, empty if it does not say.
 func (s *Session) Address() string { return s.remote.GetPeerAddress() }
 
