Turn unready while connections wait without a pause

The gateway said that it was ready throughout. Now one whose accept queue has not been empty for a second turns unready, unless 0.4 of its failure domain's gateways are, closes connections behind their answers, and comes back after ten seconds, doubled while spells follow each other.

--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -15,6 +15,7 @@
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/overload"
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
@@ -118,6 +119,9 @@
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
 		StoreRetry: s.Platform.Retry.Std(),
 		Grace:      s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
+		Overload: overload.Options{
+			Standing: s.Overload.Standing.Std(), Hold: s.Overload.Hold.Std(), MaxHold: s.Overload.MaxHold.Std(), MaxUnready: s.Overload.MaxUnready,
+		},
 		Registry: registry.Options{LapseGrace: s.Platform.LapseGrace.Std(), TombstoneTTL: tombstoneTTL},
 		Pool: upstream.PoolOptions{
 			DialTimeout: s.Upstreams.DialTimeout.Std(), UserTimeout: s.Upstreams.UserTimeout.Std(),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -22,6 +22,7 @@
 	Platform       GatewayPlatform   `yaml:"platform"`
 	Limits         GatewayLimits     `yaml:"limits,omitempty"`
 	Stop           StopSettings      `yaml:"stop,omitempty"`
+	Overload       OverloadSettings  `yaml:"overload,omitempty"`
 	Retry          RetrySettings     `yaml:"retry,omitempty"`
 	Upstreams      UpstreamLinks     `yaml:"upstreams,omitempty"`
 	Admission      AdmissionSettings `yaml:"admission,omitempty"`
@@ -87,6 +88,18 @@
 	Withdrawal Duration `yaml:"withdrawal,omitempty"`
 }
 
+// OverloadSettings are those of a gateway that can't keep up.
+type OverloadSettings struct {
+	// Standing is how long connections may wait to be accepted without a pause.
+	Standing Duration `yaml:"standing,omitempty" validate:"gt=0"`
+	// Hold is how long the gateway is unready then. It doubles up to MaxHold while
+	// spells follow each other.
+	Hold    Duration `yaml:"hold,omitempty" validate:"gt=0"`
+	MaxHold Duration `yaml:"max_hold,omitempty" validate:"gt=0"`
+	// MaxUnready is the part of a failure domain's gateways that may be unready.
+	MaxUnready float64 `yaml:"max_unready,omitempty" validate:"gte=0,lt=1"`
+}
+
 // RetrySettings bound the retries of all routers together.
 type RetrySettings struct {
 	Ratio  float64  `yaml:"ratio,omitempty" validate:"gte=0,lte=1"`
@@ -153,6 +166,9 @@
 			RequestTimeout: Duration(time.Minute), IdleTimeout: Duration(2 * time.Minute),
 			Descriptors: 4096, GCPercent: 100,
 		},
+		Overload: OverloadSettings{
+			Standing: Duration(time.Second), Hold: Duration(10 * time.Second), MaxHold: Duration(time.Minute), MaxUnready: 0.4,
+		},
 		Stop:  StopSettings{Grace: Duration(10 * time.Second), Withdrawal: Duration(3 * time.Second)},
 		Retry: RetrySettings{Ratio: defaultRetryBudget, Slack: 10, Window: Duration(10 * time.Second), MemberTTL: Duration(time.Hour)},
 		Upstreams: UpstreamLinks{
--- a/gateway/domains.go
+++ b/gateway/domains.go
@@ -97,6 +97,7 @@
 	}
 	p.mu.Lock()
 	delete(p.heard, ended.ID())
+	delete(p.unready, ended.ID())
 	dropped := last && p.summed[domain]
 	if dropped {
 		delete(p.summed, domain)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 	checks sync.Map
 
 	patience   *patience
+	readiness  *readiness
 	peers      *peers
 	cacheLists *cacheLists
 	suspects   *suspects
@@ -85,6 +86,7 @@
 		background: ctx,
 	}
 	g.policy.Store(&options.Policy)
+	g.readiness = newReadiness(g)
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
 	g.suspects = newSuspects(g.peers.sessions, g.log)
@@ -105,7 +107,7 @@
 
 // Ready reports whether this process wants callers' connections.
 func (g *Gateway) Ready() bool {
-	if g.draining.Load() || g.table.Load() == nil {
+	if g.draining.Load() || g.readiness.unready.Load() || g.table.Load() == nil {
 		return false
 	}
 	g.mu.Lock()
@@ -113,6 +115,10 @@
 	return g.registry.Revision() > 0
 }
 
+// closing reports whether callers' connections are to be closed behind their answers:
+// those that come again reach another process.
+func (g *Gateway) closing() bool { return g.draining.Load() || g.readiness.unready.Load() }
+
 // service returns the driver of a service's decisions.
 func (g *Gateway) service(id fleet.ServiceID) *service {
 	g.mu.Lock()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -36,11 +36,13 @@
 	entering chan struct{}
 	timeout  time.Duration
 	accepted int
+	// observe is told whether connections wait to be accepted.
+	observe func(waiting bool)
 }
 
-func limitCallers(ln net.Listener, most int) *callerListener {
+func limitCallers(ln net.Listener, most int, observe func(waiting bool)) *callerListener {
 	return &callerListener{
-		Listener: ln, free: make(chan struct{}, most), timeout: entryTimeout,
+		Listener: ln, observe: observe, free: make(chan struct{}, most), timeout: entryTimeout,
 		entering: make(chan struct{}, enteringPerProcessor*runtime.GOMAXPROCS(0)),
 	}
 }
@@ -67,6 +69,7 @@
 		if l.accepted++; l.accepted%cap(l.entering) == 0 {
 			node.Pause(context.Background(), acceptPause)
 		}
+		l.observe(connectionsWait(l.Listener))
 		c, err := l.Listener.Accept()
 		if err != nil || !closedByPeer(c) {
 			return c, err
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -15,7 +15,7 @@
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	ln := limitCallers(inner, 10)
+	ln := limitCallers(inner, 10, func(bool) {})
 	ln.entering = make(chan struct{}, 2)
 	ln.timeout = time.Hour
 	defer ln.Close()
@@ -51,7 +51,7 @@
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	ln := limitCallers(inner, 10)
+	ln := limitCallers(inner, 10, func(bool) {})
 	ln.entering = make(chan struct{}, 1)
 	ln.timeout = time.Millisecond
 	defer ln.Close()
@@ -71,7 +71,7 @@
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	ln := limitCallers(inner, 10)
+	ln := limitCallers(inner, 10, func(bool) {})
 	defer ln.Close()
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", inner.Addr().String())
@@ -101,7 +101,7 @@
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	ln := limitCallers(inner, 10)
+	ln := limitCallers(inner, 10, func(bool) {})
 	defer ln.Close()
 	client, err := net.Dial("tcp", inner.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -64,6 +64,25 @@
 	return err == nil && closed
 }
 
+// connectionsWait reports whether connections wait to be accepted.
+func connectionsWait(ln net.Listener) bool {
+	source, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, pollErr := unix.Poll(fds, 0)
+		waiting = pollErr == nil && n > 0
+	})
+	return err == nil && waiting
+}
+
 // unread returns how long the last bytes of a caller have waited in the socket, zero
 // if that is not known.
 func unread(ctx context.Context) time.Duration {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,9 @@
 	// leftUnread counts connections that their callers closed before anything was
 	// read.
 	leftUnread = expvar.NewInt("gateway_connections_left_unread")
+	// unreadySpells counts the times that this process could not keep up and took no
+	// new connections for a while.
+	unreadySpells = expvar.NewInt("gateway_unready_spells")
 	// retryCounts counts retries, and those that the budget did not allow, by
 	// service.
 	retryCounts = expvar.NewMap("gateway_retries")
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -7,6 +7,7 @@
 
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/overload"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
 	"fulmarspindle.example/fulmarspindle/upstream"
@@ -61,6 +62,9 @@
 	Grace      time.Duration
 	Withdrawal time.Duration
 
+	// Overload decides when a process that can't keep up turns unready.
+	Overload overload.Options
+
 	Registry registry.Options
 	Pool     upstream.PoolOptions
 	// Policy is the one at the start.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -46,6 +46,8 @@
 	addresses map[fleet.NodeID]string
 	// draining holds the routers that are stopping.
 	draining map[fleet.NodeID]bool
+	// unready holds the routers that can't keep up.
+	unready map[fleet.NodeID]bool
 	// members are the routers that share the retry budgets.
 	members *retry.Members
 	// behindSince is since when another router knows more of the registry.
@@ -66,7 +68,7 @@
 
 func newPeers(g *Gateway) *peers {
 	p := &peers{gateway: g, sessions: node.NewSessions(), addresses: make(map[fleet.NodeID]string), draining: make(map[fleet.NodeID]bool),
-		heard: make(map[fleet.NodeID]time.Time), summed: make(map[fleet.FailureDomainID]bool),
+		unready: make(map[fleet.NodeID]bool), heard: make(map[fleet.NodeID]time.Time), summed: make(map[fleet.FailureDomainID]bool),
 		members: retry.NewMembers(g.options.Policy.MemberTTL)}
 	local := &peer.Local{
 		Hello: &peerpb.Hello{
@@ -132,14 +134,18 @@
 // count returns the number of connected routers.
 func (p *peers) count() int { return len(p.sessions.All(peerpb.Role_ROLE_ROUTER)) }
 
-func (p *peers) setDraining(id fleet.NodeID, draining bool) {
+func (p *peers) setDraining(id fleet.NodeID, draining bool) { p.mark(p.draining, id, draining) }
+
+func (p *peers) setUnready(id fleet.NodeID, unready bool) { p.mark(p.unready, id, unready) }
+
+func (p *peers) mark(set map[fleet.NodeID]bool, id fleet.NodeID, member bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if draining {
-		p.draining[id] = true
+	if member {
+		set[id] = true
 		return
 	}
-	delete(p.draining, id)
+	delete(set, id)
 }
 
 // serving reports whether any other router takes callers.
@@ -323,6 +329,7 @@
 	p.takeLoad(s, m)
 	p.seen(s.ID())
 	p.setDraining(s.ID(), m.GetDraining())
+	p.setUnready(s.ID(), m.GetUnready())
 	found := make(map[fleet.NodeID]string)
 	p.mu.Lock()
 	for _, router := range m.GetRouters() {
--- /dev/null
+++ b/gateway/readiness_test.go
@@ -0,0 +1,58 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/gateway"
+	"fulmarspindle.example/fulmarspindle/overload"
+)
+
+// Pattern: all callers come to one gateway, faster than it takes them in. It asks for no
+// more, the others stay, and it comes back once nobody waits.
+func TestGatewayThatCannotKeepUpTurnsUnready(t *testing.T) {
+	g := NewWithT(t)
+	store := storeOf(definition(1), startServer(t, "i-1", "plain", answering))
+	var nodes []*node
+	var seeds []string
+	for i := range 3 {
+		n := startGateway(t, fmt.Sprint("g", i), store, func(o *gateway.Options) {
+			o.Policy.Seeds = seeds
+			o.MaxConnections = 4
+			o.Overload = overload.Options{Standing: 100 * time.Millisecond, Hold: 100 * time.Millisecond, MaxHold: time.Second, MaxUnready: 0.4}
+		})
+		seeds = append(seeds, n.peer)
+		nodes = append(nodes, n)
+	}
+	awaitReady(t, nodes...)
+	for _, n := range nodes {
+		g.Eventually(func() int { return len(n.State().Routers) }, eventually).Should(Equal(2))
+	}
+	crowd := func(n *node) (leave func()) {
+		var conns []net.Conn
+		for range 8 {
+			c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+			g.Expect(err).NotTo(HaveOccurred())
+			conns = append(conns, c)
+		}
+		return func() {
+			for _, c := range conns {
+				c.Close()
+			}
+		}
+	}
+	leave := crowd(nodes[0])
+	g.Eventually(nodes[0].Ready, eventually).Should(BeFalse())
+	// Of three gateways no second one may leave.
+	leaveSecond := crowd(nodes[1])
+	g.Consistently(nodes[1].Ready, "500ms").Should(BeTrue())
+	g.Expect(nodes[2].Ready()).To(BeTrue())
+	leave()
+	g.Eventually(nodes[0].Ready, eventually).Should(BeTrue())
+	leaveSecond()
+}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -67,7 +67,7 @@
 		defer g.inFlight.Add(-1)
 	}
 	defer decided(r.Context())
-	answer := newAnswer(w, g.draining.Load)
+	answer := newAnswer(w, g.closing)
 	j, refused := g.receive(r, answer.control, arrived)
 	defer func() { g.buffered.Add(-j.buffered) }()
 	if refused != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -46,7 +46,7 @@
 		ConnContext:       withCallerConn,
 		ErrorLog:          zap.NewStdLog(g.log.Named("http")),
 	}
-	ready := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: adminHeaderTimeout}
+	ready := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: adminHeaderTimeout}
 	defer ready.Close()
 	metrics := &http.Server{Handler: g.metrics(), ReadHeaderTimeout: adminHeaderTimeout}
 	defer metrics.Close()
@@ -55,8 +55,9 @@
 		go func() { failed <- metrics.Serve(listeners.Metrics) }()
 	}
 	go func() { failed <- ready.Serve(listeners.Ready) }()
-	limited := limitCallers(listeners.Caller, g.options.MaxConnections)
+	limited := limitCallers(listeners.Caller, g.options.MaxConnections, g.readiness.observe)
 	go func() { failed <- callers.Serve(limited) }()
+	go g.readiness.follow(ctx, listeners.Caller)
 	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
 	select {
 	case <-ctx.Done():
@@ -87,7 +88,7 @@
 	return notRun("stopping", "this router is stopping", time.Until(*end))
 }
 
-func (g *Gateway) readiness() http.Handler {
+func (g *Gateway) readyHandler() http.Handler {
 	server := echo.New()
 	server.GET(g.options.ReadyPath, func(c echo.Context) error {
 		if !g.Ready() {
