Take the changes of a watch that come together in one call

After a change a watch now waits 0.3 s, well within the bounds of drains and configurations, so that what comes together is told together.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -12,6 +12,10 @@
 	"fulmarspindle.example/fulmarspindle/route"
 )
 
+// watchPause follows a change, so that the changes that come soon after it are told in
+// one call.
+const watchPause = 300 * time.Millisecond
+
 // followRouting keeps the configuration up to date until ctx ends.
 func (g *Gateway) followRouting(ctx context.Context) {
 	link := dependency{name: "store configuration", log: g.log}
@@ -35,6 +39,7 @@
 		}
 		if definition != nil {
 			g.adopt(*definition, "store")
+			node.Pause(ctx, watchPause)
 		}
 	}
 }
@@ -94,6 +99,9 @@
 		}
 		g.register(list, revision, known, outage)
 		known = true
+		if len(list) > 0 {
+			node.Pause(ctx, watchPause)
+		}
 	}
 }
 
