Read what has arrived before a stop closes idle connections

A stop now waits until no open connection has unread bytes, for half of what is left of the grace at most.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -38,11 +38,15 @@
 	accepted int
 	// observe is told whether connections wait to be accepted.
 	observe func(waiting bool)
+
+	mu sync.Mutex
+	// open is the connections that are not closed.
+	open map[*callerConn]bool
 }
 
 func limitCallers(ln net.Listener, most int, observe func(waiting bool)) *callerListener {
 	return &callerListener{
-		Listener: ln, observe: observe, free: make(chan struct{}, most), timeout: entryTimeout,
+		Listener: ln, observe: observe, open: make(map[*callerConn]bool), free: make(chan struct{}, most), timeout: entryTimeout,
 		entering: make(chan struct{}, enteringPerProcessor*runtime.GOMAXPROCS(0)),
 	}
 }
@@ -57,11 +61,36 @@
 		<-l.free
 		return nil, err
 	}
-	conn := &callerConn{Conn: c, release: func() { <-l.free }, enter: func() { <-l.entering }}
+	conn := &callerConn{Conn: c, enter: func() { <-l.entering }}
+	conn.release = func() { l.closed(conn) }
 	conn.idle = time.AfterFunc(l.timeout, conn.entered)
+	l.mu.Lock()
+	l.open[conn] = true
+	l.mu.Unlock()
 	return conn, nil
 }
 
+func (l *callerListener) closed(conn *callerConn) {
+	l.mu.Lock()
+	delete(l.open, conn)
+	l.mu.Unlock()
+	<-l.free
+}
+
+// unread returns the number of open connections on which something has arrived that
+// this process has not read.
+func (l *callerListener) unread() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for conn := range l.open {
+		if hasUnread(conn) {
+			count++
+		}
+	}
+	return count
+}
+
 // acceptPresent accepts the next connection whose caller has not closed it. One that
 // was closed unread costs no more than that.
 func (l *callerListener) acceptPresent() (net.Conn, error) {
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -117,3 +118,33 @@
 	g.Expect(unread(ctx)).To(BeNumerically("<=", time.Since(sent)+tick))
 	g.Expect(unread(context.Background())).To(BeZero())
 }
+
+// Guards against a stop that closes kept connections on which a request has arrived
+// that this process, short of processor time, has not read.
+func TestStopWaitsUntilWhatArrivedIsRead(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ln := limitCallers(inner, 10, func(bool) {})
+	defer ln.Close()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer client.Close()
+	c, err := ln.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	request := []byte("GET / HTTP/1.1\r\n\r\n")
+	_, err = client.Write(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(ln.unread).Should(Equal(1))
+	waited := make(chan struct{})
+	go func() {
+		defer close(waited)
+		awaitRead(ln, time.Now().Add(time.Hour))
+	}()
+	g.Consistently(waited, 100*time.Millisecond).ShouldNot(BeClosed())
+	_, err = io.ReadFull(c, make([]byte, len(request)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(waited).Should(BeClosed())
+	g.Expect(c.Close()).To(Succeed())
+	g.Expect(ln.open).To(BeEmpty())
+}
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -64,6 +64,21 @@
 	return err == nil && closed
 }
 
+// hasUnread reports whether bytes wait in a connection's socket.
+func hasUnread(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		waiting = peekErr == nil && n > 0
+	})
+	return err == nil && waiting
+}
+
 // connectionsWait reports whether connections wait to be accepted.
 func connectionsWait(ln net.Listener) bool {
 	source, ok := ln.(syscall.Conn)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -61,7 +61,7 @@
 	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
 	select {
 	case <-ctx.Done():
-		g.stop(callers)
+		g.stop(callers, limited)
 		return nil
 	case err := <-failed:
 		return eris.Wrap(ErrListen, err.Error())
@@ -79,6 +79,15 @@
 	g.log.Info("gateway closes to callers", zap.Duration("covered", time.Since(covered)), zap.Int("routers", g.routers()))
 }
 
+// awaitRead waits until nothing that has arrived is unread, but no longer than end. The
+// server takes a connection whose request it has not read for an idle one, which it
+// closes; a process that is short of processor time has such ones.
+func awaitRead(connections *callerListener, end time.Time) {
+	for connections.unread() > 0 && time.Now().Before(end) {
+		node.Pause(context.Background(), coverInterval)
+	}
+}
+
 // tooLate refuses a request that may take longer than this process lives.
 func (g *Gateway) tooLate(j *job) *refusal {
 	end := g.stopsAt.Load()
@@ -101,7 +110,7 @@
 
 // stop turns unready, serves on while the balancer still sends connections, and
 // finishes what is in flight.
-func (g *Gateway) stop(callers *http.Server) {
+func (g *Gateway) stop(callers *http.Server, connections *callerListener) {
 	started := time.Now()
 	g.log.Info("gateway stopping")
 	end := started.Add(g.options.Grace - abortMargin)
@@ -111,6 +120,7 @@
 	g.peers.sessions.Announce()
 	node.Pause(context.Background(), g.options.Withdrawal)
 	g.cover(end)
+	awaitRead(connections, time.Now().Add(time.Until(end)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
