Let the aggregators of failure domains watch the store for the others

In fleets of three failure domains and more whose loads are summed only the aggregators watch; the others ask them for newer registrations and configurations, and watch themselves 2.7 s after the store's last word to any router they hear of, at once if their aggregator says that it lost the store. Where changes have to be in force sooner than that allows (apply_within), each watches as before.

--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -33,6 +33,10 @@
 	memoryPart = 0.8
 	// bufferedPart is the part of the memory that bodies may take.
 	bufferedPart = 0.125
+	// watchSlack is how much later than its time a watch may be answered, and
+	// fallbackTime is what a gateway needs to ask the store itself.
+	watchSlack   = 700 * time.Millisecond
+	fallbackTime = 1300 * time.Millisecond
 	// bytesPerMB converts sizes.
 	bytesPerMB = 1 << 20
 	// tombstoneTTL is how long the removal of an upstream is remembered.
@@ -107,6 +111,16 @@
 	return min(limits.MaxBufferedBytes, int64(bufferedPart*float64(limits.MemoryMB*bytesPerMB)))
 }
 
+// relyOnPeers returns how long gateways rely on each other after the store's last
+// word; zero if changes would not be in force in time when that ends.
+func relyOnPeers(p config.GatewayPlatform) time.Duration {
+	rely := p.WatchTimeout.Std() + watchSlack
+	if rely+fallbackTime > p.ApplyWithin.Std() {
+		return 0
+	}
+	return rely
+}
+
 func gatewayOptions(s config.GatewaySettings) gateway.Options {
 	location := fleet.Location{Region: s.Region, FailureDomain: s.FailureDomain}
 	started := time.Now()
@@ -117,8 +131,8 @@
 		MaxBufferedBytes: bufferedBytes(s.Limits), MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptors * float64(s.Limits.Descriptors)),
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
-		StoreRetry: s.Platform.Retry.Std(),
-		Grace:      s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
+		StoreRetry: s.Platform.Retry.Std(), RelyOnPeers: relyOnPeers(s.Platform),
+		Grace: s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
 		Overload: overload.Options{
 			Standing: s.Overload.Standing.Std(), Hold: s.Overload.Hold.Std(), MaxHold: s.Overload.MaxHold.Std(), MaxUnready: s.Overload.MaxUnready,
 		},
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -47,6 +47,10 @@
 	Timeout Duration `yaml:"timeout,omitempty" validate:"gt=0"`
 	// WatchTimeout is how long the store holds a watch without a change.
 	WatchTimeout Duration `yaml:"watch_timeout,omitempty" validate:"gt=0"`
+	// ApplyWithin is the time in which changes have to be in force. Gateways of large
+	// fleets hear of them from each other if that leaves them time to ask the store
+	// when they don't.
+	ApplyWithin Duration `yaml:"apply_within,omitempty" validate:"gt=0"`
 	// Retry is the pause after a failed call.
 	Retry Duration `yaml:"retry,omitempty" validate:"gt=0"`
 	// LapseGrace is how long an upstream whose registration lapsed in an outage
@@ -158,7 +162,7 @@
 		ReportInterval: Duration(100 * time.Millisecond),
 		Platform: GatewayPlatform{
 			Timeout: Duration(time.Second), WatchTimeout: Duration(2 * time.Second),
-			Retry: Duration(300 * time.Millisecond), LapseGrace: Duration(2 * time.Second),
+			ApplyWithin: Duration(4 * time.Second), Retry: Duration(300 * time.Millisecond), LapseGrace: Duration(2 * time.Second),
 		},
 		Limits: GatewayLimits{
 			HeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
--- /dev/null
+++ b/gateway/contact_test.go
@@ -0,0 +1,109 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fulmarspindle.example/fulmarspindle/gateway"
+	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/route"
+)
+
+// countingStore counts the watches of one gateway that wait, and may turn it away.
+type countingStore struct {
+	gateway.Store
+	waiting atomic.Int64
+	away    atomic.Bool
+}
+
+func (s *countingStore) ReadRouting(ctx context.Context) (route.Definition, uint64, error) {
+	if s.away.Load() {
+		return route.Definition{}, 0, errAway
+	}
+	return s.Store.ReadRouting(ctx)
+}
+
+func (s *countingStore) WatchRouting(ctx context.Context, after uint64) (*route.Definition, uint64, error) {
+	if s.away.Load() {
+		return nil, 0, errAway
+	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	return s.Store.WatchRouting(ctx, after)
+}
+
+func (s *countingStore) ListUpstreams(ctx context.Context) ([]registry.Statement, uint64, error) {
+	if s.away.Load() {
+		return nil, 0, errAway
+	}
+	return s.Store.ListUpstreams(ctx)
+}
+
+func (s *countingStore) WatchUpstreams(ctx context.Context, after uint64) ([]registry.Statement, uint64, error) {
+	if s.away.Load() {
+		return nil, 0, errAway
+	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	return s.Store.WatchUpstreams(ctx, after)
+}
+
+// Pattern: a large fleet before one store. A gateway of each failure domain watches it;
+// the others hear of changes, also when the store turns all those away that watch.
+func TestFewGatewaysOfALargeFleetWatchTheStore(t *testing.T) {
+	g := NewWithT(t)
+	const count = 15
+	first, second := startServer(t, "i-1", "plain", answering), startServer(t, "i-2", "plain", answering)
+	store := storeOf(definition(1), first, second)
+	store.hold = 100 * time.Millisecond
+	counted := make([]*countingStore, count)
+	nodes := domainsFleet(t, count, func(i int) gateway.Store {
+		counted[i] = &countingStore{Store: store}
+		return counted[i]
+	}, func(o *gateway.Options) { o.RelyOnPeers = time.Second })
+	watching := func() []int {
+		var out []int
+		for i, s := range counted {
+			if s.waiting.Load() > 0 {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+	g.Eventually(watching, eventually).Should(HaveLen(3))
+
+	versions := func() []int64 {
+		var out []int64
+		for _, n := range nodes {
+			out = append(out, n.State().Configuration)
+		}
+		return out
+	}
+	store.configure(definition(2))
+	g.Eventually(versions, eventually).Should(HaveEach(BeEquivalentTo(2)))
+	leaving := first.Upstream
+	leaving.Draining = true
+	store.register(leaving, false)
+	g.Eventually(func() int {
+		before := first.count()
+		for _, n := range nodes {
+			resp, _, err := send(n, http.MethodGet, "/safe/", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		}
+		return first.count() - before
+	}, eventually).Should(BeZero())
+
+	watchers := watching()
+	g.Expect(len(watchers)).To(BeNumerically("<=", 3))
+	for _, i := range watchers {
+		counted[i].away.Store(true)
+	}
+	store.configure(definition(3))
+	g.Eventually(versions, eventually).Should(HaveEach(BeEquivalentTo(3)))
+}
--- a/gateway/domains.go
+++ b/gateway/domains.go
@@ -38,6 +38,7 @@
 func (p *peers) receivers(now time.Time) receivers {
 	all := p.sessions.All(peerpb.Role_ROLE_ROUTER)
 	if len(all) <= meshRouters {
+		p.setAggregator("")
 		return receivers{near: all}
 	}
 	var out receivers
@@ -49,10 +50,7 @@
 		}
 	}
 	elected := aggregate.Elect(now, aggregatorSilence, p.candidates(now, all))
-	aggregating := elected[own] == p.gateway.options.ID
-	if p.aggregating.Swap(aggregating) != aggregating {
-		p.gateway.log.Info("aggregator of the failure domain", zap.Bool("this_router", aggregating), zap.String("elected", string(elected[own])))
-	}
+	aggregating := p.setAggregator(elected[own])
 	if !aggregating {
 		return out
 	}
@@ -64,6 +62,39 @@
 	return out
 }
 
+// setAggregator takes the result of an election in this failure domain, and reports
+// whether it is this router.
+func (p *peers) setAggregator(id fleet.NodeID) bool {
+	p.mu.Lock()
+	changed := p.aggregator != id
+	p.aggregator = id
+	p.mu.Unlock()
+	aggregating := id == p.gateway.options.ID
+	p.aggregating.Store(aggregating)
+	if changed {
+		p.gateway.log.Info("aggregator elected", zap.String("elected", string(id)), zap.Bool("this_router", aggregating))
+	}
+	return aggregating
+}
+
+// isAggregator reports whether a router sums the loads of this failure domain.
+func (p *peers) isAggregator(id fleet.NodeID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.aggregator == id
+}
+
+// domains returns the number of failure domains with a connected router, and whether
+// the fleet is so large that loads are summed.
+func (p *peers) domains() (count int, summed bool) {
+	all := p.sessions.All(peerpb.Role_ROLE_ROUTER)
+	known := map[fleet.FailureDomainID]bool{p.gateway.options.Location.FailureDomain: true}
+	for _, s := range all {
+		known[s.Location().FailureDomain] = true
+	}
+	return len(known), len(all) > meshRouters
+}
+
 // candidates returns this router and the connected ones.
 func (p *peers) candidates(now time.Time, all []*peer.Session) []aggregate.Candidate {
 	o := &p.gateway.options
--- a/gateway/domains_test.go
+++ b/gateway/domains_test.go
@@ -13,8 +13,9 @@
 	"fulmarspindle.example/fulmarspindle/gateway"
 )
 
-// domainsFleet starts count gateways in three failure domains of two regions.
-func domainsFleet(t *testing.T, count int, store gateway.Store) []*node {
+// domainsFleet starts count gateways in three failure domains of two regions, each with
+// its store.
+func domainsFleet(t *testing.T, count int, store func(i int) gateway.Store, change func(*gateway.Options)) []*node {
 	t.Helper()
 	var seeds []string
 	nodes := make([]*node, 0, count)
@@ -23,9 +24,10 @@
 		if i%3 == 2 {
 			location.Region = "r2"
 		}
-		n := startGateway(t, fmt.Sprintf("g%02d", i), store, func(o *gateway.Options) {
+		n := startGateway(t, fmt.Sprintf("g%02d", i), store(i), func(o *gateway.Options) {
 			o.Location, o.Processors = location, float64(1+i%5)
 			o.Policy.Seeds = seeds
+			change(o)
 		})
 		seeds = append(seeds, n.peer)
 		nodes = append(nodes, n)
@@ -52,7 +54,8 @@
 	s.Slots = 2 * requests
 	configuration := definition(1)
 	configuration.Routes[0].Timeout = time.Minute // Longer than the test takes anywhere.
-	nodes := domainsFleet(t, count, storeOf(configuration, s))
+	store := storeOf(configuration, s)
+	nodes := domainsFleet(t, count, func(int) gateway.Store { return store }, func(*gateway.Options) {})
 	for _, n := range nodes {
 		g.Eventually(func() int { return len(n.State().Routers) }, eventually).Should(Equal(count - 1))
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -22,6 +22,11 @@
 	var revision uint64
 	known := false
 	for ctx.Err() == nil {
+		if !g.watches() {
+			known = false
+			node.Pause(ctx, dutyInterval)
+			continue
+		}
 		var definition *route.Definition
 		var err error
 		if known {
@@ -33,6 +38,7 @@
 		}
 		known = err == nil
 		link.report(err)
+		g.contact.answered(&g.contact.routing, err)
 		if err != nil {
 			node.Pause(ctx, g.options.StoreRetry)
 			continue
@@ -63,6 +69,7 @@
 	g.table.Store(table)
 	g.adoptedAt = time.Now()
 	g.distribute(time.Now())
+	g.announce()
 	g.log.Info("configuration adopted", zap.Int64("version", definition.Version), zap.String("source", source),
 		zap.Int("routes", len(definition.Routes)), zap.Int("teams", len(definition.Teams)))
 }
@@ -83,6 +90,11 @@
 	var revision uint64
 	known := false
 	for ctx.Err() == nil {
+		if !g.watches() {
+			known = false
+			node.Pause(ctx, dutyInterval)
+			continue
+		}
 		outage := link.lost
 		var list []registry.Statement
 		var err error
@@ -92,6 +104,7 @@
 			list, revision, err = g.options.Store.ListUpstreams(ctx)
 		}
 		link.report(err)
+		g.contact.answered(&g.contact.upstreams, err)
 		if err != nil {
 			known = false
 			node.Pause(ctx, g.options.StoreRetry)
@@ -125,6 +138,13 @@
 		g.log.Info("upstreams listed", zap.Int("upstreams", len(list)), zap.Uint64("revision", revision), zap.Bool("after_outage", outage))
 	}
 	g.distribute(now)
+	g.announce()
+}
+
+// announce lets the other routers hear soon of what the store said.
+func (g *Gateway) announce() {
+	g.changed.Store(true)
+	signal(g.urgent)
 }
 
 func (g *Gateway) logStatement(s registry.Statement, source string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 
 	patience   *patience
 	readiness  *readiness
+	contact    storeContact
 	peers      *peers
 	cacheLists *cacheLists
 	suspects   *suspects
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -30,6 +30,8 @@
 	// catchUpDelay is how long a router waits for the store to tell it what
 	// another one knows already, before it asks that one.
 	catchUpDelay = 150 * time.Millisecond
+	// askInterval is the time between two questions for the same configuration.
+	askInterval = 300 * time.Millisecond
 	// membersInterval is the time between two looks at the other routers'
 	// registrations.
 	membersInterval = 10 * time.Second
@@ -60,8 +62,15 @@
 	// sums are the loads of other failure domains that the routers of this one have
 	// not been told of.
 	sums []*peerpb.DomainLoad
+	// aggregator is the router that sums the loads of this failure domain; empty
+	// without one.
+	aggregator fleet.NodeID
 	// aggregating is set while this router sums the loads of its failure domain.
 	aggregating atomic.Bool
+	// askedFor is the last configuration that another router was asked for, at
+	// askedAt.
+	askedFor uint64
+	askedAt  time.Time
 	// joined is set when a router has not had a full report yet.
 	joined atomic.Bool
 }
@@ -301,7 +310,7 @@
 
 // Message implements peer.Handler.
 func (p *peers) Message(s *peer.Session, env *peerpb.Envelope) {
-	if env.GetGeneration() > p.gateway.generation() && env.GetRoutingSnapshot() == nil {
+	if env.GetGeneration() > p.gateway.generation() && env.GetRoutingSnapshot() == nil && p.mayAsk(env.GetGeneration()) {
 		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RoutingRequest{RoutingRequest: &peerpb.RoutingRequest{}}})
 	}
 	p.hear(s.ID())
@@ -342,6 +351,7 @@
 	if len(found) > 0 {
 		p.learn(p.gateway.background, found)
 	}
+	p.gateway.contact.heard(time.Now(), m.GetStoreAgeMs(), p.isAggregator(s.ID()))
 	p.catchUp(s, m.GetRegistryRevision())
 }
 
@@ -358,13 +368,26 @@
 	if p.behindSince.IsZero() {
 		p.behindSince = now
 	}
-	if now.Sub(p.behindSince) < catchUpDelay {
+	if p.gateway.contact.watching.Load() && now.Sub(p.behindSince) < catchUpDelay {
 		return
 	}
 	p.behindSince = time.Time{}
 	s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RegistryRequest{RegistryRequest: &peerpb.RegistryRequest{After: held}}})
 }
 
+// mayAsk reports whether a router that holds a generation may be asked for it: not
+// while another one has just been.
+func (p *peers) mayAsk(generation uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if generation <= p.askedFor && now.Sub(p.askedAt) < askInterval {
+		return false
+	}
+	p.askedFor, p.askedAt = generation, now
+	return true
+}
+
 func (p *peers) sendRouting(s *peer.Session) {
 	if definition := p.gateway.encodedRouting(); definition != nil {
 		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RoutingSnapshot{
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -49,7 +49,10 @@
 func (g *Gateway) reportHead() *peerpb.LoadReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &peerpb.LoadReport{RegistryRevision: g.registry.Newest(), Draining: g.draining.Load(), Unready: g.readiness.unready.Load()}
+	return &peerpb.LoadReport{
+		RegistryRevision: g.registry.Newest(), Draining: g.draining.Load(), Unready: g.readiness.unready.Load(),
+		StoreAgeMs: g.contact.age(time.Now()),
+	}
 }
 
 func (g *Gateway) allServices() []*service {
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -33,7 +33,9 @@
 	statements []registry.Statement
 	revision   uint64
 	changed    chan struct{}
-	routers    map[fleet.NodeID]string
+	// hold bounds a watch without a change; zero means no bound.
+	hold    time.Duration
+	routers map[fleet.NodeID]string
 }
 
 func newMemoryStore() *memoryStore {
@@ -113,6 +115,10 @@
 }
 
 func (s *memoryStore) await(ctx context.Context, after uint64) (uint64, error) {
+	var held <-chan time.Time
+	if s.hold > 0 {
+		held = time.After(s.hold)
+	}
 	for {
 		s.mu.Lock()
 		revision, changed := s.revision, s.changed
@@ -122,6 +128,8 @@
 		}
 		select {
 		case <-changed:
+		case <-held:
+			return after, nil
 		case <-ctx.Done():
 			return 0, ctx.Err()
 		}
