--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-func startServer(t *testing.T, id, service string, handle func(s *server, c net.Conn, r *http.Request)) *server {
+func startServer(t testing.TB, id, service string, handle func(s *server, c net.Conn, r *http.Request)) *server {
 	t.Helper()
 	ln := listen(t)
 	t.Cleanup(func() { ln.Close() })
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -191,7 +191,7 @@
 	done chan struct{}
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -200,13 +200,13 @@
 	return ln
 }
 
-func startGateway(t *testing.T, id string, store gateway.Store, change func(*gateway.Options)) *node {
+func startGateway(t testing.TB, id string, store gateway.Store, change func(*gateway.Options)) *node {
 	t.Helper()
 	return startGatewayOn(t, id, store, change, listen(t))
 }
 
 // startGatewayOn starts a gateway that takes callers from a listener.
-func startGatewayOn(t *testing.T, id string, store gateway.Store, change func(*gateway.Options), callers net.Listener) *node {
+func startGatewayOn(t testing.TB, id string, store gateway.Store, change func(*gateway.Options), callers net.Listener) *node {
 	t.Helper()
 	listeners := gateway.Listeners{Caller: callers, Ready: listen(t), Peer: listen(t)}
 	options := gateway.Options{
@@ -252,7 +252,7 @@
 }
 
 // awaitReady waits until a gateway wants connections.
-func awaitReady(t *testing.T, nodes ...*node) {
+func awaitReady(t testing.TB, nodes ...*node) {
 	t.Helper()
 	for _, n := range nodes {
 		NewWithT(t).Eventually(n.Ready, eventually).Should(BeTrue())
