--- a/config/gateway.go
+++ b/config/gateway.go
@@ -171,7 +171,7 @@
 			Descriptors: 4096, GCPercent: 100,
 		},
 		Overload: OverloadSettings{
-			Standing: Duration(time.Second), Hold: Duration(10 * time.Second), MaxHold: Duration(time.Minute), MaxUnready: 0.4,
+			Standing: Duration(time.Second), Hold: Duration(30 * time.Second), MaxHold: Duration(5 * time.Minute), MaxUnready: 0.4,
 		},
 		Stop:  StopSettings{Grace: Duration(10 * time.Second), Withdrawal: Duration(3 * time.Second)},
 		Retry: RetrySettings{Ratio: defaultRetryBudget, Slack: 10, Window: Duration(10 * time.Second), MemberTTL: Duration(time.Hour)},
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"runtime"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"fulmarspindle.example/fulmarspindle/node"
 )
@@ -20,6 +22,11 @@
 	// acceptPause follows each batch of new connections. The runtime looks for what
 	// arrived on other connections only when nothing else is to run.
 	acceptPause = time.Millisecond
+	// backlogPerProcessor is the number of connections that may wait to be accepted,
+	// for each core: what it decides on in half a second, at a millisecond each.
+	backlogPerProcessor = 500
+	// minBacklog is the least number that may wait.
+	minBacklog = 64
 	// entryTimeout is how long a connection without a request counts as one.
 	entryTimeout = 100 * time.Millisecond
 )
@@ -51,6 +58,27 @@
 	}
 }
 
+// shortenBacklog bounds the connections that wait to be accepted by what this process
+// takes in before their callers give up. With a longer queue, first in, first out, all
+// that are accepted under overload have been waiting for too long.
+func shortenBacklog(ln net.Listener, processors float64) error {
+	source, ok := ln.(syscall.Conn)
+	if !ok || processors <= 0 {
+		return nil
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	backlog := max(int(backlogPerProcessor*processors), minBacklog)
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), backlog) })
+	if err := errors.Join(err, failed); err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	return nil
+}
+
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	l.free <- struct{}{}
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -148,3 +148,24 @@
 	g.Expect(c.Close()).To(Succeed())
 	g.Expect(ln.open).To(BeEmpty())
 }
+
+// Pattern: callers come faster than they are accepted, and give up unread. What waits is
+// bounded, so that those that are accepted are still there.
+func TestWaitingConnectionsAreBoundedByTheProcessor(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	g.Expect(shortenBacklog(ln, 0.1)).To(Succeed())
+	connected := 0
+	for range 3 * minBacklog {
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+		connected++
+	}
+	// The kernel takes one more than the backlog.
+	g.Expect(connected).To(BeNumerically("~", minBacklog, 1))
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -55,6 +55,9 @@
 		go func() { failed <- metrics.Serve(listeners.Metrics) }()
 	}
 	go func() { failed <- ready.Serve(listeners.Ready) }()
+	if err := shortenBacklog(listeners.Caller, g.options.Processors); err != nil {
+		return err
+	}
 	limited := limitCallers(listeners.Caller, g.options.MaxConnections, g.readiness.observe)
 	go func() { failed <- callers.Serve(limited) }()
 	go g.readiness.follow(ctx, listeners.Caller)
