--- a/aggregate/elect.go
+++ b/aggregate/elect.go
@@ -22,8 +22,8 @@
 	Processors float64
 	// Heard is when it was last heard of.
 	Heard time.Time
-	// Draining gateways are about to end.
-	Draining bool
+	// Leaving gateways are about to end, or can't keep up.
+	Leaving bool
 }
 
 // Elect returns the aggregator of each failure domain: of the gateways that were
@@ -31,7 +31,7 @@
 func Elect(now time.Time, silence time.Duration, candidates []Candidate) map[fleet.FailureDomainID]fleet.NodeID {
 	best := make(map[fleet.FailureDomainID]Candidate)
 	for _, c := range candidates {
-		if c.Draining || now.Sub(c.Heard) > silence {
+		if c.Leaving || now.Sub(c.Heard) > silence {
 			continue
 		}
 		if held, ok := best[c.Domain]; !ok || c.outranks(held) {
--- a/aggregate/elect_test.go
+++ b/aggregate/elect_test.go
@@ -22,7 +22,7 @@
 	silent := strong
 	silent.Heard = now.Add(-silence - time.Millisecond)
 	draining := strong
-	draining.Draining = true
+	draining.Leaving = true
 	for name, c := range map[string]struct {
 		candidates []aggregate.Candidate
 		want       fleet.NodeID
@@ -49,7 +49,7 @@
 				Domain:     rapid.SampledFrom([]fleet.FailureDomainID{"d1", "d2"}).Draw(t, "domain"),
 				Processors: rapid.SampledFrom([]float64{0.1, 0.8}).Draw(t, "processors"),
 				Heard:      now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond),
-				Draining:   rapid.Bool().Draw(t, "draining"),
+				Leaving:    rapid.Bool().Draw(t, "draining"),
 			}
 		}), 0, 12, func(c aggregate.Candidate) fleet.NodeID { return c.ID }).Draw(t, "candidates")
 		shuffled := rapid.Permutation(candidates).Draw(t, "shuffled")
--- a/e2e/gateway/gateway_test.go
+++ b/e2e/gateway/gateway_test.go
@@ -35,10 +35,13 @@
 	runs atomic.Int64
 }
 
-func newSite(gateways int) *site {
+func newSite(gateways int) *site { return newSiteOf(harness.SiteOptions{Gateways: gateways}) }
+
+func newSiteOf(options harness.SiteOptions) *site {
 	GinkgoHelper()
 	ctx := context.Background()
-	inner, err := harness.NewSite(ctx, harness.SiteOptions{Gateways: gateways, Dir: GinkgoT().TempDir()})
+	options.Dir = GinkgoT().TempDir()
+	inner, err := harness.NewSite(ctx, options)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(inner.Close)
 	s := &site{Site: inner}
--- a/e2e/harness/site.go
+++ b/e2e/harness/site.go
@@ -46,6 +46,9 @@
 // SiteOptions set up a Site.
 type SiteOptions struct {
 	Gateways int
+	// Domains is the number of failure domains, of one region, that the gateways
+	// are spread over; zero means one.
+	Domains int
 	// Dir is where settings and logs are kept.
 	Dir string
 	// Settings is YAML that is added to the gateways' settings.
@@ -62,6 +65,7 @@
 	// Link is the fault proxy before the peer listener, or nil.
 	Link    *faultproxy.Link
 	address string
+	domain  string
 }
 
 // NewSite starts a store. Gateways start with Start.
@@ -142,7 +146,8 @@
 		if err != nil {
 			return err
 		}
-		s.Gateways = append(s.Gateways, &Gateway{Name: fmt.Sprint("gateway-", i+1), address: address})
+		domain := fmt.Sprint("z", 1+i%max(s.options.Domains, 1))
+		s.Gateways = append(s.Gateways, &Gateway{Name: fmt.Sprint("gateway-", i+1), address: address, domain: domain})
 	}
 	for _, g := range s.Gateways {
 		if s.options.Proxied {
@@ -169,13 +174,13 @@
 	}
 	text := fmt.Sprintf(`id: %s
 region: r1
-failure_domain: z1
-regions: {z1: r1}
+failure_domain: %s
+regions: {%s}
 listen: {caller: %q, ready: %q, peer: %q, peer_advertised: %q, metrics: %q}
 peers: [%s]
 platform: {url: "http://%s", retry: 50ms}
 stop: {grace: 5s, withdrawal: 200ms}
-%s`, g.Name, g.Caller(), hostPort(g.address, siteReadyPort), hostPort(g.address, sitePeerPort), g.advertised(), g.Metrics(),
+%s`, g.Name, g.domain, s.regions(), g.Caller(), hostPort(g.address, siteReadyPort), hostPort(g.address, sitePeerPort), g.advertised(), g.Metrics(),
 		strings.Join(seeds, ","), s.Store, s.options.Settings)
 	if err := os.WriteFile(g.Settings, []byte(text), 0o600); err != nil {
 		return eris.Wrap(ErrFiles, err.Error())
@@ -183,6 +188,15 @@
 	return nil
 }
 
+// regions maps each failure domain to the one region, as YAML.
+func (s *Site) regions() string {
+	var domains []string
+	for i := range max(s.options.Domains, 1) {
+		domains = append(domains, fmt.Sprintf("z%d: r1", i+1))
+	}
+	return strings.Join(domains, ", ")
+}
+
 // Caller is where a gateway takes callers.
 func (g *Gateway) Caller() string { return hostPort(g.address, siteCallerPort) }
 
