--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -19,7 +19,7 @@
 	// enteringPerProcessor is the number of new connections for each processor
 	// whose first request is being read and decided on.
 	enteringPerProcessor = 8
-	// acceptPause follows each batch of new connections. The runtime looks for what
+	// acceptPause follows each batch of new connections that are taken up. The runtime looks for what
 	// arrived on other connections only when nothing else is to run.
 	acceptPause = time.Millisecond
 	// backlogPerProcessor is the number of connections that may wait to be accepted,
@@ -120,12 +120,13 @@
 }
 
 // acceptPresent accepts the next connection whose caller has not closed it. One that
-// was closed unread costs no more than that.
+// was closed unread costs no more than that, and no pause: under overload most of those
+// that wait are such.
 func (l *callerListener) acceptPresent() (net.Conn, error) {
+	if l.accepted++; l.accepted%cap(l.entering) == 0 {
+		node.Pause(context.Background(), acceptPause)
+	}
 	for {
-		if l.accepted++; l.accepted%cap(l.entering) == 0 {
-			node.Pause(context.Background(), acceptPause)
-		}
 		l.observe(connectionsWait(l.Listener))
 		c, err := l.Listener.Accept()
 		if err != nil || !closedByPeer(c) {
