--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,7 +43,8 @@
 	free     chan struct{}
 	entering chan struct{}
 	timeout  time.Duration
-	accepted int
+	// taken counts the connections that were accepted with their callers present.
+	taken atomic.Int64
 	// observe is told whether connections wait to be accepted.
 	observe func(waiting bool)
 
@@ -123,7 +125,7 @@
 // was closed unread costs no more than that, and no pause: under overload most of those
 // that wait are such.
 func (l *callerListener) acceptPresent() (net.Conn, error) {
-	if l.accepted++; l.accepted%cap(l.entering) == 0 {
+	if l.taken.Add(1)%int64(cap(l.entering)) == 0 {
 		node.Pause(context.Background(), acceptPause)
 	}
 	for {
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,8 +14,12 @@
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
 
-// readinessInterval is the time between two looks whether this process keeps up.
-const readinessInterval = 100 * time.Millisecond
+const (
+	// readinessInterval is the time between two looks whether this process keeps up.
+	readinessInterval = 100 * time.Millisecond
+	// behindInterval is the time between two log lines while it does not.
+	behindInterval = time.Second
+)
 
 // readiness binds the decision whether this process wants connections to its socket.
 type readiness struct {
@@ -26,6 +30,8 @@
 	mu    sync.Mutex
 	state *overload.Readiness
 	since time.Time
+	// toldAt is when a line last told that this process is behind.
+	toldAt time.Time
 }
 
 func newReadiness(g *Gateway) *readiness {
@@ -40,10 +46,11 @@
 }
 
 // follow decides again and again until ctx ends.
-func (r *readiness) follow(ctx context.Context, callers net.Listener) {
+func (r *readiness) follow(ctx context.Context, callers *callerListener) {
 	for ctx.Err() == nil {
-		r.observe(connectionsWait(callers))
+		r.observe(connectionsWait(callers.Listener))
 		r.decide(r.gateway.peers.domain())
+		r.tell(callers)
 		node.Pause(ctx, readinessInterval)
 	}
 }
@@ -69,6 +76,26 @@
 	signal(r.gateway.urgent)
 }
 
+// tell logs now and then how far this process is behind: requests that it never reads
+// leave no line of their own.
+func (r *readiness) tell(callers *callerListener) {
+	now := time.Now()
+	r.mu.Lock()
+	behind := r.state.Behind(now)
+	due := behind > 0 && now.Sub(r.toldAt) >= behindInterval
+	if due {
+		r.toldAt = now
+	}
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	r.gateway.log.Warn("behind: connections wait", zap.Duration("behind", behind), zap.Bool("ready", !r.unready.Load()),
+		zap.Int64("accepted", callers.taken.Load()), zap.Int64("left_unread", leftUnread.Value()),
+		zap.Int("open", len(callers.free)), zap.Int("entering", len(callers.entering)),
+		zap.Int64("requests", r.gateway.inFlight.Load()), zap.Int("goroutines", runtime.NumGoroutine()))
+}
+
 // domain returns what is known of the other routers of this one's failure domain.
 func (p *peers) domain() overload.Domain {
 	var d overload.Domain
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -60,7 +60,7 @@
 	}
 	limited := limitCallers(listeners.Caller, g.options.MaxConnections, g.readiness.observe)
 	go func() { failed <- callers.Serve(limited) }()
-	go g.readiness.follow(ctx, listeners.Caller)
+	go g.readiness.follow(ctx, limited)
 	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
 	select {
 	case <-ctx.Done():
