Turn connections away that have waited for too long, all at once

Once connections have waited without a pause for overload.standing, the socket is closed and opened again: their callers learn at once that they were not read, and may go elsewhere.

--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -169,3 +169,52 @@
 	// The kernel takes one more than the backlog.
 	g.Expect(connected).To(BeNumerically("~", minBacklog, 1))
 }
+
+// Pattern: callers come faster than they are taken up, so that all that wait have waited
+// for too long. They learn at once that they are not served here; those that come later
+// are.
+func TestWaitingConnectionsAreTurnedAwayAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ln, err := newReopenListener(inner, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	early := dial()
+	defer early.Close()
+	taken, err := ln.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	var waiting []net.Conn
+	for range 5 {
+		c := dial()
+		defer c.Close()
+		waiting = append(waiting, c)
+	}
+	accepted := make(chan net.Conn, 1)
+	g.Expect(ln.turnAway()).To(Succeed())
+	for _, c := range waiting {
+		_, err := c.Read(make([]byte, 1))
+		g.Expect(err).To(HaveOccurred())
+	}
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			accepted <- c
+		}
+	}()
+	late := dial()
+	defer late.Close()
+	var c net.Conn
+	g.Eventually(accepted).Should(Receive(&c))
+	g.Expect(c.RemoteAddr().String()).To(Equal(late.LocalAddr().String()))
+	_, err = taken.Write([]byte("x"))
+	g.Expect(err).NotTo(HaveOccurred(), "what was taken up before goes on")
+	g.Expect(ln.Close()).To(Succeed())
+	g.Expect(ln.turnAway()).To(Succeed())
+	_, err = ln.Accept()
+	g.Expect(err).To(MatchError(net.ErrClosed))
+}
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -14,12 +14,8 @@
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
 
-const (
-	// readinessInterval is the time between two looks whether this process keeps up.
-	readinessInterval = 100 * time.Millisecond
-	// behindInterval is the time between two log lines while it does not.
-	behindInterval = time.Second
-)
+// readinessInterval is the time between two looks whether this process keeps up.
+const readinessInterval = 100 * time.Millisecond
 
 // readiness binds the decision whether this process wants connections to its socket.
 type readiness struct {
@@ -30,8 +26,6 @@
 	mu    sync.Mutex
 	state *overload.Readiness
 	since time.Time
-	// toldAt is when a line last told that this process is behind.
-	toldAt time.Time
 }
 
 func newReadiness(g *Gateway) *readiness {
@@ -45,14 +39,29 @@
 	r.state.Observe(time.Now(), waiting)
 }
 
-// follow decides again and again until ctx ends.
-func (r *readiness) follow(ctx context.Context, callers *callerListener) {
+// follow decides again and again until ctx ends. Connections that have waited for too
+// long are turned away: their callers have left or are about to.
+func (r *readiness) follow(ctx context.Context, callers *callerListener, turnAway func() error) error {
 	for ctx.Err() == nil {
 		r.observe(connectionsWait(callers.Listener))
 		r.decide(r.gateway.peers.domain())
-		r.tell(callers)
+		if r.behind() > 0 {
+			r.tell(callers)
+			if err := turnAway(); err != nil {
+				return err
+			}
+			r.observe(false)
+		}
 		node.Pause(ctx, readinessInterval)
 	}
+	return nil
+}
+
+// behind returns how long connections have waited without a pause, if that is too long.
+func (r *readiness) behind() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Behind(time.Now())
 }
 
 func (r *readiness) decide(domain overload.Domain) {
@@ -76,21 +85,11 @@
 	signal(r.gateway.urgent)
 }
 
-// tell logs now and then how far this process is behind: requests that it never reads
-// leave no line of their own.
+// tell logs how far this process is behind: what it never reads leaves no line of its
+// own. As those that wait are turned away then, there is no more than one line each
+// Standing.
 func (r *readiness) tell(callers *callerListener) {
-	now := time.Now()
-	r.mu.Lock()
-	behind := r.state.Behind(now)
-	due := behind > 0 && now.Sub(r.toldAt) >= behindInterval
-	if due {
-		r.toldAt = now
-	}
-	r.mu.Unlock()
-	if !due {
-		return
-	}
-	r.gateway.log.Warn("behind: connections wait", zap.Duration("behind", behind), zap.Bool("ready", !r.unready.Load()),
+	r.gateway.log.Warn("behind: waiting connections turned away", zap.Duration("behind", r.behind()), zap.Bool("ready", !r.unready.Load()),
 		zap.Int64("accepted", callers.taken.Load()), zap.Int64("left_unread", leftUnread.Value()),
 		zap.Int("open", len(callers.free)), zap.Int("entering", len(callers.entering)),
 		zap.Int64("requests", r.gateway.inFlight.Load()), zap.Int("goroutines", runtime.NumGoroutine()))
--- /dev/null
+++ b/gateway/reopen.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+// reopenListener is a listener that can turn away all connections that wait to be
+// accepted at once. Their callers learn it immediately, at next to no cost here. It
+// answers queues of callers of which most have left or are about to, and that can't be
+// told apart without taking up each.
+type reopenListener struct {
+	processors float64
+
+	mu      sync.Mutex
+	current net.Listener
+	closed  bool
+}
+
+func newReopenListener(ln net.Listener, processors float64) (*reopenListener, error) {
+	if err := shortenBacklog(ln, processors); err != nil {
+		return nil, err
+	}
+	return &reopenListener{current: ln, processors: processors}, nil
+}
+
+func (l *reopenListener) get() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+// Accept implements net.Listener.
+func (l *reopenListener) Accept() (net.Conn, error) {
+	for {
+		ln := l.get()
+		c, err := ln.Accept()
+		if err == nil || l.get() == ln {
+			return c, err
+		}
+	}
+}
+
+// turnAway closes the connections that wait and listens anew on the same address.
+// Errors are ErrListen; the listener is closed then.
+func (l *reopenListener) turnAway() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	address := l.current.Addr()
+	if err := l.current.Close(); err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	ln, err := net.Listen(address.Network(), address.String())
+	if err != nil {
+		l.closed = true
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	l.current = ln
+	return shortenBacklog(ln, l.processors)
+}
+
+// Close implements net.Listener.
+func (l *reopenListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	return l.current.Close()
+}
+
+// Addr implements net.Listener.
+func (l *reopenListener) Addr() net.Addr { return l.get().Addr() }
+
+// SyscallConn implements syscall.Conn.
+func (l *reopenListener) SyscallConn() (syscall.RawConn, error) {
+	source, ok := l.get().(syscall.Conn)
+	if !ok {
+		return nil, eris.New("gateway: listener without a socket")
+	}
+	return source.SyscallConn()
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -50,17 +50,22 @@
 	defer ready.Close()
 	metrics := &http.Server{Handler: g.metrics(), ReadHeaderTimeout: adminHeaderTimeout}
 	defer metrics.Close()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	if listeners.Metrics != nil {
 		go func() { failed <- metrics.Serve(listeners.Metrics) }()
 	}
 	go func() { failed <- ready.Serve(listeners.Ready) }()
-	if err := shortenBacklog(listeners.Caller, g.options.Processors); err != nil {
+	accepting, err := newReopenListener(listeners.Caller, g.options.Processors)
+	if err != nil {
 		return err
 	}
-	limited := limitCallers(listeners.Caller, g.options.MaxConnections, g.readiness.observe)
+	limited := limitCallers(accepting, g.options.MaxConnections, g.readiness.observe)
 	go func() { failed <- callers.Serve(limited) }()
-	go g.readiness.follow(ctx, limited)
+	go func() {
+		if err := g.readiness.follow(ctx, limited, accepting.turnAway); err != nil {
+			failed <- err
+		}
+	}()
 	g.log.Info("gateway started", zap.Stringer("caller", listeners.Caller.Addr()))
 	select {
 	case <-ctx.Done():
--- a/overload/readiness.go
+++ b/overload/readiness.go
@@ -3,7 +3,7 @@
 // processor time: they wait unread, give up and come back at once, and what they left
 // behind takes the rest of its time. It has no I/O and no clock.
 //
-// A gateway is behind while connections have waited to be accepted all through
+// A gateway is behind once connections have waited to be accepted all through
 // Options.Standing: a burst empties in between, a load beyond the processor doesn't.
 // One that is behind turns unready for a while, unless too many gateways of its
 // failure domain are unready: the others would only be next.
@@ -13,7 +13,7 @@
 
 // Options set up a Readiness.
 type Options struct {
-	// Standing is how long connections may wait without a pause.
+	// Standing is how long connections may wait without a pause; zero means for ever.
 	Standing time.Duration
 	// Hold is how long a gateway stays unready the first time. It doubles with each
 	// spell that follows another within MaxHold, up to MaxHold.
@@ -60,7 +60,7 @@
 // Behind returns how long connections have waited without a pause, if that is longer
 // than they may; zero otherwise.
 func (r *Readiness) Behind(now time.Time) time.Duration {
-	if r.standing.IsZero() {
+	if r.standing.IsZero() || r.options.Standing <= 0 {
 		return 0
 	}
 	if waited := now.Sub(r.standing); waited >= r.options.Standing {
