--- a/claim/answers.go
+++ b/claim/answers.go
@@ -69,7 +69,7 @@
 	MaxBytes, MaxBodyBytes int
 	// TTL is how long an ended attempt is remembered.
 	TTL time.Duration
-	// Now returns the present time. The default is time.Now.
+	// Now returns the present time. It must be set.
 	Now func() time.Time
 }
 
@@ -105,9 +105,6 @@
 	setDefault(&cfg.MaxBytes, DefaultMaxAnswerBytes)
 	setDefault(&cfg.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&cfg.TTL, DefaultAnswerTTL)
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
 	return &Answers{cfg: cfg, entries: map[AttemptID]*answerEntry{}, ended: list.New()}
 }
 
--- a/claim/answers_test.go
+++ b/claim/answers_test.go
@@ -12,7 +12,7 @@
 
 func TestAnswersWaitForTheSameAnswer(t *testing.T) {
 	g := NewWithT(t)
-	a := NewAnswers(AnswersConfig{})
+	a := NewAnswers(AnswersConfig{Now: func() time.Time { return t0 }})
 	g.Expect(a.Begin("a")).To(Succeed())
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/router/router.go
+++ b/router/router.go
@@ -80,7 +80,7 @@
 		sessions:    node.NewSessions(),
 		budget:      newRetryBudget(settings.RetryBudget),
 		claims:      claim.NewCommitter(store, claim.CommitterConfig{Partitions: claimPartitions, Log: log}),
-		answers:     claim.NewAnswers(claim.AnswersConfig{}),
+		answers:     claim.NewAnswers(claim.AnswersConfig{Now: time.Now}),
 		refusals:    newRefusalTable(),
 	}
 	location := fleet.Location{Region: settings.Region, FailureDomain: settings.FailureDomain}
