--- a/gateway/reopen.go
+++ b/gateway/reopen.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/node"
 )
 
 // reopenListener is a listener that can turn away all connections that wait to be
@@ -56,7 +58,7 @@
 	if err := l.current.Close(); err != nil {
 		return eris.Wrap(ErrListen, err.Error())
 	}
-	ln, err := net.Listen(address.Network(), address.String())
+	ln, err := node.Listen(address.String(), nil)
 	if err != nil {
 		l.closed = true
 		return eris.Wrap(ErrListen, err.Error())
