--- a/gateway/domains.go
+++ b/gateway/domains.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,26 +43,27 @@
 		return receivers{near: all}
 	}
 	var out receivers
-	own := p.gateway.options.Location.FailureDomain
+	var far []*peer.Session
 	for _, s := range all {
-		if s.Location().FailureDomain == own {
-			out.near = append(out.near, s)
-			out.members = append(out.members, s.ID())
+		if !p.near(s) {
+			far = append(far, s)
+			continue
 		}
+		out.near = append(out.near, s)
+		out.members = append(out.members, s.ID())
 	}
 	elected := aggregate.Elect(now, aggregatorSilence, p.candidates(now, all))
-	aggregating := p.setAggregator(elected[own])
-	if !aggregating {
-		return out
-	}
-	for _, s := range all {
-		if domain := s.Location().FailureDomain; domain != own && elected[domain] == s.ID() {
-			out.aggregators = append(out.aggregators, s)
-		}
+	if p.setAggregator(elected[p.gateway.options.Location.FailureDomain]) {
+		out.aggregators = slices.DeleteFunc(far, func(s *peer.Session) bool { return elected[s.Location().FailureDomain] != s.ID() })
 	}
 	return out
 }
 
+// near reports whether a router is of this one's failure domain.
+func (p *peers) near(s *peer.Session) bool {
+	return s.Location().FailureDomain == p.gateway.options.Location.FailureDomain
+}
+
 // setAggregator takes the result of an election in this failure domain, and reports
 // whether it is this router.
 func (p *peers) setAggregator(id fleet.NodeID) bool {
@@ -146,20 +148,20 @@
 
 // takeLoad takes a report: of one router, of failure domains, or of both.
 func (p *peers) takeLoad(s *peer.Session, m *peerpb.LoadReport) {
-	domain, own := s.Location().FailureDomain, p.gateway.options.Location.FailureDomain
+	near := p.near(s)
 	if len(m.GetServices()) > 0 {
-		if domain != own {
-			p.takeSingle(domain)
+		if !near {
+			p.takeSingle(s.Location().FailureDomain)
 		}
 		p.gateway.peerLoad(s.ID(), m.GetServices())
-		if domain == own && p.aggregating.Load() {
+		if near && p.aggregating.Load() {
 			p.gateway.hearDomain(m.GetServices())
 		}
 	}
 	for _, sum := range m.GetDomains() {
 		p.takeSum(sum)
 	}
-	if domain != own {
+	if !near {
 		p.handOn(m.GetDomains())
 	}
 }
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -98,12 +98,11 @@
 // domain returns what is known of the other routers of this one's failure domain.
 func (p *peers) domain() overload.Domain {
 	var d overload.Domain
-	own := p.gateway.options.Location.FailureDomain
 	all := p.sessions.All(peerpb.Role_ROLE_ROUTER)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range all {
-		if s.Location().FailureDomain != own {
+		if !p.near(s) {
 			continue
 		}
 		d.Others++
