--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -71,6 +71,12 @@
 		wait(ctx, hold)
 		return w.Control.Set(context.WithoutCancel(ctx), map[string]any{"outage": false})
 	}},
+	{"upstreams send without end", func(ctx context.Context, w *World, _ *harness.Gateway, hold time.Duration) error {
+		w.Plain[0].endless.Store(true)
+		wait(ctx, hold)
+		w.Plain[0].endless.Store(false)
+		return nil
+	}},
 	{"upstreams fail", func(ctx context.Context, w *World, _ *harness.Gateway, hold time.Duration) error {
 		for _, p := range w.Plain {
 			p.failing.Store(700)
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -33,6 +33,8 @@
 	// failing is the part of the requests, in thousandths, that fail after they
 	// ran.
 	failing atomic.Int64
+	// endless is set while answers are heads without an end.
+	endless atomic.Bool
 	http    http.Server
 	address string
 }
@@ -70,6 +72,20 @@
 // fails draws whether a request fails.
 func (s *server) fails() bool { return rand.Int64N(1000) < s.failing.Load() }
 
+// sendWithoutEnd sends the fields of a head until the caller closes.
+func sendWithoutEnd(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	block := strings.Repeat("Field: value\r\n", 1024)
+	for err == nil {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
 // plain is an upstream that takes some time for a request.
 type plain struct {
 	server
@@ -88,6 +104,10 @@
 	}
 	defer func() { <-p.slots }()
 	p.record.began(a, time.Now())
+	if p.endless.Load() {
+		sendWithoutEnd(w)
+		return
+	}
 	wait(context.Background(), p.work)
 	p.sign(w, r)
 	if p.fails() {
