--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -109,3 +110,27 @@
 	})
 	g.Expect(exchangeOnce(pool(t, address), "1")).To(Equal("body"))
 }
+
+// TestTricklingHeadEndsAtTheDeadline guards against upstreams that send a head byte by
+// byte: the time bound holds while they do.
+func TestTricklingHeadEndsAtTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nField: ")
+		for sent := 0; err == nil && sent < 60<<10; sent++ {
+			_, err = c.Write([]byte("v"))
+		}
+		for err == nil {
+			_, err = r.ReadByte() // Until the caller closes.
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := pool(t, address).Do(ctx, message("1"))
+	g.Expect(err).To(MatchError(upstream.ErrBroken))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -36,15 +36,16 @@
 	}
 	c.ahead = slices.Concat(buffered, c.ahead)
 	c.reader.Reset(c)
+	var scan headScan
 	for {
 		if !bytes.HasPrefix(c.ahead, protocolName[:min(len(c.ahead), len(protocolName))]) {
 			return eris.Wrap(errHead, "no status line")
 		}
-		end, lines := headEnd(c.ahead)
-		if end >= 0 && end <= most && lines <= maxHeadLines {
+		whole := scan.next(c.ahead)
+		if whole && scan.at <= most && scan.lines <= maxHeadLines {
 			return nil
 		}
-		if end >= 0 || len(c.ahead) >= most || lines > maxHeadLines {
+		if whole || len(c.ahead) >= most || scan.lines > maxHeadLines {
 			return eris.Wrapf(errHead, "over %d bytes or %d lines", most, maxHeadLines)
 		}
 		if err := c.readAhead(); err != nil {
@@ -78,18 +79,27 @@
 	return n, nil
 }
 
-// headEnd returns the length of a head with the empty line that ends it, or -1, and
-// the number of its lines.
-func headEnd(b []byte) (end, lines int) {
-	for at := 0; ; lines++ {
-		length := bytes.IndexByte(b[at:], '\n')
+// headScan looks for the end of a head in bytes that grow. Each is looked at once but
+// for those of a line that is not whole.
+type headScan struct {
+	// at is where the next line begins, or where the head ends.
+	at    int
+	lines int
+}
+
+// next goes on through b, and reports whether it has found the empty line that ends the
+// head.
+func (s *headScan) next(b []byte) bool {
+	for {
+		length := bytes.IndexByte(b[s.at:], '\n')
 		if length < 0 {
-			return -1, lines
+			return false
 		}
-		line := b[at : at+length]
-		at += length + 1
+		line := b[s.at : s.at+length]
+		s.at += length + 1
 		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return at, lines
+			return true
 		}
+		s.lines++
 	}
 }
