--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -20,8 +20,10 @@
 // readiness binds the decision whether this process wants connections to its socket.
 type readiness struct {
 	gateway *Gateway
-	// unready is set while this process can't keep up.
+	// unready is set while this process can't keep up, and sheds while it was behind
+	// not long ago.
 	unready atomic.Bool
+	sheds   atomic.Bool
 
 	mu    sync.Mutex
 	state *overload.Readiness
@@ -70,6 +72,7 @@
 	defer r.mu.Unlock()
 	behind := r.state.Behind(now)
 	unready := !r.state.Ready(now, domain)
+	r.sheds.Store(r.state.Sheds(now))
 	if r.unready.Swap(unready) == unready {
 		return
 	}
