--- a/admission/domain.go
+++ b/admission/domain.go
@@ -13,12 +13,13 @@
 	s.lapse(now)
 	report := Report{Full: full, Upstreams: make(map[fleet.UpstreamID]UpstreamLoad), Prompts: s.domainSent}
 	s.domainSent = nil
+	inDomain := make(map[fleet.NodeID]bool, len(members))
+	for _, member := range members {
+		inDomain[member] = true
+	}
 	for _, id := range s.ids {
 		u := s.upstreams[id]
-		sum := u.load
-		for _, member := range members {
-			sum = sum.plus(u.peers[member].UpstreamLoad)
-		}
+		sum := u.domainLoad(inDomain)
 		if full && sum.Running > 0 || !full && sum != u.domainReported {
 			report.Upstreams[id] = sum
 		}
@@ -31,6 +32,17 @@
 	return report
 }
 
+// domainLoad returns the load of this router and of some others together.
+func (u *upstream) domainLoad(others map[fleet.NodeID]bool) UpstreamLoad {
+	sum := u.load
+	for node, peer := range u.peers {
+		if others[node] {
+			sum = sum.plus(peer.UpstreamLoad)
+		}
+	}
+	return sum
+}
+
 func (s *Scheduler) domainUsage(now time.Time, members []fleet.NodeID) Usage {
 	total := s.accounts.sum(now)
 	for _, member := range members {
--- a/admission/report.go
+++ b/admission/report.go
@@ -60,13 +60,25 @@
 			u.cache.Add(prompt.Prompt)
 		}
 	}
+	if report.Full {
+		s.dropUnnamed(node, report.Upstreams)
+	}
+	for id, load := range report.Upstreams {
+		if u := s.upstreams[id]; u != nil {
+			u.setPeer(now, node, load)
+		}
+	}
+}
+
+// dropUnnamed drops what another router had at upstreams that its full report does not
+// name.
+func (s *Scheduler) dropUnnamed(node fleet.NodeID, named map[fleet.UpstreamID]UpstreamLoad) {
 	for _, id := range s.ids {
 		u := s.upstreams[id]
-		load, ok := report.Upstreams[id]
-		switch {
-		case ok:
-			u.setPeer(now, node, load)
-		case report.Full:
+		if _, held := u.peers[node]; !held {
+			continue
+		}
+		if _, ok := named[id]; !ok {
 			u.dropPeer(node)
 		}
 	}
