Send nothing long for a caller that left while its writer waited for its turn

What is written beside the reader began whenever that goroutine had its turn, at a gateway short of processor time half a second after the question whether it is still wanted. Short requests are written at once now, for long ones it is asked again by the writer; the test failed before.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"runtime"
+	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,18 +39,22 @@
 	}
 }
 
+// heapBytes returns the size of the objects on the heap.
+func heapBytes() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
 // peakHeap returns the growth of the heap, in bytes, while f runs.
 func peakHeap(f func()) uint64 {
-	var stats runtime.MemStats
 	runtime.GC()
-	runtime.ReadMemStats(&stats)
-	before, peak := stats.HeapAlloc, uint64(0)
+	before, peak := heapBytes(), uint64(0)
 	var done atomic.Bool
 	var sampler sync.WaitGroup
 	sampler.Go(func() {
 		for !done.Load() {
-			runtime.ReadMemStats(&stats)
-			peak = max(peak, stats.HeapAlloc)
+			peak = max(peak, heapBytes())
 			runtime.Gosched()
 		}
 	})
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -32,8 +32,8 @@
 	Body   []byte
 	// Answers tells whether an answer belongs to this request.
 	Answers func(status int, header http.Header) bool
-	// Wanted is asked once there is a connection, which may have taken long: if it
-	// returns false, nothing is sent. It may be nil.
+	// Wanted is asked before anything is sent, as a connection may have taken long: if
+	// it returns false, nothing is sent. It may be nil.
 	Wanted func() bool
 }
 
@@ -66,7 +66,7 @@
 	c.written = 0
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1), short: len(m.Body) <= writeBufferSize}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	go func() { x.written <- m.write(c) }()
+	x.send(m)
 	x.Response, err = readAnswer(c, m) //nolint:bodyclose // Close ends the connection or keeps it instead.
 	if err == nil {
 		return x, nil
@@ -74,12 +74,33 @@
 	c.Close()
 	writeErr := <-x.written
 	x.Close()
+	if errors.Is(writeErr, ErrWithdrawn) {
+		return nil, ErrWithdrawn
+	}
 	if writeErr != nil && c.written == 0 {
 		return nil, eris.Wrap(ErrNotSent, writeErr.Error())
 	}
 	return nil, eris.Wrap(ErrBroken, err.Error())
 }
 
+// send writes a message. A long one is written beside the reader, as its answer may come
+// before the upstream has read it. That begins when the writer has its turn, which may be
+// late where processor time is short: whether it is wanted is asked again.
+func (x *Exchange) send(m *Message) {
+	if x.short {
+		x.written <- m.write(x.conn)
+		return
+	}
+	go func() {
+		if m.Wanted != nil && !m.Wanted() {
+			x.written <- ErrWithdrawn
+			x.conn.Close()
+			return
+		}
+		x.written <- m.write(x.conn)
+	}()
+}
+
 // write sends the head and the body.
 func (m *Message) write(w io.Writer) error {
 	buffered := bufio.NewWriterSize(w, writeBufferSize)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -353,3 +353,26 @@
 	g.Expect(errors.Is(err, upstream.ErrWithdrawn)).To(BeTrue(), "the upstream left")
 	g.Expect(requests).NotTo(Receive())
 }
+
+// TestLongRequestIsNotSentOnceItsCallerLeft guards against a writer that has its turn
+// late: nobody wants the request any more by then.
+func TestLongRequestIsNotSentOnceItsCallerLeft(t *testing.T) {
+	g := NewWithT(t)
+	received := make(chan string, 1)
+	address := peer(t, func(_ net.Conn, r *bufio.Reader) {
+		if id, _, err := readRequest(r); err == nil {
+			received <- id
+		}
+	})
+	m := message("1")
+	m.Body = []byte(strings.Repeat("x", 64<<10))
+	asked := 0
+	m.Wanted = func() bool {
+		asked++
+		return asked == 1
+	}
+	_, err := pool(t, address).Do(context.Background(), m)
+	g.Expect(err).To(MatchError(upstream.ErrWithdrawn))
+	g.Expect(asked).To(Equal(2))
+	g.Consistently(received, 50*time.Millisecond).ShouldNot(Receive())
+}
