--- a/config/gateway_test.go
+++ b/config/gateway_test.go
@@ -31,8 +31,8 @@
 		"nodeName": "front-north-1", "region": "north", "zone": "north-a", "zones|json": `{"north-a":"north","south-a":"south"}`,
 		"listen.front": "10.1.0.33:8783", "listen.readyAddress": "10.1.0.33:8780", "listen.control": "10.1.0.33:8785",
 		"ip": "10.1.0.33", "portRange.0": "7400", "seeds|json": `["10.1.0.33:8785","10.2.0.18:8785"]`,
-		"platform.address": "10.200.1.7:8781", "limits.maxFds": "4100", "limits.memoryMb": "284",
-		"bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
+		"platform.address": "10.200.1.7:8781", "limits.maxFds": "4100", "limits.memoryMb": "284", "limits.cpuShare": "0.304",
+		"bounds.graceS": "8", "bounds.configApplyMs": "2500", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
 		"bounds.quotaWindowS": "4",
 	}
 	return placeholder.ReplaceAllStringFunc(template, func(match string) string {
