Revert "Keep no callers' connections while behind"

Patient callers lose their connections as well and are turned away with the others: not worth what it gives.

--- a/gateway/domains.go
+++ b/gateway/domains.go
@@ -101,7 +101,7 @@
 func (p *peers) candidates(now time.Time, all []*peer.Session) []aggregate.Candidate {
 	o := &p.gateway.options
 	out := []aggregate.Candidate{{
-		ID: o.ID, Domain: o.Location.FailureDomain, Processors: float64(float32(o.Processors)), Heard: now, Leaving: p.gateway.draining.Load() || p.gateway.readiness.unready.Load(),
+		ID: o.ID, Domain: o.Location.FailureDomain, Processors: float64(float32(o.Processors)), Heard: now, Leaving: p.gateway.closing(),
 	}}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,8 +117,8 @@
 }
 
 // closing reports whether callers' connections are to be closed behind their answers:
-// those that come again reach another process, or wait for their turn.
-func (g *Gateway) closing() bool { return g.draining.Load() || g.readiness.sheds.Load() }
+// those that come again reach another process.
+func (g *Gateway) closing() bool { return g.draining.Load() || g.readiness.unready.Load() }
 
 // service returns the driver of a service's decisions.
 func (g *Gateway) service(id fleet.ServiceID) *service {
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -20,10 +20,8 @@
 // readiness binds the decision whether this process wants connections to its socket.
 type readiness struct {
 	gateway *Gateway
-	// unready is set while this process can't keep up, and sheds while it was behind
-	// not long ago.
+	// unready is set while this process can't keep up.
 	unready atomic.Bool
-	sheds   atomic.Bool
 
 	mu    sync.Mutex
 	state *overload.Readiness
@@ -72,7 +70,6 @@
 	defer r.mu.Unlock()
 	behind := r.state.Behind(now)
 	unready := !r.state.Ready(now, domain)
-	r.sheds.Store(r.state.Sheds(now))
 	if r.unready.Swap(unready) == unready {
 		return
 	}
--- a/overload/readiness.go
+++ b/overload/readiness.go
@@ -11,9 +11,6 @@
 
 import "time"
 
-// shedStandings is how many times Options.Standing a gateway sheds after it was behind.
-const shedStandings = 3
-
 // Options set up a Readiness.
 type Options struct {
 	// Standing is how long connections may wait without a pause; zero means for ever.
@@ -43,8 +40,6 @@
 	// first.
 	until time.Time
 	hold  time.Duration
-	// behindAt is when the gateway was last found to be behind.
-	behindAt time.Time
 	// unready is set during a spell.
 	unready bool
 }
@@ -77,9 +72,6 @@
 // Ready decides whether the gateway wants connections from now on.
 func (r *Readiness) Ready(now time.Time, d Domain) bool {
 	behind := r.Behind(now) > 0
-	if behind {
-		r.behindAt = now
-	}
 	switch {
 	case !r.unready && behind && r.allowed(d):
 		r.begin(now)
@@ -95,13 +87,6 @@
 // Unready reports whether the gateway is in a spell.
 func (r *Readiness) Unready() bool { return r.unready }
 
-// Sheds reports whether callers are to come anew for each request: while the gateway
-// was behind not long ago. Kept connections would bring requests past the queue of new
-// ones, as many as their callers like.
-func (r *Readiness) Sheds(now time.Time) bool {
-	return r.unready || !r.behindAt.IsZero() && now.Sub(r.behindAt) < shedStandings*r.options.Standing
-}
-
 // begin starts a spell.
 func (r *Readiness) begin(now time.Time) {
 	recent := !r.until.IsZero() && now.Sub(r.until) < r.options.MaxHold
--- a/overload/readiness_test.go
+++ b/overload/readiness_test.go
@@ -105,22 +105,6 @@
 	g.Expect(unready()).To(BeNumerically(">", 0))
 }
 
-// Pattern: callers that were refused repeat on their connections, at a gateway that can't
-// turn unready.
-func TestConnectionsAreNotKeptWhileBehind(t *testing.T) {
-	g := NewWithT(t)
-	q := newQueue()
-	q.run(2*time.Second, 50, 100, overload.Domain{})
-	g.Expect(q.r.Sheds(q.now)).To(BeFalse())
-	q.run(2*time.Second, 300, 100, overload.Domain{})
-	g.Expect(q.r.Sheds(q.now)).To(BeTrue())
-	q.waiting = 0
-	q.run(2*time.Second, 50, 100, overload.Domain{})
-	g.Expect(q.r.Sheds(q.now)).To(BeTrue(), "not long ago")
-	q.run(2*time.Second, 50, 100, overload.Domain{})
-	g.Expect(q.r.Sheds(q.now)).To(BeFalse())
-}
-
 // Pattern: a gateway that is alone, or one of two, has nobody to leave callers to.
 func TestFewGatewaysStayReady(t *testing.T) {
 	g := NewWithT(t)
