--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -44,9 +44,9 @@
 	return left || err != nil
 }
 
-// closedByPeer reports whether the other side has closed a connection, also behind
-// bytes that have not been read.
-func closedByPeer(c net.Conn) bool {
+// onSocket lets look at the socket of a connection or listener. It returns false if there
+// is none any more.
+func onSocket(c any, look func(fd int)) bool {
 	source, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -55,47 +55,45 @@
 	if err != nil {
 		return false
 	}
+	return raw.Control(func(fd uintptr) { look(int(fd)) }) == nil
+}
+
+// polled returns the events of a socket that hold now.
+func polled(fd int, events int16) int16 {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	n, err := unix.Poll(fds, 0)
+	if err != nil || n <= 0 {
+		return 0
+	}
+	return fds[0].Revents
+}
+
+// closedByPeer reports whether the other side has closed a connection, also behind
+// bytes that have not been read.
+func closedByPeer(c net.Conn) bool {
 	closed := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, pollErr := unix.Poll(fds, 0)
-		closed = pollErr == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	present := onSocket(c, func(fd int) {
+		closed = polled(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return err == nil && closed
+	return present && closed
 }
 
 // hasUnread reports whether bytes wait in a connection's socket.
-func hasUnread(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
+func hasUnread(c net.Conn) bool {
 	waiting := false
-	err = raw.Control(func(fd uintptr) {
+	present := onSocket(c, func(fd int) {
 		var buf [1]byte
-		n, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting = peekErr == nil && n > 0
+		n, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
 	})
-	return err == nil && waiting
+	return present && waiting
 }
 
 // connectionsWait reports whether connections wait to be accepted.
 func connectionsWait(ln net.Listener) bool {
-	source, ok := ln.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
 	waiting := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, pollErr := unix.Poll(fds, 0)
-		waiting = pollErr == nil && n > 0
-	})
-	return err == nil && waiting
+	present := onSocket(ln, func(fd int) { waiting = polled(fd, unix.POLLIN) != 0 })
+	return present && waiting
 }
 
 // unread returns how long the last bytes of a caller have waited in the socket, zero
