--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 e2e: build
 	$(GO) test -count=1 $(SKIP) $$($(GO) list ./e2e/... ./spec/... | $(UNLISTED))
 	@awk -F' *[|] *' '/^\.\// {i = index($$1, ": "); p = substr($$1, 1, i-1); t = substr($$1, i+2); \
-		skip[p] = p in skip ? skip[p] "|" t : t} END {for (p in skip) print p "\t" skip[p]}' KNOWN-RED.txt 2>/dev/null | \
+		if (p in skip) skip[p] = skip[p] "|" t; else skip[p] = t} END {for (p in skip) print p "\t" skip[p]}' KNOWN-RED.txt 2>/dev/null | \
 	while IFS="$$(printf '\t')" read -r package specs; do \
 		echo "$$package without: $$specs"; \
 		$(GO) test -count=1 "$$package" -ginkgo.skip "$$specs" || exit 1; \
