--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
@@ -35,7 +34,7 @@
 
 // candidates returns the upstreams that a request may be sent to, with predictions.
 func (s *Scheduler) candidates(now time.Time, r Request) []candidate {
-	usable := s.usable(now, r.Exclude)
+	usable := s.usable(now, r)
 	if s.capacity.MemoryTokens == 0 {
 		return s.plainCandidates(usable)
 	}
@@ -120,27 +119,6 @@
 // minCopyTokens is the minimum number of tokens worth copying.
 const minCopyTokens = 1000
 
-// usable returns the upstreams that are neither excluded nor ejected. If all of them are
-// ejected, it returns the ejected ones, because the outcomes then say nothing about which
-// upstream to prefer.
-func (s *Scheduler) usable(now time.Time, exclude []fleet.UpstreamID) []fleet.UpstreamID {
-	var healthy, ejected []fleet.UpstreamID
-	for _, id := range s.ids {
-		if slices.Contains(exclude, id) {
-			continue
-		}
-		if s.upstreams[id].detector.Ejected(now) {
-			ejected = append(ejected, id)
-			continue
-		}
-		healthy = append(healthy, id)
-	}
-	if len(healthy) == 0 {
-		return ejected
-	}
-	return healthy
-}
-
 func (s *Scheduler) engineCandidate(now time.Time, r Request, u *upstream) candidate {
 	backlog := u.backlog(now, s.speed().Rate)
 	// The last, unshared part may be cached too if the session used this engine before.
--- /dev/null
+++ b/admission/eligible.go
@@ -0,0 +1,36 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// usable returns the eligible upstreams that are not ejected. If all of them are ejected,
+// it returns the ejected ones, because the outcomes then say nothing about which upstream
+// to prefer.
+func (s *Scheduler) usable(now time.Time, r Request) []fleet.UpstreamID {
+	var healthy, ejected []fleet.UpstreamID
+	for _, id := range s.ids {
+		u := s.upstreams[id]
+		if !s.eligible(u, r) {
+			continue
+		}
+		if u.detector.Ejected(now) {
+			ejected = append(ejected, id)
+			continue
+		}
+		healthy = append(healthy, id)
+	}
+	if len(healthy) == 0 {
+		return ejected
+	}
+	return healthy
+}
+
+// eligible reports whether a request may be sent to an upstream at all, whatever its load
+// and health. It also decides which engines cached parts may be copied from.
+func (s *Scheduler) eligible(u *upstream, r Request) bool {
+	return !slices.Contains(r.Exclude, u.ID)
+}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -54,7 +54,12 @@
 	Window time.Duration
 	// PeerTTL is the time for which a report from another router is valid.
 	PeerTTL time.Duration
-	Outlier outlier.Options
+	// ColdOverage and ColdSlack define how many requests all routers together may send
+	// to a cold upstream within a second: its tolerated rate times ColdOverage, plus
+	// ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+	Outlier     outlier.Options
 }
 
 // Capacity is the configured capacity of a service's upstreams.
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -170,6 +170,7 @@
 		PrefillRate:     a.PrefillRate, Overhead: a.Overhead.Std(),
 		MaxWait: a.MaxWait, OverShareWait: a.OverShareWait, ReturnWait: a.ReturnWait, SlotLimit: a.SlotLimit, MemoryLimit: a.MemoryLimit,
 		RemoteCost: a.RemoteCost.Std(), Window: a.Window.Std(), PeerTTL: peerReportTTL,
+		ColdOverage: a.ColdOverage, ColdSlack: a.ColdSlack,
 		Outlier: outlier.Options{
 			BaseEjection: s.Outlier.BaseEjection.Std(), MaxEjection: s.Outlier.MaxEjection.Std(),
 			ConsecutiveBroken: s.Outlier.ConsecutiveBroken, Smoothing: s.Outlier.Smoothing,
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -58,6 +58,9 @@
 	// LapseGrace is how long an upstream whose registration lapsed during an outage
 	// of the store remains usable after the outage.
 	LapseGrace Duration `yaml:"lapse_grace,omitempty"`
+	// EvacuateWithin is the time within which an evacuation of a failure domain must be
+	// in force. Zero means that evacuations are not followed.
+	EvacuateWithin Duration `yaml:"evacuate_within,omitempty" validate:"gte=0"`
 }
 
 // GatewayLimits limit the requests of callers and the resources of the process.
@@ -162,6 +165,11 @@
 	RemoteCost Duration `yaml:"remote_cost,omitempty"`
 	// Window is the length of the window over which the usage of teams is counted.
 	Window Duration `yaml:"window,omitempty" validate:"gt=0"`
+	// ColdOverage and ColdSlack define how many requests all routers together may send
+	// to a cold upstream within a second: its tolerated rate times ColdOverage, plus
+	// ColdSlack.
+	ColdOverage float64 `yaml:"cold_overage,omitempty" validate:"gte=1"`
+	ColdSlack   float64 `yaml:"cold_slack,omitempty" validate:"gte=0"`
 }
 
 // OutlierSettings configure the outlier detection of upstreams.
@@ -204,7 +212,7 @@
 		Admission: AdmissionSettings{
 			Replicas: 2, PrefillRate: 40000, AttentionTokens: 50000, Overhead: Duration(50 * time.Millisecond),
 			MaxWait: 0.75, OverShareWait: 0.22, ReturnWait: 0.95, SlotLimit: 0.95, MemoryLimit: 0.7,
-			RemoteCost: Duration(120 * time.Millisecond), Window: Duration(4 * time.Second),
+			RemoteCost: Duration(120 * time.Millisecond), Window: Duration(4 * time.Second), ColdOverage: 1, ColdSlack: 0,
 		},
 		Outlier: OutlierSettings{
 			BaseEjection: Duration(time.Second), MaxEjection: Duration(8 * time.Second), ConsecutiveBroken: 2, Smoothing: 0.1,
--- a/config/gateway_test.go
+++ b/config/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -22,13 +23,18 @@
 	GinkgoHelper()
 	template, err := os.ReadFile("../deploy/gateway.yaml")
 	Expect(err).NotTo(HaveOccurred())
-	return render(string(template))
+	return render(string(template), nil)
 }
 
-// placeholder matches a placeholder of the template, such as {{region}}.
-var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+var (
+	// placeholder matches a placeholder of the template, such as {{region}}.
+	placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+	// optionalSection matches a section that is rendered only if its value is present.
+	optionalSection = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
+)
 
-func render(template string) string {
+// render renders the template with sample values, overridden by extra ones.
+func render(template string, extra map[string]string) string {
 	values := map[string]string{
 		"nodeName": "front-north-1", "region": "north", "zone": "north-a", "zones|json": `{"north-a":"north","south-a":"south"}`,
 		"listen.front": "10.1.0.33:8783", "listen.readyAddress": "10.1.0.33:8780", "listen.control": "10.1.0.33:8785",
@@ -37,6 +43,14 @@
 		"bounds.graceS": "8", "bounds.configApplyMs": "2500", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
 		"bounds.quotaWindowS": "4",
 	}
+	maps.Copy(values, extra)
+	template = optionalSection.ReplaceAllStringFunc(template, func(match string) string {
+		parts := optionalSection.FindStringSubmatch(match)
+		if values[parts[1]] == "" {
+			return ""
+		}
+		return parts[2]
+	})
 	return placeholder.ReplaceAllStringFunc(template, func(match string) string {
 		return values[strings.Trim(match, "{}")]
 	})
@@ -50,6 +64,18 @@
 }
 
 var _ = Describe("LoadGatewaySettings", func() {
+	It("takes the bounds of evacuations and cold upstreams from deployments that have them", func() {
+		template, err := os.ReadFile("../deploy/gateway.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		settings, err := load(render(string(template), map[string]string{
+			"bounds.evacuateMs": "5000", "bounds.coldOverage": "1.5", "bounds.coldSlack": "5",
+		}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Platform.EvacuateWithin.Std()).To(Equal(5 * time.Second))
+		Expect(settings.Admission.ColdOverage).To(Equal(1.5))
+		Expect(settings.Admission.ColdSlack).To(Equal(5.0))
+	})
+
 	It("accepts the rendered template of the deployment", func() {
 		settings, err := load(renderedTemplate())
 		Expect(err).NotTo(HaveOccurred())
@@ -59,6 +85,8 @@
 		Expect(settings.Stop.Grace.Std()).To(Equal(8 * time.Second))
 		Expect(settings.Retry.Slack).To(Equal(52.0))
 		Expect(settings.Admission.Window.Std()).To(Equal(4 * time.Second))
+		Expect(settings.Platform.EvacuateWithin.Std()).To(BeZero())
+		Expect(settings.Admission.ColdOverage).To(Equal(1.0))
 		Expect(settings.Limits.Descriptors).To(Equal(4100))
 	})
 
@@ -85,7 +113,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add([]byte(render(string(template))))
+	f.Add([]byte(render(string(template), nil)))
 	f.Add([]byte("id: [\n"))
 	path := filepath.Join(f.TempDir(), "settings.yaml")
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -26,6 +26,8 @@
 	StartedUnixMs int64
 	// Version is the version of the upstream's software.
 	Version string
+	// ColdRemaining is how much longer the upstream is cold as of its registration.
+	ColdRemaining time.Duration
 }
 
 // Entry is the registration of an upstream at a revision of the store.
--- a/route/route.go
+++ b/route/route.go
@@ -68,6 +68,9 @@
 	Generative bool
 	// Resumable streams may be continued at another upstream.
 	Resumable bool
+	// Regions are the home regions: the only ones in which requests may be served,
+	// cached and stored. Empty means any region.
+	Regions []fleet.RegionID
 }
 
 // Repeatable reports whether a request of this route may be run more than once.
@@ -95,12 +98,20 @@
 	MaxConnections int
 	// Engine is nil for services without model engines.
 	Engine *Engine
+	// ColdStart is how long an upstream is cold after a start, and ColdRate the number
+	// of requests per second that a cold upstream tolerates from all routers together.
+	// Zero ColdRate means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Team is a customer, identified by its keys.
 type Team struct {
 	ID   fleet.TeamID
 	Keys []string
+	// Regions are the home regions of the team's requests; empty means any region. Both
+	// those of the route and those of the team bind.
+	Regions []fleet.RegionID
 }
 
 // Limits bound the requests of callers.
