overload: keep a large gateway ready whose neighbours are smaller

The balancer sent the team's callers to a gateway of 0.144 cores, which turned waiting connections away each second.

Change: a gateway stays ready if the ready others of its failure domain have less processor time than itself, on average.

--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -75,7 +75,8 @@
 	if r.unready.Swap(unready) == unready {
 		return
 	}
-	fields := []zap.Field{zap.Duration("behind", behind), zap.Int("others", domain.Others), zap.Int("others_unready", domain.Unready)}
+	fields := []zap.Field{zap.Duration("behind", behind), zap.Int("others", domain.Others), zap.Int("others_unready", domain.Unready),
+		zap.Float64("others_processors", domain.ReadyProcessors)}
 	if unready {
 		r.unreadySince = now
 		unreadySpells.Add(1)
@@ -99,7 +100,8 @@
 
 // domainStatus returns the state of the other routers in this failure domain.
 func (p *peers) domainStatus() overload.DomainStatus {
-	var d overload.DomainStatus
+	// Other routers announce their CPU time as a float32.
+	d := overload.DomainStatus{Processors: float64(float32(p.gateway.options.Processors))}
 	all := p.sessions.ByRole(peerpb.Role_ROLE_ROUTER)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,7 +112,9 @@
 		d.Others++
 		if p.unready[s.ID()] || p.draining[s.ID()] {
 			d.Unready++
+			continue
 		}
+		d.ReadyProcessors += s.Processors()
 	}
 	return d
 }
--- a/overload/readiness.go
+++ b/overload/readiness.go
@@ -7,8 +7,9 @@
 // A gateway is overloaded once connections have waited to be accepted without a pause
 // for Options.MaxBacklogTime: the queue of a burst drains within that time, that of a
 // sustained overload doesn't. An overloaded gateway turns unready for a hold-down time,
-// unless too many gateways of its failure domain are unready already: shifting its load
-// would overload the others in turn.
+// unless shifting its load would overload the others in turn: too many gateways of its
+// failure domain are unready already, or the ready ones are smaller than this one. The
+// load balancer spreads callers over the ready gateways whatever their size.
 package overload
 
 import "time"
@@ -34,6 +35,20 @@
 	// connections.
 	Others  int
 	Unready int
+	// Processors is the CPU time available to this gateway, and ReadyProcessors that of
+	// all ready other gateways together, in cores. Zero means unknown.
+	Processors      float64
+	ReadyProcessors float64
+}
+
+// readyAreSmaller reports whether the ready other gateways have less CPU time than this
+// one, on average.
+func (d DomainStatus) readyAreSmaller() bool {
+	ready := d.Others - d.Unready
+	if ready <= 0 || d.Processors <= 0 || d.ReadyProcessors <= 0 {
+		return false
+	}
+	return d.ReadyProcessors/float64(ready) < d.Processors
 }
 
 // Readiness tracks whether a gateway accepts new connections.
@@ -106,5 +121,5 @@
 // mayTurnUnready reports whether this gateway may be unready in addition to the others
 // that are.
 func (r *Readiness) mayTurnUnready(d DomainStatus) bool {
-	return float64(d.Unready+1) <= r.options.MaxUnreadyFraction*float64(d.Others+1)
+	return !d.readyAreSmaller() && float64(d.Unready+1) <= r.options.MaxUnreadyFraction*float64(d.Others+1)
 }
--- a/overload/readiness_test.go
+++ b/overload/readiness_test.go
@@ -115,3 +115,24 @@
 	g.Expect(newQueue().run(10*time.Second, 300, 100, overload.DomainStatus{Others: 1})).To(BeZero())
 	g.Expect(newQueue().run(10*time.Second, 300, 100, overload.DomainStatus{Others: 2, Unready: 1})).To(BeZero())
 }
+
+// A large gateway whose failure domain has mostly small ones stays ready: the balancer
+// spreads its callers over the ready gateways whatever their size, and a small one that
+// gets the callers of one team answers none of them.
+func TestLargeGatewayAmongSmallOnesStaysReady(t *testing.T) {
+	g := NewWithT(t)
+	domain := overload.DomainStatus{Others: 3, Processors: 0.8, ReadyProcessors: 0.8 + 0.144 + 0.144}
+	g.Expect(newQueue().run(10*time.Second, 300, 100, domain)).To(BeZero())
+	domain.Processors = 0.144
+	domain.ReadyProcessors = 0.8 + 0.8 + 0.144
+	g.Expect(newQueue().run(10*time.Second, 300, 100, domain)).To(BeNumerically(">", 0.5))
+}
+
+// Gateways of equal size, and those whose size is unknown, may turn unready.
+func TestGatewaysOfEqualOrUnknownSizeTurnUnready(t *testing.T) {
+	g := NewWithT(t)
+	for _, processors := range []float64{float64(float32(0.304)), 0} {
+		domain := overload.DomainStatus{Others: 3, Processors: processors, ReadyProcessors: 3 * processors}
+		g.Expect(newQueue().run(10*time.Second, 300, 100, domain)).To(BeNumerically(">", 0.5))
+	}
+}
