Keep requests in the home regions of their route and team

Cause: routes and teams name home regions, but no decision reads them.

Change: fleet.RegionSet; route.Table looks up the home regions of a route by name and of a team by ID; admission leaves out upstreams outside them, or whose failure domain has no known region, for sends, retries, resumed streams and copies of cached parts. The gateway looks the regions up again before each attempt. A request without an upstream in its home regions is refused at once with no_home_region. The mean queueing time is computed over the engines that the request may use. State and decision log lines show home regions, and names that are not a region of the settings are logged.

Measured: go test -p 2 ./fleet ./route ./admission ./gateway ./docs ./platform passes; golangci-lint reports nothing on fleet, route, admission and gateway. The new tests fail without the filter, without the lookup at each attempt, and with the mean over all engines.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -32,9 +32,8 @@
 	return t.mean
 }
 
-// candidates returns the upstreams that a request may be sent to, with predictions.
-func (s *Scheduler) candidates(now time.Time, r Request) []candidate {
-	usable := s.usable(now, r)
+// candidates returns the usable upstreams that a request may be sent to, with predictions.
+func (s *Scheduler) candidates(now time.Time, r Request, usable []fleet.UpstreamID) []candidate {
 	if s.capacity.MemoryTokens == 0 {
 		return s.plainCandidates(usable)
 	}
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -49,12 +49,13 @@
 // choose returns the best upstream that is predicted to answer on time, or else nil
 // and the refusal.
 func (s *Scheduler) choose(now time.Time, r Request, ratio float64) (*candidate, Decision) {
-	candidates := s.candidates(now, r)
+	usable := s.usable(now, r)
+	candidates := s.candidates(now, r, usable)
 	if len(candidates) == 0 {
-		return nil, Decision{Reason: NoUpstream, RetryAfter: s.options.Outlier.BaseEjection}
+		return nil, Decision{Reason: s.unavailable(r), RetryAfter: s.options.Outlier.BaseEjection}
 	}
 	limit := s.waitLimit(r, ratio)
-	b := bounds{limit: limit, busy: s.meanQueueTime(now) > limit/busyWaitDivisor}
+	b := bounds{limit: limit, busy: s.meanQueueTime(now, usable) > limit/busyWaitDivisor}
 	if best := s.best(r, candidates, b); best != nil {
 		return best, Decision{}
 	}
@@ -109,16 +110,16 @@
 // count as busy and have no capacity left for prefilling shared parts on a second engine.
 const busyWaitDivisor = 8
 
-// meanQueueTime returns the mean queueing time over all engines.
-func (s *Scheduler) meanQueueTime(now time.Time) time.Duration {
-	if len(s.ids) == 0 {
+// meanQueueTime returns the mean queueing time over the engines that a request may use.
+func (s *Scheduler) meanQueueTime(now time.Time, usable []fleet.UpstreamID) time.Duration {
+	if len(usable) == 0 {
 		return 0
 	}
 	total := 0.0
-	for _, id := range s.ids {
+	for _, id := range usable {
 		total += s.upstreams[id].backlog(now, s.speed().Rate)
 	}
-	mean := total / float64(len(s.ids))
+	mean := total / float64(len(usable))
 	return s.speed().prefillTime(mean)
 }
 
--- a/admission/eligible.go
+++ b/admission/eligible.go
@@ -32,5 +32,25 @@
 // eligible reports whether a request may be sent to an upstream at all, whatever its load
 // and health. It also decides which engines cached parts may be copied from.
 func (s *Scheduler) eligible(u *upstream, r Request) bool {
-	return !slices.Contains(r.Exclude, u.ID)
+	return s.inHomeRegion(u, r) && !slices.Contains(r.Exclude, u.ID)
+}
+
+// inHomeRegion reports whether an upstream is in a home region of a request. An upstream
+// whose failure domain has no known region is in none.
+func (s *Scheduler) inHomeRegion(u *upstream, r Request) bool {
+	return r.Regions.All() || r.Regions.Contains(s.options.Regions[u.Domain])
+}
+
+// unavailable returns the reason for which a request has no upstream that it may be sent
+// to.
+func (s *Scheduler) unavailable(r Request) Reason {
+	if r.Regions.All() {
+		return NoUpstream
+	}
+	for _, u := range s.upstreams {
+		if s.inHomeRegion(u, r) {
+			return NoUpstream
+		}
+	}
+	return NoHomeRegion
 }
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -17,6 +17,9 @@
 const (
 	// NoUpstream means that no upstream of the service is available to the request.
 	NoUpstream Reason = "no_upstream"
+	// NoHomeRegion means that the service has no upstream in the home regions of the
+	// request.
+	NoHomeRegion Reason = "no_home_region"
 	// Overloaded means that no upstream is predicted to answer on time.
 	Overloaded Reason = "overloaded"
 	// OverShare means that the request was refused because its team was served too
@@ -96,6 +99,9 @@
 	AlreadyCharged bool
 	// Exclude lists the upstreams that the request was already sent to.
 	Exclude []fleet.UpstreamID
+	// Regions are the home regions of the request: the only ones whose upstreams it may
+	// be sent to.
+	Regions fleet.RegionSet
 }
 
 // Decision is the answer to a Request.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -73,6 +73,7 @@
 	g.requestReport()
 	g.log.Info("configuration adopted", zap.Int64("version", definition.Version), zap.String("source", source),
 		zap.Int("routes", len(definition.Routes)), zap.Int("teams", len(definition.Teams)))
+	g.logUnknownRegions(&definition)
 }
 
 // applyServiceConfig applies a service's configuration. The caller holds mu.
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -34,6 +34,7 @@
 	bufferedBytes int64
 	route         *route.Route
 	team          fleet.TeamID
+	home          homeRegions
 	service       *service
 	version       int64
 	arrived       time.Time
@@ -135,6 +136,7 @@
 		return &refusal{status: http.StatusUnauthorized, code: "unknown_key", message: "the key is not known"}
 	}
 	j.team = team
+	j.home = newHomeRegions(table, found.Name, team)
 	return nil
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -30,6 +30,15 @@
 	return &refusal{status: http.StatusBadGateway, code: code, message: message}
 }
 
+// refusalMessage returns the message to a caller whose request was not admitted.
+func refusalMessage(reason admission.Reason) string {
+	if reason == admission.NoHomeRegion {
+		return "the service has no upstream in the home regions of this route and team; " +
+			"retry later, or ask the operators to add capacity there or to change the home regions"
+	}
+	return "no upstream would answer on time"
+}
+
 // responseWriter writes the response to the caller.
 type responseWriter struct {
 	w       http.ResponseWriter
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -43,6 +43,7 @@
 			return
 		}
 		j.attempts++
+		j.home.update(g.table.Load(), j.route.Name, j.team)
 		decision := j.service.admit(j.admissionRequest())
 		if !decision.Admitted {
 			g.concludeNotAdmitted(j, last, decision)
@@ -102,7 +103,7 @@
 	request := admission.Request{
 		ID: j.attemptID(), Team: j.team, Prompt: j.in.Prompt, OutputTokens: j.in.OutputTokens,
 		Objective: j.objective(), Elapsed: time.Since(j.arrived), Waited: j.priorWait, Exclude: j.excluded,
-		AlreadyCharged: j.charged,
+		AlreadyCharged: j.charged, Regions: j.home.current,
 	}
 	if j.attempts > 1 {
 		// An upstream has already worked on the request: a late response is better than
@@ -165,7 +166,7 @@
 
 // concludeNotAdmitted ends a request that was not admitted to any upstream.
 func (g *Gateway) concludeNotAdmitted(j *job, last result, d admission.Decision) {
-	refused := notRun(string(d.Reason), "no upstream would answer on time", d.RetryAfter)
+	refused := notRun(string(d.Reason), refusalMessage(d.Reason), d.RetryAfter)
 	if j.mayHaveRun > 0 && !j.response.started {
 		refused = unknownOutcome("upstream_failed", "the upstream broke off and no other is free")
 	}
@@ -332,11 +333,12 @@
 	if d == nil {
 		return nil
 	}
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.String("route", j.route.Name), zap.String("team", string(j.team)), zap.Uint64("registry", g.registryRevision()),
 		zap.Int("routers", g.routerCount()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
 		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
 	}
+	return append(fields, j.home.logFields()...)
 }
 
 func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -42,6 +42,8 @@
 	// Retries is the usage of each service's retry budget.
 	Retries  map[fleet.ServiceID]retry.Usage `json:"retries"`
 	Suspects []Suspect                       `json:"suspects"`
+	// HomeRegions is nil if no route and no team has home regions.
+	HomeRegions *HomeRegions `json:"home_regions,omitempty"`
 }
 
 // Suspect is a request that was running at upstreams when they crashed.
@@ -72,6 +74,7 @@
 		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
 		Retries:  make(map[fleet.ServiceID]retry.Usage),
 		Suspects: g.suspects.view(now), BufferedBytes: g.bufferedBytes.Load(),
+		HomeRegions: homeRegionsView(g.table.Load()),
 	}
 	for _, s := range g.peers.sessions.ByRole(peerpb.Role_ROLE_ROUTER) {
 		state.Routers = append(state.Routers, s.ID())
--- a/route/table.go
+++ b/route/table.go
@@ -22,6 +22,10 @@
 	byHost   map[string][]*Route
 	services map[fleet.ServiceID]*Service
 	teams    map[string]fleet.TeamID
+	// routeRegions holds the home regions of routes by name, and teamRegions those of
+	// teams.
+	routeRegions map[string]fleet.RegionSet
+	teamRegions  map[fleet.TeamID]fleet.RegionSet
 }
 
 // NewTable returns the table of a definition, or ErrInvalid if a route is invalid.
@@ -51,6 +55,7 @@
 			t.teams[key] = team.ID
 		}
 	}
+	t.indexRegions()
 	return t, nil
 }
 
