Refuse home regions in the inventory with a clear error

Cause: fulmarspindle serve does not restrict requests to regions. Home regions in its inventory would be ignored if they were accepted.

Change: services and teams have the field regions. Its names are checked against the regions of the inventory, and a list that is not empty is refused at check and at apply.

Measured: go test -p 2 ./config ./docs passes; golangci-lint reports nothing on config.

--- a/config/inventory.go
+++ b/config/inventory.go
@@ -67,6 +67,9 @@
 	MaxBodyBytes int64    `json:"max_body_bytes,omitempty" yaml:"max_body_bytes,omitempty" validate:"gt=0"`
 	// DefaultCost is the cost estimate for a team's first request.
 	DefaultCost float64 `json:"default_cost,omitempty" yaml:"default_cost,omitempty" validate:"gt=0,lte=1000000000000"`
+	// Regions are the home regions of the service's requests. They are not supported
+	// yet: a list that is not empty is refused.
+	Regions []fleet.RegionID `json:"regions,omitempty" yaml:"regions,omitempty" validate:"max=64,dive,id"`
 }
 
 // Upstream is a server of a service, with its sidecar.
@@ -86,6 +89,9 @@
 type Team struct {
 	ID        fleet.TeamID `json:"id" yaml:"id" validate:"id"`
 	KeyHashes []string     `json:"key_hashes" yaml:"key_hashes" validate:"max=64,dive,sha256_hex"`
+	// Regions are the home regions of the team's requests. They are not supported yet:
+	// a list that is not empty is refused.
+	Regions []fleet.RegionID `json:"regions,omitempty" yaml:"regions,omitempty" validate:"max=64,dive,id"`
 }
 
 // Rules are the rules that operators set in addition to the lists of the inventory.
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -68,6 +68,10 @@
 		Entry("alias", "failure_domains: [n1]", "failure_domains: &a [n1]", `inventory:3: expected no anchors or aliases`),
 		Entry("multiple documents", "rules:", "---\nrules:", `expected a single document`),
 		Entry("claim retention shorter than the requests", "rules:", "rules:\n  claim_retention: 20m", `rules.claim_retention: expected at least twice the longest max_duration of a non-idempotent service and a minute: 21m0s, got "20m0s"`),
+		Entry("home regions of a service", "kind: plain", "kind: plain\n    regions: [noord]", `services[1].regions: expected no home regions: routers do not support them yet, got "[noord]"`),
+		Entry("unknown home region of a service", "kind: plain", "kind: plain\n    regions: [zuid]", `services[1].regions[0]: expected the id of a region of the inventory, got "zuid"`),
+		Entry("home regions of a team", "key_hashes: []", "key_hashes: []\n    regions: [noord]", `teams[1].regions: expected no home regions: routers do not support them yet`),
+		Entry("unknown home region of a team", "key_hashes: []", "key_hashes: []\n    regions: [noord, zuid]", `teams[1].regions[1]: expected the id of a region`),
 		Entry("missing id", "- id: chat\n    kind", "- kind", `inventory:10: services[0].id: expected an identifier`),
 	)
 
--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/platform"
 )
 
@@ -97,6 +98,15 @@
 		Expect(store.version).To(Equal(version))
 	})
 
+	It("rejects home regions, which routers would ignore", func() {
+		withRegions := proposal(9, "")
+		withRegions.Inventory.Teams[0].Regions = []fleet.RegionID{"noord"}
+		_, err := publisher.Apply(ctx, withRegions)
+		Expect(err).To(MatchError(config.ErrInvalid))
+		Expect(err).To(MatchError(ContainSubstring("teams[0].regions: expected no home regions")))
+		Expect(slotsInForce()).To(Equal(4))
+	})
+
 	It("reports the changes of a concurrent proposal that was accepted first", func() {
 		other := config.NewPublisher(store, func() time.Time { return store.now })
 		store.beforePut = func(key string) error {
--- a/config/references.go
+++ b/config/references.go
@@ -85,6 +85,7 @@
 func (r *referenceChecker) checkServices(inv Inventory) {
 	for i, service := range inv.Services {
 		insertUnique(r, r.services, service.ID, "services[%d].id", i)
+		r.checkHomeRegions(service.Regions, "services", i)
 	}
 	for i, upstream := range inv.Upstreams {
 		insertUnique(r, r.nodes, fleet.NodeID(upstream.ID), "upstreams[%d].id", i)
@@ -97,12 +98,24 @@
 	hashes := make(map[string]bool)
 	for i, team := range teams {
 		insertUnique(r, r.teams, team.ID, "teams[%d].id", i)
+		r.checkHomeRegions(team.Regions, "teams", i)
 		for j, hash := range team.KeyHashes {
 			insertUnique(r, hashes, hash, "teams[%d].key_hashes[%d]", i, j)
 		}
 	}
 }
 
+// checkHomeRegions checks the home regions of a service or a team. Routers do not restrict
+// requests to regions, so home regions would be ignored if they were accepted.
+func (r *referenceChecker) checkHomeRegions(regions []fleet.RegionID, list string, index int) {
+	for i, region := range regions {
+		requireKnown(r, r.regions, region, "region", "%s[%d].regions[%d]", list, index, i)
+	}
+	if len(regions) > 0 {
+		r.report("no home regions: routers do not support them yet", fmt.Sprint(regions), "%s[%d].regions", list, index)
+	}
+}
+
 func (r *referenceChecker) checkRules(rules Rules) {
 	shares := make(map[shareKey]bool)
 	for i, share := range rules.Shares {
