Count usage by home regions; describe home regions

Cause: demand that only one region can serve counted against the share of teams that use other capacity. In a load test with home requests at three times the capacity of their region, 1,603 of 2,000 requests without home regions were admitted, though the other regions had room for them.

Change: a team's usage by requests with home regions is counted in an account for each set of regions. A request is judged by the lower of the share ratios among all requests and among those with the same home regions. Without home regions nothing changes.

--- a/admission/engine.go
+++ b/admission/engine.go
@@ -14,9 +14,9 @@
 	id       string
 	upstream *upstream
 	sent     time.Time
-	team     fleet.TeamID
-	// served is the number of tokens charged to the team for it.
-	served float64
+	// account is the account of its team, and served the number of tokens charged to it.
+	account fleet.TeamID
+	served  float64
 	// prefill is the prefill work of its own prompt in tokens.
 	prefill int
 	// workAhead is the prefill work in tokens before its first token, its own
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -236,10 +236,10 @@
 func (s *Scheduler) Admit(now time.Time, r Request) Decision {
 	cost := s.cost(r)
 	if len(r.Exclude) == 0 {
-		s.usageWindow.add(now, r.Team, cost, 0)
+		s.usageWindow.add(now, accountOf(r), cost, 0)
 	}
 	s.expirePeers(now)
-	ratio := s.shareRatio(now, r.Team)
+	ratio := s.shareRatio(now, r)
 	best, refused := s.choose(now, r, ratio)
 	if best == nil {
 		refused.ShareRatio = ratio
@@ -248,7 +248,7 @@
 	if r.AlreadyCharged {
 		cost = 0
 	}
-	s.usageWindow.add(now, r.Team, 0, cost)
+	s.usageWindow.add(now, accountOf(r), 0, cost)
 	s.begin(now, r, best, cost)
 	return Decision{
 		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
@@ -268,7 +268,7 @@
 func (s *Scheduler) begin(now time.Time, r Request, c *candidate, served float64) {
 	own := r.Prompt.Tokens() - r.Prompt.SharedTokens()
 	a := &attempt{
-		id: r.ID, upstream: c.upstream, sent: now, prefill: c.prefill, team: r.Team, served: served,
+		id: r.ID, upstream: c.upstream, sent: now, prefill: c.prefill, account: accountOf(r), served: served,
 		workAhead: c.backlog + float64(c.prefill), memory: own + r.OutputTokens,
 		copyTokens: c.copyTokens, copyDistance: c.copyDistance,
 	}
@@ -359,6 +359,6 @@
 // usage, because the team received nothing for it.
 func (s *Scheduler) refundUnstarted(now time.Time, a *attempt) {
 	if !a.started {
-		s.usageWindow.refund(now, a.sent, a.team, a.served)
+		s.usageWindow.refund(now, a.sent, a.account, a.served)
 	}
 }
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -19,7 +19,8 @@
 	Served    float64 `json:"served"`
 }
 
-// Usage maps teams to their token usage.
+// Usage maps teams to their token usage. A team's requests with home regions are counted
+// in accounts of their own, see accountOf.
 type Usage map[fleet.TeamID]TeamUsage
 
 // usageWindow sums the tokens requested by and served to each team over a sliding window.
@@ -100,32 +101,19 @@
 	at    time.Time
 }
 
-// shareRatio returns the tokens served to the team relative to the max-min fair share. It
-// is zero without contention.
-func (s *Scheduler) shareRatio(now time.Time, team fleet.TeamID) float64 {
+// shareRatio returns the tokens served to the team of a request relative to the max-min
+// fair share. It is zero without contention.
+func (s *Scheduler) shareRatio(now time.Time, r Request) float64 {
 	if age := now.Sub(s.shares.at); age < 0 || age >= shareRefreshInterval {
-		total := s.usage(now)
-		s.shares = shareSnapshot{at: now, total: total}
-		s.shares.maxMin, s.shares.contended = total.maxMinShare()
+		s.shares = newShareSnapshot(now, s.usage(now))
 	}
-	if !s.shares.contended || s.shares.maxMin <= 0 {
-		return 0
-	}
-	return s.shares.total[team].Served / s.shares.maxMin
+	return s.shares.ratio(r)
 }
 
 // shareRefreshInterval is the interval at which the usage of all teams is summed.
 const shareRefreshInterval = 10 * time.Millisecond
 
-// shareSnapshot is the teams' usage over all routers at one point in time.
-type shareSnapshot struct {
-	at        time.Time
-	total     Usage
-	maxMin    float64
-	contended bool
-}
-
-// usage returns the teams' usage summed over all routers whose reports have not expired.
+// usage returns the usage of all accounts summed over all routers whose reports have not expired.
 func (s *Scheduler) usage(now time.Time) Usage {
 	total := s.usageWindow.sum(now)
 	for _, peer := range s.peerUsage {
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -93,9 +93,16 @@
 
 // send requests admission for a team and, if admitted, schedules the first event.
 func (sim *simulation) send(team fleet.TeamID, prompt placement.Prompt) (admission.Decision, string) {
+	return sim.sendWithin(fleet.RegionSet{}, team, prompt)
+}
+
+// sendWithin is send for a request with home regions.
+func (sim *simulation) sendWithin(regions fleet.RegionSet, team fleet.TeamID, prompt placement.Prompt) (admission.Decision, string) {
 	sim.requests++
 	id := fmt.Sprint("request-", sim.requests)
-	d := sim.scheduler.Admit(sim.now, admission.Request{ID: id, Team: team, Prompt: prompt, OutputTokens: 50, Objective: objective})
+	d := sim.scheduler.Admit(sim.now, admission.Request{
+		ID: id, Team: team, Prompt: prompt, OutputTokens: 50, Objective: objective, Regions: regions,
+	})
 	if d.Admitted {
 		begin := sim.idleAt[d.Upstream.ID]
 		if begin.Before(sim.now) {
--- a/admission/view.go
+++ b/admission/view.go
@@ -37,7 +37,7 @@
 		PrefillRate: s.speed().Rate,
 		OverheadMs:  s.speed().Overhead.Milliseconds(),
 		Upstreams:   make(map[fleet.UpstreamID]UpstreamView, len(s.upstreams)),
-		Teams:       s.usage(now),
+		Teams:       s.usage(now).byTeam(),
 	}
 	for id, u := range s.upstreams {
 		total := u.total()
