Evacuate failure domains

Operators evacuate a failure domain by an object of kind evacuations in the store, but gateways went on sending requests there.

Package evacuation holds the set of evacuated domains at a store revision and the state of a process's own list and watch. The gateway lists and watches the kind where platform.evacuate_within is set, sends the set in each load report, and counts the watch towards its contact with the store. Admission leaves out upstreams of evacuated domains for sends, retries, resumed streams and copies, and computes the mean queueing time over the others. A request that was decided on before the evacuation is checked again when its connection is ready. A gateway that starts uses no upstream before it knows the set, for evacuate_within at most. Scheduler.EvacuationEnded is told the domains whose evacuation has just ended.

The tests fail without the filter, the second check, the contact of the watch, or the wait at the start.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -109,17 +109,20 @@
 // count as busy and have no capacity left for prefilling shared parts on a second engine.
 const busyWaitDivisor = 8
 
-// meanQueueTime returns the mean queueing time over all engines.
+// meanQueueTime returns the mean queueing time over the engines outside evacuated failure
+// domains, whose idle engines would make the others appear less busy.
 func (s *Scheduler) meanQueueTime(now time.Time) time.Duration {
-	if len(s.ids) == 0 {
-		return 0
-	}
-	total := 0.0
+	total, count := 0.0, 0
 	for _, id := range s.ids {
-		total += s.upstreams[id].backlog(now, s.speed().Rate)
+		if u := s.upstreams[id]; !u.evacuated {
+			total += u.backlog(now, s.speed().Rate)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
 	}
-	mean := total / float64(len(s.ids))
-	return s.speed().prefillTime(mean)
+	return s.speed().prefillTime(total / float64(count))
 }
 
 // The waiting limit of a team falls linearly from MaxWait or ReturnWait to OverShareWait as
--- a/admission/eligible.go
+++ b/admission/eligible.go
@@ -32,5 +32,5 @@
 // eligible reports whether a request may be sent to an upstream at all, whatever its load
 // and health. It also decides which engines cached parts may be copied from.
 func (s *Scheduler) eligible(u *upstream, r Request) bool {
-	return !slices.Contains(r.Exclude, u.ID)
+	return !u.evacuated && !slices.Contains(r.Exclude, u.ID)
 }
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -57,6 +57,8 @@
 	// pending lists the attempts without a first event in the order of sending.
 	pending []*attempt
 	load    UpstreamLoad
+	// evacuated is set while the upstream's failure domain is evacuated.
+	evacuated bool
 	// reportedLoad is the load as last reported to the other routers.
 	reportedLoad UpstreamLoad
 	// reportedDomainLoad is the load of this router's failure domain as last
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -128,6 +128,10 @@
 	serviceTime serviceTime
 	upstreams   map[fleet.UpstreamID]*upstream
 	ids         []fleet.UpstreamID
+	// evacuated holds the evacuated failure domains.
+	evacuated map[fleet.FailureDomainID]bool
+	// returnedAt is when the evacuation of a failure domain last ended.
+	returnedAt  map[fleet.FailureDomainID]time.Time
 	inFlight    map[string]*attempt
 	usageWindow *usageWindow
 	shares      shareSnapshot
@@ -168,6 +172,7 @@
 		inFlight:    make(map[string]*attempt),
 		usageWindow: newUsageWindow(options.Window),
 		peerUsage:   make(map[fleet.NodeID]peerUsage),
+		returnedAt:  make(map[fleet.FailureDomainID]time.Time),
 	}
 	s.SetCapacity(capacity)
 	return s
@@ -199,6 +204,7 @@
 			known = s.newUpstream()
 		}
 		known.Upstream = entry
+		known.evacuated = s.evacuated[entry.Domain]
 		next[entry.ID] = known
 		s.ids = append(s.ids, entry.ID)
 	}
--- a/admission/view.go
+++ b/admission/view.go
@@ -28,6 +28,8 @@
 	CachedTokens int     `json:"cached_tokens"`
 	Ejected      bool    `json:"ejected"`
 	FailureRate  float64 `json:"failure_rate"`
+	// Evacuated is set while the upstream's failure domain is evacuated.
+	Evacuated bool `json:"evacuated"`
 }
 
 // View returns a snapshot of the scheduler's state.
@@ -48,6 +50,7 @@
 			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
 			FailureRate:   u.detector.FailureRate(),
+			Evacuated:     u.evacuated,
 		}
 	}
 	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -116,10 +116,14 @@
 
 // maxPeerStoreAge returns how long after the last response of the store gateways rely on
 // each other for changes. It is zero if a gateway that queries the store itself after that
-// time could not apply a change within ApplyWithin.
+// time could not apply a change within ApplyWithin, or an evacuation within EvacuateWithin.
 func maxPeerStoreAge(p config.GatewayPlatform) time.Duration {
 	maxAge := p.WatchTimeout.Std() + watchLatencyMargin
-	if maxAge+storeFallbackTime > p.ApplyWithin.Std() {
+	within := p.ApplyWithin.Std()
+	if p.EvacuateWithin > 0 {
+		within = min(within, p.EvacuateWithin.Std())
+	}
+	if maxAge+storeFallbackTime > within {
 		return 0
 	}
 	return maxAge
@@ -136,7 +140,7 @@
 		MaxBufferedBytes: maxBufferedBytes(s.Limits), MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptorFraction * float64(s.Limits.Descriptors)),
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
-		StoreRetry: s.Platform.RetryDelay.Std(), MaxPeerStoreAge: maxPeerStoreAge(s.Platform),
+		StoreRetry: s.Platform.RetryDelay.Std(), MaxPeerStoreAge: maxPeerStoreAge(s.Platform), EvacuateWithin: s.Platform.EvacuateWithin.Std(),
 		Grace: s.Stop.Grace.Std(), Withdrawal: s.Stop.Withdrawal.Std(),
 		Overload: overload.Options{
 			MaxBacklogTime: s.Overload.MaxBacklogTime.Std(), HoldDown: s.Overload.HoldDown.Std(), MaxHoldDown: s.Overload.MaxHoldDown.Std(), MaxUnreadyFraction: s.Overload.MaxUnreadyFraction,
--- a/gateway/cachelist.go
+++ b/gateway/cachelist.go
@@ -44,7 +44,7 @@
 	for _, u := range engines {
 		key := keyOf(u)
 		older := u.StartedUnixMs < c.started.UnixMilli()
-		if !older || c.requested[key] || len(c.requested) >= maxRequestedCacheLists {
+		if !older || c.gateway.evacuations.set.Evacuated(u.Domain) || c.requested[key] || len(c.requested) >= maxRequestedCacheLists {
 			continue
 		}
 		c.requested[key] = true
@@ -56,6 +56,10 @@
 	g := c.gateway
 	c.slots <- struct{}{}
 	defer func() { <-c.slots }()
+	if g.isEvacuated(u.Domain) {
+		c.forget(u)
+		return
+	}
 	asked := time.Now()
 	parts, err := g.options.Engines.ListCache(g.background, u)
 	if err != nil {
@@ -67,6 +71,13 @@
 		zap.Int("tokens", placement.Prompt(parts).Tokens()), zap.Duration("took", time.Since(asked)))
 }
 
+// forget makes an engine be asked at the next update of its service.
+func (c *cacheLists) forget(u registry.Upstream) {
+	c.gateway.mu.Lock()
+	defer c.gateway.mu.Unlock()
+	delete(c.requested, keyOf(u))
+}
+
 func (s *service) restoreCache(id fleet.UpstreamID, parts []placement.Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/cachelist_test.go
+++ b/gateway/cachelist_test.go
@@ -76,3 +76,25 @@
 	g.Expect(engines.count("i-plain")).To(BeZero())
 	g.Expect(cached("i-new")).To(BeZero())
 }
+
+// Guards against asking engines of an evacuated failure domain, and against never asking
+// them because the gateway started during the evacuation.
+func TestCachesOfEvacuatedEnginesAreListedAfterTheEvacuation(t *testing.T) {
+	g := NewWithT(t)
+	engines := &fakeEngines{cached: map[fleet.UpstreamID][]placement.Part{"i-1": {{ID: 1, Tokens: 3000}}, "i-2": nil}, requests: map[fleet.UpstreamID]int{}}
+	store := newMemoryStore()
+	store.configure(definition(1))
+	for id, domain := range map[fleet.UpstreamID]fleet.FailureDomainID{"i-1": "d1", "i-2": "d2"} {
+		store.register(registry.Upstream{ID: id, Service: "engines", Address: "127.0.0.1:9", Domain: domain, StartedUnixMs: 1}, false)
+	}
+	store.evacuate("d1", false)
+	n := startGateway(t, "g1", store, func(o *gateway.Options) {
+		follow(o)
+		o.Engines = engines
+	})
+	g.Eventually(func() int { return engines.count("i-2") }, eventuallyTimeout).Should(Equal(1))
+	g.Consistently(func() int { return engines.count("i-1") }, "200ms").Should(BeZero())
+	store.evacuate("d1", true)
+	g.Eventually(func() int { return n.State().Services["engines"].Upstreams["i-1"].CachedTokens }, eventuallyTimeout).Should(Equal(3000))
+	g.Expect(engines.count("i-1")).To(Equal(1))
+}
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -28,6 +28,10 @@
 	// routing and upstreams are when the store last responded to the respective watch
 	// of this router; zero if the last call failed.
 	routing, upstreams time.Time
+	// evacuations is the same for the watch of evacuations. It counts only if
+	// followsEvacuations is set.
+	evacuations        time.Time
+	followsEvacuations bool
 	// peers is when the store last responded to another router.
 	peers time.Time
 }
@@ -67,6 +71,9 @@
 	if c.upstreams.Before(own) {
 		own = c.upstreams
 	}
+	if c.followsEvacuations && c.evacuations.Before(own) {
+		own = c.evacuations
+	}
 	if c.peers.After(own) {
 		return c.peers
 	}
--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"fulmarspindle.example/fulmarspindle/evacuation"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
@@ -54,6 +55,22 @@
 	return s.Store.WatchUpstreams(ctx, after)
 }
 
+func (s *countingStore) ListEvacuations(ctx context.Context) ([]evacuation.Change, uint64, error) {
+	if s.unavailable.Load() {
+		return nil, 0, errStoreUnavailable
+	}
+	return s.Store.ListEvacuations(ctx)
+}
+
+func (s *countingStore) WatchEvacuations(ctx context.Context, after uint64) ([]evacuation.Change, uint64, error) {
+	if s.unavailable.Load() {
+		return nil, 0, errStoreUnavailable
+	}
+	s.openWatches.Add(1)
+	defer s.openWatches.Add(-1)
+	return s.Store.WatchEvacuations(ctx, after)
+}
+
 // In a large fleet only one gateway of each failure domain watches the store. The
 // others have to learn of changes from it, even when the store becomes unavailable to
 // all that watch it.
--- /dev/null
+++ b/gateway/evacuations.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/evacuation"
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/node"
+	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+)
+
+// evacuations is this router's copy of the evacuated failure domains.
+type evacuations struct {
+	set evacuation.Set
+	// wire is the encoded set; nil while it is unknown. It is not modified once set.
+	wire *peerpb.Evacuations
+	// begunAt is when this router learned of each evacuation in force.
+	begunAt map[fleet.FailureDomainID]time.Time
+	// waitingSince is since when this router has waited for the first set.
+	waitingSince time.Time
+}
+
+// followsEvacuations reports whether evacuations of failure domains are in use.
+func (g *Gateway) followsEvacuations() bool { return g.options.EvacuateWithin > 0 }
+
+// followEvacuations keeps the evacuated failure domains up to date until ctx is canceled.
+func (g *Gateway) followEvacuations(ctx context.Context) {
+	dep := dependency{name: "store evacuations", log: g.log}
+	w := evacuationWatch{gateway: g}
+	for ctx.Err() == nil {
+		if !g.shouldWatchStore() {
+			w.listing = nil
+			node.Pause(ctx, watchCheckInterval)
+			continue
+		}
+		changed, err := w.next(ctx)
+		dep.report(err)
+		if err == nil {
+			// A report must not claim contact with the store before it has the change.
+			g.applyEvacuations("store", w.revision, w.listing.Domains())
+		}
+		g.storeContact.recordWatch(&g.storeContact.evacuations, err)
+		switch {
+		case err != nil:
+			w.listing = nil
+			node.Pause(ctx, g.options.StoreRetry)
+		case changed:
+			node.Pause(ctx, watchBatchPause)
+		}
+	}
+}
+
+// evacuationWatch lists and then watches the evacuations in the store.
+type evacuationWatch struct {
+	gateway *Gateway
+	// listing is nil unless changes after revision can be watched.
+	listing  *evacuation.Listing
+	revision uint64
+}
+
+// next waits for the next state of the store. It reports whether the watch had changes.
+func (w *evacuationWatch) next(ctx context.Context) (bool, error) {
+	if w.listing == nil {
+		return false, w.list(ctx)
+	}
+	changes, revision, err := w.gateway.options.Store.WatchEvacuations(ctx, w.revision)
+	if err != nil {
+		return false, err
+	}
+	if !w.listing.Apply(changes) {
+		return true, w.list(ctx)
+	}
+	w.revision = revision
+	return len(changes) > 0, nil
+}
+
+func (w *evacuationWatch) list(ctx context.Context) error {
+	list, revision, err := w.gateway.options.Store.ListEvacuations(ctx)
+	if err != nil {
+		return err
+	}
+	known := w.gateway.knownDomains()
+	listing, dropped := evacuation.NewListing(list, func(d fleet.FailureDomainID) bool { return known[d] })
+	if dropped > 0 {
+		w.gateway.log.Error("evacuations left out", zap.Int("left_out", dropped), zap.Uint64("revision", revision))
+	}
+	w.listing, w.revision = listing, revision
+	return nil
+}
+
+// knownDomains returns the failure domains in the settings and those of registered
+// upstreams.
+func (g *Gateway) knownDomains() map[fleet.FailureDomainID]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.knownDomainsLocked()
+}
+
+// knownDomainsLocked is knownDomains for callers that hold mu.
+func (g *Gateway) knownDomainsLocked() map[fleet.FailureDomainID]bool {
+	known := make(map[fleet.FailureDomainID]bool)
+	for domain := range g.policy.Load().Admission.Regions {
+		known[domain] = true
+	}
+	for _, entry := range g.registry.Entries() {
+		known[entry.Upstream.Domain] = true
+	}
+	return known
+}
+
+// applyPeerEvacuations applies the set that another router reported, if any.
+func (g *Gateway) applyPeerEvacuations(from fleet.NodeID, m *peerpb.Evacuations) {
+	if m == nil || !g.followsEvacuations() || !g.needsEvacuations(m.GetRevision()) {
+		return
+	}
+	domains := make([]fleet.FailureDomainID, 0, len(m.GetFailureDomains()))
+	for _, domain := range m.GetFailureDomains() {
+		domains = append(domains, fleet.FailureDomainID(domain))
+	}
+	known := g.knownDomains()
+	kept, _ := evacuation.Limit(domains, func(d fleet.FailureDomainID) bool { return known[d] })
+	g.applyEvacuations(string(from), m.GetRevision(), kept)
+}
+
+// needsEvacuations reports whether a set of a revision is newer than the known one.
+func (g *Gateway) needsEvacuations(revision uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.evacuations.set.Known() || revision > g.evacuations.set.Revision()
+}
+
+// applyEvacuations applies a complete set, unless a newer one is known, and passes it to
+// the services and the other routers if it differs.
+func (g *Gateway) applyEvacuations(source string, revision uint64, domains []fleet.FailureDomainID) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := &g.evacuations
+	first := !e.set.Known()
+	transition := e.set.Replace(revision, domains)
+	e.wire = evacuationsToWire(&e.set)
+	if transition.Empty() && !first {
+		return
+	}
+	evacuatedDomains.Set(int64(len(e.set.Domains())))
+	ended := g.recordTransition(now, source, transition)
+	for _, s := range g.services {
+		s.setEvacuated(now, e.set.Domains(), ended)
+	}
+	g.updateServices(now)
+	g.requestReport()
+}
+
+// recordTransition logs the evacuations that began and ended, and returns the known
+// failure domains among the latter. The caller holds mu.
+func (g *Gateway) recordTransition(now time.Time, source string, t evacuation.Transition) []fleet.FailureDomainID {
+	known := g.knownDomainsLocked()
+	fields := []zap.Field{zap.String("source", source), zap.Uint64("revision", g.evacuations.set.Revision())}
+	for _, domain := range t.Begun {
+		g.evacuations.begunAt[domain] = now
+		g.log.Info("evacuation began", append(fields, zap.String("domain", string(domain)))...)
+		if !known[domain] {
+			g.log.Warn("evacuation of an unknown failure domain", append(fields, zap.String("domain", string(domain)))...)
+		}
+	}
+	var ended []fleet.FailureDomainID
+	for _, domain := range t.Ended {
+		g.log.Info("evacuation ended", append(fields, zap.String("domain", string(domain)), zap.Duration("known_for", now.Sub(g.evacuations.begunAt[domain])))...)
+		delete(g.evacuations.begunAt, domain)
+		if known[domain] {
+			ended = append(ended, domain)
+		}
+	}
+	return ended
+}
+
+func evacuationsToWire(set *evacuation.Set) *peerpb.Evacuations {
+	out := &peerpb.Evacuations{Revision: set.Revision()}
+	for _, domain := range set.Domains() {
+		out.FailureDomains = append(out.FailureDomains, string(domain))
+	}
+	return out
+}
+
+// evacuationsSettled reports whether upstreams may be used as far as evacuations are
+// concerned. A router that has just started waits for the first set, but not for longer
+// than EvacuateWithin: by then it is in contact with neither the store nor a router that
+// knows the set. The caller holds mu.
+func (g *Gateway) evacuationsSettled(now time.Time) bool {
+	return !g.followsEvacuations() || g.evacuations.set.Known() || now.Sub(g.evacuations.waitingSince) >= g.options.EvacuateWithin
+}
+
+// isEvacuated reports whether a failure domain is evacuated.
+func (g *Gateway) isEvacuated(domain fleet.FailureDomainID) bool {
+	if !g.followsEvacuations() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.set.Evacuated(domain)
+}
+
+// setEvacuated replaces the evacuated failure domains. ended are those whose evacuation
+// has just ended.
+func (s *service) setEvacuated(now time.Time, domains, ended []fleet.FailureDomainID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetEvacuated(domains)
+	s.scheduler.EvacuationEnded(now, ended)
+}
+
+// EvacuationState is a gateway's view of the evacuated failure domains.
+type EvacuationState struct {
+	// Known is unset until the first set was received.
+	Known bool `json:"known"`
+	// Revision is the store revision of the set.
+	Revision uint64 `json:"revision"`
+	// StoreAgeMs is the time since the store last answered this gateway or one that it
+	// receives changes from, -1 without contact.
+	StoreAgeMs int64 `json:"store_age_ms"`
+	// Domains maps each evacuated domain to the time since this gateway learned of it,
+	// in milliseconds.
+	Domains map[fleet.FailureDomainID]int64 `json:"domains"`
+}
+
+// evacuationState returns nil if evacuations are not in use. The caller holds mu.
+func (g *Gateway) evacuationState(now time.Time) *EvacuationState {
+	if !g.followsEvacuations() {
+		return nil
+	}
+	e := &g.evacuations
+	state := &EvacuationState{
+		Known: e.set.Known(), Revision: e.set.Revision(), StoreAgeMs: age(now, g.storeContact.last()),
+		Domains: make(map[fleet.FailureDomainID]int64, len(e.begunAt)),
+	}
+	for domain, at := range e.begunAt {
+		state.Domains[domain] = age(now, at)
+	}
+	return state
+}
+
+// decisionRevisions returns the store revisions of the registrations and, if they are in
+// use, the evacuations that a decision is based on, as log fields.
+func (g *Gateway) decisionRevisions() []zap.Field {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	fields := []zap.Field{zap.Uint64("registry", g.registry.Revision())}
+	if g.followsEvacuations() {
+		fields = append(fields, zap.Uint64("evacuations", g.evacuations.set.Revision()))
+	}
+	return fields
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -80,6 +80,7 @@
 	known := g.services[s.ID]
 	if known == nil {
 		g.services[s.ID] = newService(s.ID, g.policy.Load(), g.options.Started, capacityOf(s), &g.loadChanged, g.reportNow)
+		g.services[s.ID].setEvacuated(time.Now(), g.evacuations.set.Domains(), nil)
 		return
 	}
 	known.setCapacity(capacityOf(s))
@@ -159,6 +160,9 @@
 // updateServices passes each service its usable upstreams and closes the pools of the
 // others. The caller holds mu.
 func (g *Gateway) updateServices(now time.Time) {
+	if !g.evacuationsSettled(now) {
+		return
+	}
 	byService := make(map[fleet.ServiceID][]registry.Upstream)
 	usable := make(map[poolKey]bool)
 	for _, u := range g.registry.Usable(now) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 	registry *registry.Registry
 	services map[fleet.ServiceID]*service
 	pools    map[poolKey]*upstream.Pool
+	// evacuations is guarded by mu.
+	evacuations evacuations
 	// adoptedAt is when the configuration in force was adopted; registeredAt is when
 	// registrations were last received from the store or a router.
 	adoptedAt    time.Time
@@ -88,6 +90,8 @@
 		reportNow:     make(chan struct{}, 1),
 		background:    ctx,
 	}
+	g.evacuations = evacuations{begunAt: make(map[fleet.FailureDomainID]time.Time), waitingSince: time.Now()}
+	g.storeContact.followsEvacuations = g.followsEvacuations()
 	g.policy.Store(&options.Policy)
 	g.readiness = newReadiness(g)
 	g.peers = newPeers(g)
@@ -115,7 +119,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Revision() > 0
+	return g.registry.Revision() > 0 && g.evacuationsSettled(time.Now())
 }
 
 // closesConnections reports whether callers' connections are closed after the response,
@@ -150,6 +154,10 @@
 func (g *Gateway) start(peerListener net.Listener) {
 	go g.followRouting(g.background)
 	go g.followUpstreams(g.background)
+	if g.followsEvacuations() {
+		go g.followEvacuations(g.background)
+		time.AfterFunc(g.options.EvacuateWithin, g.refreshServices)
+	}
 	go g.peers.followMembers(g.background)
 	go g.peers.sendReports(g.background)
 	go func() {
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"fulmarspindle.example/fulmarspindle/evacuation"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/placement"
@@ -40,6 +41,9 @@
 	WatchRouting(ctx context.Context, revision uint64) (*route.Definition, uint64, error)
 	ListUpstreams(ctx context.Context) ([]registry.Entry, uint64, error)
 	WatchUpstreams(ctx context.Context, revision uint64) ([]registry.Entry, uint64, error)
+	ListEvacuations(ctx context.Context) ([]evacuation.Change, uint64, error)
+	// WatchEvacuations waits for changes after revision.
+	WatchEvacuations(ctx context.Context, revision uint64) ([]evacuation.Change, uint64, error)
 	// RegisterRouter publishes the address at which this router accepts sessions of
 	// other routers.
 	RegisterRouter(ctx context.Context, id fleet.NodeID, peerAddress string) error
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Counters.
+// Counters and gauges.
 var (
 	// requestCounts counts completed requests by kind and outcome.
 	requestCounts = expvar.NewMap("gateway_requests")
@@ -25,6 +25,8 @@
 	// retryCounts counts retries by service, both those made and those denied by the
 	// budget.
 	retryCounts = expvar.NewMap("gateway_retries")
+	// evacuatedDomains is the number of failure domains that are evacuated.
+	evacuatedDomains = expvar.NewInt("gateway_evacuated_domains")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -60,6 +60,9 @@
 	// store for this router to rely on it for changes. Zero means that every router
 	// watches the store itself.
 	MaxPeerStoreAge time.Duration
+	// EvacuateWithin is the time within which an evacuation of a failure domain is in
+	// force. Zero means that evacuations are not followed.
+	EvacuateWithin time.Duration
 	// StoreRetry is the delay before a failed store call is retried.
 	StoreRetry time.Duration
 
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -51,7 +51,7 @@
 	defer g.mu.Unlock()
 	return &peerpb.LoadReport{
 		RegistryRevision: g.registry.LatestRevision(), Draining: g.draining.Load(), Unready: g.readiness.unready.Load(),
-		StoreAgeMs: g.storeContact.age(time.Now()),
+		StoreAgeMs: g.storeContact.age(time.Now()), Evacuations: g.evacuations.wire,
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -278,6 +278,8 @@
 }
 
 func (p *peers) handleLoadReport(s *peer.Session, m *peerpb.LoadReport) {
+	// The report's contact with the store, recorded below, covers its evacuations.
+	p.gateway.applyPeerEvacuations(s.ID(), m.GetEvacuations())
 	p.applyLoad(s, m)
 	p.markConnected(s.ID())
 	p.setDraining(s.ID(), m.GetDraining())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -213,7 +213,7 @@
 	markRequestDecided(ctx)
 	sent := time.Now()
 	message := g.upstreamMessage(j, d)
-	message.ShouldSend = func() bool { return !callerDisconnected(ctx) }
+	message.ShouldSend = func() bool { return !callerDisconnected(ctx) && !g.isEvacuated(d.Upstream.Domain) }
 	x, err := g.pool(d.Upstream).Do(ctx, message)
 	if errors.Is(err, upstream.ErrWithdrawn) {
 		return g.classifyWithdrawn(ctx, j, id, err)
@@ -332,11 +332,11 @@
 	if d == nil {
 		return nil
 	}
-	return []zap.Field{
-		zap.String("route", j.route.Name), zap.String("team", string(j.team)), zap.Uint64("registry", g.registryRevision()),
+	return append(g.decisionRevisions(),
+		zap.String("route", j.route.Name), zap.String("team", string(j.team)),
 		zap.Int("routers", g.routerCount()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
 		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
-	}
+	)
 }
 
 func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -42,6 +42,8 @@
 	// Retries is the usage of each service's retry budget.
 	Retries  map[fleet.ServiceID]retry.Usage `json:"retries"`
 	Suspects []Suspect                       `json:"suspects"`
+	// Evacuations is nil if evacuations of failure domains are not in use.
+	Evacuations *EvacuationState `json:"evacuations,omitempty"`
 }
 
 // Suspect is a request that was running at upstreams when they crashed.
@@ -81,6 +83,7 @@
 	state.ConfigurationAgeMs = age(now, g.adoptedAt)
 	state.RegistryRevision = g.registry.Revision()
 	state.RegistryAgeMs = age(now, g.registeredAt)
+	state.Evacuations = g.evacuationState(now)
 	for _, entry := range g.registry.Entries() {
 		state.Upstreams = append(state.Upstreams, UpstreamEntry{
 			ID: entry.Upstream.ID, Service: entry.Upstream.Service, Address: entry.Upstream.Address,
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/evacuation"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/outlier"
@@ -31,8 +32,10 @@
 	mu         sync.Mutex
 	definition *route.Definition
 	entries    []registry.Entry
-	revision   uint64
-	changed    chan struct{}
+	// evacuations lists the changes of evacuations in order.
+	evacuations []evacuationEntry
+	revision    uint64
+	changed     chan struct{}
 	// watchTimeout ends a watch without a change; zero means no timeout.
 	watchTimeout time.Duration
 	routers      map[fleet.NodeID]string
@@ -173,6 +176,14 @@
 	return nil, 0, errStoreUnavailable
 }
 
+func (unavailableStore) ListEvacuations(context.Context) ([]evacuation.Change, uint64, error) {
+	return nil, 0, errStoreUnavailable
+}
+
+func (unavailableStore) WatchEvacuations(context.Context, uint64) ([]evacuation.Change, uint64, error) {
+	return nil, 0, errStoreUnavailable
+}
+
 func (unavailableStore) RegisterRouter(context.Context, fleet.NodeID, string) error {
 	return errStoreUnavailable
 }
