--- a/gateway/home_test.go
+++ b/gateway/home_test.go
@@ -28,7 +28,7 @@
 func regionList(names ...fleet.RegionID) []fleet.RegionID { return names }
 
 // startServerIn starts an upstream in a failure domain.
-func startServerIn(t *testing.T, domain fleet.FailureDomainID, service string, handle func(*server, net.Conn, *http.Request)) *server {
+func startHomeServer(t *testing.T, domain fleet.FailureDomainID, service string, handle func(*server, net.Conn, *http.Request)) *server {
 	s := startServer(t, "i-"+string(domain), service, handle)
 	s.Domain = domain
 	return s
@@ -50,8 +50,8 @@
 // Guards against retries that leave the home region after a failure in it.
 func TestFailedRequestIsNotRetriedOutsideItsHomeRegion(t *testing.T) {
 	g := NewWithT(t)
-	inside := startServerIn(t, "d1", "plain", resetConnection)
-	outside, unknown := startServerIn(t, "d2", "plain", respondDone), startServerIn(t, "d9", "plain", respondDone)
+	inside := startHomeServer(t, "d1", "plain", resetConnection)
+	outside, unknown := startHomeServer(t, "d2", "plain", respondDone), startHomeServer(t, "d9", "plain", respondDone)
 	n := startHomeGateway(t, storeOf(withHomes(1, regionList("r1"), nil), inside, outside, unknown), zap.NewNop())
 	for range 5 {
 		resp, _, err := send(n, "GET", "/safe/", "")
@@ -65,12 +65,12 @@
 // Guards against resuming a broken stream outside the home region.
 func TestBrokenStreamIsNotResumedOutsideItsHomeRegion(t *testing.T) {
 	g := NewWithT(t)
-	inside := startServerIn(t, "d1", "engines", func(_ *server, c net.Conn, r *http.Request) {
+	inside := startHomeServer(t, "d1", "engines", func(_ *server, c net.Conn, r *http.Request) {
 		streamHead(c, r)
 		chunk(c, events(1, 3))
 		c.Close()
 	})
-	outside := startServerIn(t, "d2", "engines", respondDone)
+	outside := startHomeServer(t, "d2", "engines", respondDone)
 	n := startHomeGateway(t, storeOf(withHomes(1, regionList("r1"), nil), inside, outside), zap.NewNop())
 	_, body, err := send(n, "POST", "/resumable/", "")
 	g.Expect(err).To(HaveOccurred())
@@ -105,12 +105,12 @@
 			g := NewWithT(t)
 			store := newMemoryStore()
 			var n *node
-			first := startServerIn(t, "d1", "plain", func(_ *server, conn net.Conn, r *http.Request) {
+			first := startHomeServer(t, "d1", "plain", func(_ *server, conn net.Conn, r *http.Request) {
 				store.configure(c.next)
 				g.Eventually(func() int64 { return n.State().Configuration }, eventuallyTimeout).Should(BeEquivalentTo(2))
 				respond(conn, r, 500, "broken")
 			})
-			second := startServerIn(t, "d2", "plain", respondDone)
+			second := startHomeServer(t, "d2", "plain", respondDone)
 			store.configure(c.own)
 			store.register(first.Upstream, false)
 			store.register(second.Upstream, false)
@@ -128,7 +128,7 @@
 // Guards against a refusal that does not tell the caller and the operators the reason.
 func TestRefusalForHomeRegionIsExplained(t *testing.T) {
 	g := NewWithT(t)
-	inside, outside := startServerIn(t, "d1", "plain", respondDone), startServerIn(t, "d9", "plain", respondDone)
+	inside, outside := startHomeServer(t, "d1", "plain", respondDone), startHomeServer(t, "d9", "plain", respondDone)
 	core, logs := observer.New(zap.InfoLevel)
 	store := storeOf(withHomes(1, regionList("r1", "r7"), regionList("r7", "r8")), inside, outside)
 	n := startHomeGateway(t, store, zap.New(core))
@@ -155,7 +155,7 @@
 func TestRequestsWithoutHomeRegionsAreLoggedAsBefore(t *testing.T) {
 	g := NewWithT(t)
 	core, logs := observer.New(zap.InfoLevel)
-	n := startHomeGateway(t, storeOf(definition(1), startServerIn(t, "d9", "plain", respondDone)), zap.New(core))
+	n := startHomeGateway(t, storeOf(definition(1), startHomeServer(t, "d9", "plain", respondDone)), zap.New(core))
 	resp, _, err := send(n, "GET", "/safe/", "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(200))
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -44,6 +44,8 @@
 	Suspects []Suspect                       `json:"suspects"`
 	// HomeRegions is nil if no route and no team has home regions.
 	HomeRegions *HomeRegions `json:"home_regions,omitempty"`
+	// Evacuations is nil if evacuations of failure domains are not in use.
+	Evacuations *EvacuationState `json:"evacuations,omitempty"`
 }
 
 // Suspect is a request that was running at upstreams when they crashed.
@@ -84,6 +86,7 @@
 	state.ConfigurationAgeMs = age(now, g.adoptedAt)
 	state.RegistryRevision = g.registry.Revision()
 	state.RegistryAgeMs = age(now, g.registeredAt)
+	state.Evacuations = g.evacuationState(now)
 	for _, entry := range g.registry.Entries() {
 		state.Upstreams = append(state.Upstreams, UpstreamEntry{
 			ID: entry.Upstream.ID, Service: entry.Upstream.Service, Address: entry.Upstream.Address,
