Bound the requests of all gateways to a cold upstream

Cause: an upstream that has just started tolerates few requests per second. Every gateway sends to it as to any other, so that the limit is broken when a server restarts or a whole failure domain returns.

Change: package warmup chooses a few senders for each cold upstream among the gateways of its region and spaces the sends of each, so that the bound holds without messages, also with one more sender than planned. Members are all gateways that are registered or were seen within retry.member_ttl; a new one waits until the others know it. Admission passes over cold upstreams to which this gateway may not send now; each send takes a slot. Upstreams are cold by their registration, a new start time, an ejection, the end of an evacuation (MarkDomainsCold) or a response's Cold-Ms. Gateways register with their failure domain and tell each other the remaining cold time.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -33,6 +33,9 @@
 	// cold is set if the engine would have to prefill shared parts that another
 	// engine has cached or is the preferred one to cache.
 	cold bool
+	// passedOver is set if the candidate is acceptable but for the limit on requests to
+	// cold upstreams.
+	passedOver bool
 	// ranked is set if candidates are tried in placement order instead of by cost.
 	ranked bool
 }
@@ -44,6 +47,8 @@
 	// busy is set if the mean queueing time of the engines exceeds the limit divided
 	// by busyWaitDivisor.
 	busy bool
+	// now is the time of the decision.
+	now time.Time
 }
 
 // choose returns the best upstream that is predicted to answer on time, or else nil
@@ -54,12 +59,12 @@
 		return nil, Decision{Reason: NoUpstream, RetryAfter: s.options.Outlier.BaseEjection}
 	}
 	limit := s.waitLimit(r, ratio)
-	b := bounds{limit: limit, busy: s.meanQueueTime(now) > limit/busyWaitDivisor}
+	b := bounds{limit: limit, busy: s.meanQueueTime(now) > limit/busyWaitDivisor, now: now}
 	if best := s.best(r, candidates, b); best != nil {
-		return best, Decision{}
+		return best, Decision{PassedOver: countPassedOver(candidates)}
 	}
 	fallback := cheapest(candidates)
-	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(fallback, limit), Predicted: fallback.predicted}
+	refused := Decision{Reason: Overloaded, RetryAfter: s.refusalDelay(now, candidates, limit), Predicted: fallback.predicted, PassedOver: countPassedOver(candidates)}
 	b.limit = s.waitLimit(r, 0)
 	if limit < b.limit && s.onTime(r, fallback, b) {
 		refused.Reason = OverShare
@@ -87,7 +92,7 @@
 	if c.cold && (b.busy || s.queueTime(c) > b.limit/coldWaitDivisor) {
 		return false
 	}
-	return !c.full && s.onTime(r, c, b)
+	return !c.full && s.onTime(r, c, b) && s.mayWarm(b.now, c)
 }
 
 func cheapest(candidates []candidate) *candidate {
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -8,6 +8,7 @@
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/warmup"
 )
 
 // Reason is the reason for which a request was refused.
@@ -75,6 +76,11 @@
 	// Connections is the number of connections that an upstream accepts from all
 	// routers together. Zero means no limit.
 	Connections int
+	// ColdStart is how long an upstream is cold after a start, and ColdRate the number
+	// of requests per second that a cold upstream tolerates from all routers together.
+	// Zero ColdRate means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Request is a request for admission.
@@ -116,6 +122,11 @@
 	// ShareRatio is the tokens served to the team relative to its share. It is zero
 	// without contention.
 	ShareRatio float64
+	// Cold is set if the chosen upstream is cold.
+	Cold bool
+	// PassedOver is the number of cold upstreams that were acceptable, but to which this
+	// router may not send now.
+	PassedOver int
 }
 
 // Scheduler decides on the admission of requests to one service at one router.
@@ -143,6 +154,8 @@
 	// unreportedTokens is the prefill work in tokens not yet reported to the other
 	// routers.
 	unreportedTokens int
+	// warming holds the cold upstreams.
+	warming *warmup.Tracker
 }
 
 // urgentPrefill is the unreported prefill time from which on a report is sent before the
@@ -168,6 +181,7 @@
 		inFlight:    make(map[string]*attempt),
 		usageWindow: newUsageWindow(options.Window),
 		peerUsage:   make(map[fleet.NodeID]peerUsage),
+		warming:     warmup.NewTracker(coldLimits(options, capacity)),
 	}
 	s.SetCapacity(capacity)
 	return s
@@ -180,12 +194,14 @@
 		s.usageWindow = newUsageWindow(options.Window)
 	}
 	s.options = options
+	s.warming.SetLimits(coldLimits(options, s.capacity))
 }
 
 // SetCapacity replaces the configured capacity of the service's upstreams.
 func (s *Scheduler) SetCapacity(capacity Capacity) {
 	s.capacity = capacity
 	s.transfers.setRate(capacity.TransferRate)
+	s.warming.SetLimits(coldLimits(s.options, capacity))
 }
 
 // SetUpstreams replaces the list of available upstreams. An upstream whose start time or
@@ -247,6 +263,7 @@
 	return Decision{
 		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
 		Predicted: best.predicted, Prefill: best.prefill, ShareRatio: ratio,
+		Cold: s.cold(now, best.upstream.ID), PassedOver: refused.PassedOver,
 	}
 }
 
@@ -268,6 +285,7 @@
 	}
 	s.inFlight[r.ID] = a
 	c.upstream.begin(now, a)
+	s.warming.RecordSend(now, c.upstream.ID)
 	if s.capacity.MemoryTokens > 0 {
 		s.unreportedTokens += c.prefill
 		c.upstream.cache.Add(r.Prompt)
@@ -336,6 +354,7 @@
 	ejected := u.detector.Observe(now, started, outcome)
 	if ejected {
 		u.cache = placement.NewCache(s.capacity.MemoryTokens)
+		s.markEjectedCold(now, u)
 	}
 	return ejected
 }
--- a/admission/view.go
+++ b/admission/view.go
@@ -28,6 +28,8 @@
 	CachedTokens int     `json:"cached_tokens"`
 	Ejected      bool    `json:"ejected"`
 	FailureRate  float64 `json:"failure_rate"`
+	// Cold is nil if the upstream is not cold.
+	Cold *ColdView `json:"cold,omitempty"`
 }
 
 // View returns a snapshot of the scheduler's state.
@@ -48,6 +50,7 @@
 			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
 			FailureRate:   u.detector.FailureRate(),
+			Cold:          s.coldView(now, id),
 		}
 	}
 	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
--- /dev/null
+++ b/admission/warming.go
@@ -0,0 +1,137 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/warmup"
+)
+
+// ColdView is the cold period of an upstream.
+type ColdView struct {
+	RemainingMs int64        `json:"remaining_ms"`
+	Cause       warmup.Cause `json:"cause"`
+	// Sender is set if this router may send to the upstream while it is cold.
+	Sender bool `json:"sender"`
+}
+
+// maxRegisteredColdStarts bounds the cold time that a registration states, in multiples of
+// the service's ColdStart, because another writer may have replaced the registration.
+const maxRegisteredColdStarts = 2
+
+func coldLimits(o Options, c Capacity) warmup.Limits {
+	return warmup.Limits{Rate: c.ColdRate, Overage: o.ColdOverage, Slack: o.ColdSlack, ColdStart: c.ColdStart}
+}
+
+// SetFleet replaces the routers from which the senders to cold upstreams are chosen.
+func (s *Scheduler) SetFleet(f *warmup.Fleet) { s.warming.SetFleet(f) }
+
+// TakeColdPeriods returns the cold periods that have begun since the previous call.
+func (s *Scheduler) TakeColdPeriods() []warmup.Period { return s.warming.TakeBegun() }
+
+// MarkRegisteredCold begins the cold periods that follow from the registrations passed to
+// SetUpstreams.
+func (s *Scheduler) MarkRegisteredCold(now time.Time) {
+	s.warming.Expire(now)
+	coldStart := s.warming.ColdStart()
+	for _, id := range s.ids {
+		u := s.upstreams[id]
+		if !u.RestartedAt.IsZero() {
+			s.markCold(now, u, u.RestartedAt.Add(coldStart), warmup.Restarted)
+		}
+		if u.ColdRemaining > 0 {
+			remaining := min(u.ColdRemaining, maxRegisteredColdStarts*coldStart)
+			s.markCold(now, u, u.ColdSince.Add(remaining), warmup.Registered)
+		}
+	}
+}
+
+// MarkDomainsCold begins cold periods of the upstreams of failure domains whose evacuation
+// ended at the given time.
+func (s *Scheduler) MarkDomainsCold(now time.Time, domains []fleet.FailureDomainID) {
+	for _, id := range s.ids {
+		if u := s.upstreams[id]; slices.Contains(domains, u.Domain) {
+			s.markCold(now, u, now.Add(s.warming.ColdStart()), warmup.Returned)
+		}
+	}
+}
+
+// MarkReportedCold begins the cold period that a response of an upstream states.
+func (s *Scheduler) MarkReportedCold(now time.Time, id fleet.UpstreamID, remaining time.Duration) {
+	if u := s.upstreams[id]; u != nil {
+		remaining = min(remaining, maxRegisteredColdStarts*s.warming.ColdStart())
+		s.markCold(now, u, now.Add(remaining), warmup.Reported)
+	}
+}
+
+// markEjectedCold begins the cold period of an upstream that was just ejected. It may have
+// restarted, or restart until the ejection ends, before the store says so. The period
+// begins at once, because ejected upstreams are used if no others are left.
+func (s *Scheduler) markEjectedCold(now time.Time, u *upstream) {
+	s.markCold(now, u, u.detector.EjectedUntil().Add(s.warming.ColdStart()), warmup.Ejected)
+}
+
+func (s *Scheduler) markCold(now time.Time, u *upstream, until time.Time, cause warmup.Cause) {
+	incarnation := warmup.Upstream{ID: u.ID, Region: s.options.Regions[u.Domain], StartedUnixMs: u.StartedUnixMs}
+	s.warming.MarkCold(now, incarnation, until, cause)
+}
+
+// mayWarm reports whether this router may send a request to a candidate now: it is not
+// cold, or this router is one of its senders and has a slot.
+func (s *Scheduler) mayWarm(now time.Time, c *candidate) bool {
+	c.passedOver = !s.warming.MaySend(now, c.upstream.ID)
+	return !c.passedOver
+}
+
+// cold reports whether an upstream is cold.
+func (s *Scheduler) cold(now time.Time, id fleet.UpstreamID) bool {
+	_, cold := s.warming.Period(now, id)
+	return cold
+}
+
+func countPassedOver(candidates []candidate) int {
+	count := 0
+	for i := range candidates {
+		if candidates[i].passedOver {
+			count++
+		}
+	}
+	return count
+}
+
+// refusalDelay returns the time until a refused request is predicted to be admitted: until
+// the cheapest candidate is within the limit, or until the next slot of a candidate that
+// was passed over, whichever is sooner.
+func (s *Scheduler) refusalDelay(now time.Time, candidates []candidate, limit time.Duration) time.Duration {
+	var queued *candidate
+	delay := time.Duration(-1)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.passedOver {
+			slot := s.warming.NextSend(now, c.upstream.ID).Sub(now)
+			if delay < 0 || slot < delay {
+				delay = slot
+			}
+			continue
+		}
+		if queued == nil || c.cost < queued.cost {
+			queued = c
+		}
+	}
+	if queued == nil {
+		return delay
+	}
+	if untilOnTime := s.retryAfter(queued, limit); delay < 0 || untilOnTime < delay {
+		return untilOnTime
+	}
+	return delay
+}
+
+func (s *Scheduler) coldView(now time.Time, id fleet.UpstreamID) *ColdView {
+	period, cold := s.warming.Period(now, id)
+	if !cold {
+		return nil
+	}
+	return &ColdView{RemainingMs: period.Until.Sub(now).Milliseconds(), Cause: period.Cause, Sender: period.Sender}
+}
--- a/gateway/cachelist.go
+++ b/gateway/cachelist.go
@@ -36,15 +36,18 @@
 }
 
 // requestOnce requests the cache contents of those engines of a service that have not
-// been asked before. The caller holds Gateway.mu.
+// been asked before and are not cold: a cold engine has cached nothing and tolerates few
+// requests. The caller holds Gateway.mu.
 func (c *cacheLists) requestOnce(s *service, engines []registry.Upstream) {
 	if c.gateway.options.Engines == nil || !s.cachesPrompts() {
 		return
 	}
+	now := time.Now()
 	for _, u := range engines {
 		key := keyOf(u)
 		older := u.StartedUnixMs < c.started.UnixMilli()
-		if !older || c.requested[key] || len(c.requested) >= maxRequestedCacheLists {
+		cold := u.ColdLeft(now) > 0
+		if !older || cold || c.requested[key] || len(c.requested) >= maxRequestedCacheLists {
 			continue
 		}
 		c.requested[key] = true
--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -71,6 +71,8 @@
 	return exchange.Ran
 }
 
+func (plainDialect) ColdRemaining(http.Header) time.Duration { return 0 }
+
 func (plainDialect) ResponseHeader(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del("Connection")
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -79,7 +79,8 @@
 func (g *Gateway) applyServiceConfig(s *route.Service) {
 	known := g.services[s.ID]
 	if known == nil {
-		g.services[s.ID] = newService(s.ID, g.policy.Load(), g.options.Started, capacityOf(s), &g.loadChanged, g.reportNow)
+		g.services[s.ID] = newService(s.ID, g.policy.Load(), g.options.Started, capacityOf(s), &g.loadChanged, g.reportNow, g.log)
+		g.services[s.ID].setFleet(g.fleet)
 		return
 	}
 	known.setCapacity(capacityOf(s))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/upstream"
+	"fulmarspindle.example/fulmarspindle/warmup"
 )
 
 // ErrListen reports that an address could not be listened on or that a listener failed.
@@ -40,11 +41,13 @@
 	inFlight              atomic.Int64
 	bufferedBytes         atomic.Int64
 
-	// mu guards the registry, services and pools.
+	// mu guards the registry, services, pools and fleet.
 	mu       sync.Mutex
 	registry *registry.Registry
 	services map[fleet.ServiceID]*service
 	pools    map[poolKey]*upstream.Pool
+	// fleet lists the routers from which the senders to cold upstreams are chosen.
+	fleet *warmup.Fleet
 	// adoptedAt is when the configuration in force was adopted; registeredAt is when
 	// registrations were last received from the store or a router.
 	adoptedAt    time.Time
@@ -105,6 +108,7 @@
 	}
 	g.mu.Unlock()
 	g.peers.setMemberTTL(policy.MemberTTL)
+	g.updateFleet()
 	g.peers.addAddresses(g.background, nil)
 }
 
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
@@ -22,6 +23,9 @@
 	MatchesResponse(in exchange.Inbound, status int, header http.Header) bool
 	// ClassifyResponse derives the outcome from the status and headers of a response.
 	ClassifyResponse(status int, header http.Header) exchange.Outcome
+	// ColdRemaining returns how much longer the upstream is cold according to its
+	// response; zero if the response does not say.
+	ColdRemaining(header http.Header) time.Duration
 	// ResponseHeader returns the response headers that are relayed to the caller.
 	ResponseHeader(header http.Header) http.Header
 }
@@ -40,8 +44,7 @@
 	WatchRouting(ctx context.Context, revision uint64) (*route.Definition, uint64, error)
 	ListUpstreams(ctx context.Context) ([]registry.Entry, uint64, error)
 	WatchUpstreams(ctx context.Context, revision uint64) ([]registry.Entry, uint64, error)
-	// RegisterRouter publishes the address at which this router accepts sessions of
-	// other routers.
-	RegisterRouter(ctx context.Context, id fleet.NodeID, peerAddress string) error
-	ListRouters(ctx context.Context) (map[fleet.NodeID]string, error)
+	// RegisterRouter publishes this router's registration for the other routers.
+	RegisterRouter(ctx context.Context, id fleet.NodeID, r registry.Router) error
+	ListRouters(ctx context.Context) (map[fleet.NodeID]registry.Router, error)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,11 @@
 	// retryCounts counts retries by service, both those made and those denied by the
 	// budget.
 	retryCounts = expvar.NewMap("gateway_retries")
+	// coldSendCounts counts requests sent to cold upstreams by service.
+	coldSendCounts = expvar.NewMap("gateway_cold_sends")
+	// coldPassedOverCounts counts the times by service that an otherwise acceptable
+	// upstream was passed over because it is cold.
+	coldPassedOverCounts = expvar.NewMap("gateway_cold_passed_over")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -167,12 +167,13 @@
 
 // registryUpdate returns the registrations that changed after a revision.
 func (g *Gateway) registryUpdate(after uint64) *peerpb.RegistryUpdate {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := &peerpb.RegistryUpdate{Revision: g.registry.LatestRevision()}
 	for _, entry := range g.registry.Entries() {
 		if entry.Revision > after {
-			out.Registrations = append(out.Registrations, registrationToWire(entry))
+			out.Registrations = append(out.Registrations, registrationToWire(now, entry))
 		}
 	}
 	return out
@@ -193,11 +194,12 @@
 	g.updateServices(now)
 }
 
-func registrationToWire(entry registry.Entry) *peerpb.Registration {
+func registrationToWire(now time.Time, entry registry.Entry) *peerpb.Registration {
 	return &peerpb.Registration{
 		Upstream: string(entry.Upstream.ID), Service: string(entry.Upstream.Service), Address: entry.Upstream.Address,
 		FailureDomain: string(entry.Upstream.Domain), Slots: uint32(entry.Upstream.Slots), Draining: entry.Upstream.Draining,
 		StartedUnixMs: entry.Upstream.StartedUnixMs, Version: entry.Upstream.Version, Revision: entry.Revision, Removed: entry.Removed,
+		ColdRemainingMs: coldRemainingToWire(entry.Upstream.ColdLeft(now)),
 	}
 }
 
@@ -207,6 +209,7 @@
 			ID: fleet.UpstreamID(m.GetUpstream()), Service: fleet.ServiceID(m.GetService()), Address: m.GetAddress(),
 			Domain: fleet.FailureDomainID(m.GetFailureDomain()), Slots: int(m.GetSlots()), Draining: m.GetDraining(),
 			StartedUnixMs: m.GetStartedUnixMs(), Version: m.GetVersion(),
+			ColdRemaining: time.Duration(m.GetColdRemainingMs()) * time.Millisecond,
 		},
 		Revision: m.GetRevision(), Removed: m.GetRemoved(),
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,7 +12,9 @@
 	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/warmup"
 )
 
 const (
@@ -41,6 +43,8 @@
 	unready map[fleet.NodeID]bool
 	// members are the routers that share the retry budgets.
 	members *retry.Members
+	// warmupMembers are the routers from which the senders to cold upstreams are chosen.
+	warmupMembers *warmup.Members
 	// behindSince is since when another router has had a newer registry revision.
 	behindSince time.Time
 	// lastHeard is when each connected router last sent a message.
@@ -68,7 +72,8 @@
 func newPeers(g *Gateway) *peers {
 	p := &peers{gateway: g, sessions: node.NewSessions(), addresses: make(map[fleet.NodeID]string), draining: make(map[fleet.NodeID]bool),
 		unready: make(map[fleet.NodeID]bool), lastHeard: make(map[fleet.NodeID]time.Time), summedDomains: make(map[fleet.FailureDomainID]bool),
-		members: retry.NewMembers(g.options.Policy.MemberTTL)}
+		members:       retry.NewMembers(g.options.Policy.MemberTTL),
+		warmupMembers: newWarmupMembers(&g.options)}
 	local := &peer.Local{
 		Hello: &peerpb.Hello{
 			ProtocolVersion: peer.ProtocolVersion,
@@ -105,29 +110,42 @@
 }
 
 // markConnected records that another router is, or was until now, connected.
-func (p *peers) markConnected(id fleet.NodeID) {
+func (p *peers) markConnected(s *peer.Session) {
+	now := time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.members.MarkConnected(time.Now(), id)
+	p.members.MarkConnected(now, s.ID())
+	changed := p.warmupMembers.MarkConnected(now, s.ID(), s.Location().FailureDomain)
+	p.mu.Unlock()
+	if changed {
+		p.gateway.updateFleet()
+	}
 }
 
 // addRegistered adds the registered routers to the members.
-func (p *peers) addRegistered(found map[fleet.NodeID]string) {
+func (p *peers) addRegistered(found map[fleet.NodeID]registry.Router) {
+	now := time.Now()
 	ids := make([]fleet.NodeID, 0, len(found))
-	for id := range found {
+	domains := make(map[fleet.NodeID]fleet.FailureDomainID, len(found))
+	for id, r := range found {
+		domains[id] = r.Domain
 		if id != p.gateway.options.ID {
 			ids = append(ids, id)
 		}
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.members.AddRegistered(time.Now(), ids)
+	p.members.AddRegistered(now, ids)
+	changed := p.warmupMembers.SetRegistered(now, domains)
+	p.mu.Unlock()
+	if changed {
+		p.gateway.updateFleet()
+	}
 }
 
 func (p *peers) setMemberTTL(ttl time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.members.SetTTL(ttl)
+	p.warmupMembers.SetTTL(ttl)
 }
 
 // connectedCount returns the number of connected routers.
@@ -196,10 +214,10 @@
 	for ctx.Err() == nil {
 		var err error
 		if !registered {
-			err = p.gateway.options.Store.RegisterRouter(ctx, p.gateway.options.ID, p.gateway.options.PeerAddress)
+			err = p.gateway.options.Store.RegisterRouter(ctx, p.gateway.options.ID, p.gateway.registration())
 			registered = err == nil
 		}
-		var found map[fleet.NodeID]string
+		var found map[fleet.NodeID]registry.Router
 		if err == nil {
 			found, err = p.gateway.options.Store.ListRouters(ctx)
 		}
@@ -209,7 +227,7 @@
 			continue
 		}
 		p.addRegistered(found)
-		p.addAddresses(ctx, found)
+		p.addAddresses(ctx, peerAddresses(found))
 		node.Pause(ctx, membersInterval)
 	}
 }
@@ -230,7 +248,7 @@
 		return
 	}
 	p.gateway.log.Info("session opened", zap.String("peer", string(s.ID())), zap.Stringer("role", s.Role()))
-	p.markConnected(s.ID())
+	p.markConnected(s)
 	p.recordHeard(s.ID())
 	p.addAddresses(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
 	p.fullReportDue.Store(true)
@@ -240,7 +258,7 @@
 // SessionDown implements peer.Handler.
 func (p *peers) SessionDown(s *peer.Session, _ error) {
 	if p.sessions.Remove(s) {
-		p.markConnected(s.ID())
+		p.markConnected(s)
 		p.gateway.removePeer(s.ID())
 		p.setDraining(s.ID(), false)
 		p.removeSession(s)
@@ -279,7 +297,7 @@
 
 func (p *peers) handleLoadReport(s *peer.Session, m *peerpb.LoadReport) {
 	p.applyLoad(s, m)
-	p.markConnected(s.ID())
+	p.markConnected(s)
 	p.setDraining(s.ID(), m.GetDraining())
 	p.setUnready(s.ID(), m.GetUnready())
 	found := make(map[fleet.NodeID]string)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -100,6 +100,7 @@
 // relay relays an upstream's response to the caller.
 func (g *Gateway) relay(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	status, header := x.Response.StatusCode, x.Response.Header
+	g.markReportedCold(j, status, header)
 	switch g.options.Dialect.ClassifyResponse(status, header) {
 	case exchange.NotRun:
 		// Drains the body so that the connection can be reused.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -332,11 +332,12 @@
 	if d == nil {
 		return nil
 	}
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.String("route", j.route.Name), zap.String("team", string(j.team)), zap.Uint64("registry", g.registryRevision()),
 		zap.Int("routers", g.routerCount()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
 		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
 	}
+	return append(fields, coldFields(d)...)
 }
 
 func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/outlier"
@@ -16,7 +18,8 @@
 // service holds the admission scheduler and the retry budget of one service and passes
 // them the current time.
 type service struct {
-	id fleet.ServiceID
+	id  fleet.ServiceID
+	log *zap.Logger
 	// loadChanged is set when the load changes.
 	loadChanged *atomic.Bool
 	// reportNow is signaled when the other routers need a report before its regular
@@ -67,9 +70,10 @@
 	s.scheduler.RemovePeer(node)
 }
 
-func newService(id fleet.ServiceID, policy *Policy, started time.Time, capacity admission.Capacity, loadChanged *atomic.Bool, reportNow chan struct{}) *service {
+func newService(id fleet.ServiceID, policy *Policy, started time.Time, capacity admission.Capacity, loadChanged *atomic.Bool, reportNow chan struct{}, log *zap.Logger) *service {
 	return &service{
 		id:          id,
+		log:         log,
 		loadChanged: loadChanged,
 		reportNow:   reportNow,
 		scheduler:   admission.NewScheduler(policy.Admission, capacity),
@@ -78,7 +82,7 @@
 }
 
 func capacityOf(s *route.Service) admission.Capacity {
-	capacity := admission.Capacity{Connections: s.MaxConnections}
+	capacity := admission.Capacity{Connections: s.MaxConnections, ColdStart: s.ColdStart, ColdRate: s.ColdRate}
 	if s.Engine != nil {
 		capacity.Slots = s.Engine.Slots
 		capacity.MemoryTokens = s.Engine.MemoryTokens
@@ -113,6 +117,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduler.SetUpstreams(list)
+	s.markRegisteredCold()
 }
 
 // recordRequest counts a caller's request towards the retry budget.
@@ -143,6 +148,7 @@
 	defer s.mu.Unlock()
 	s.loadChanged.Store(true)
 	d := s.scheduler.Admit(time.Now(), r)
+	s.countCold(d)
 	if s.scheduler.ReportUrgent() {
 		notify(s.reportNow)
 	}
@@ -160,12 +166,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loadChanged.Store(true)
+	defer s.logColdPeriods()
 	return s.scheduler.End(time.Now(), id, outcome)
 }
 
 func (s *service) markUnreachable(id fleet.UpstreamID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.logColdPeriods()
 	return s.scheduler.Unreachable(time.Now(), id)
 }
 
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -35,11 +35,11 @@
 	changed    chan struct{}
 	// watchTimeout ends a watch without a change; zero means no timeout.
 	watchTimeout time.Duration
-	routers      map[fleet.NodeID]string
+	routers      map[fleet.NodeID]registry.Router
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{changed: make(chan struct{}), routers: map[fleet.NodeID]string{}}
+	return &memoryStore{changed: make(chan struct{}), routers: map[fleet.NodeID]registry.Router{}}
 }
 
 // recordChange advances the revision and wakes the watches. The caller holds mu.
@@ -137,19 +137,19 @@
 	}
 }
 
-func (s *memoryStore) RegisterRouter(_ context.Context, id fleet.NodeID, address string) error {
+func (s *memoryStore) RegisterRouter(_ context.Context, id fleet.NodeID, r registry.Router) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routers[id] = address
+	s.routers[id] = r
 	return nil
 }
 
-func (s *memoryStore) ListRouters(context.Context) (map[fleet.NodeID]string, error) {
+func (s *memoryStore) ListRouters(context.Context) (map[fleet.NodeID]registry.Router, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[fleet.NodeID]string, len(s.routers))
-	for id, address := range s.routers {
-		out[id] = address
+	out := make(map[fleet.NodeID]registry.Router, len(s.routers))
+	for id, r := range s.routers {
+		out[id] = r
 	}
 	return out, nil
 }
@@ -173,11 +173,11 @@
 	return nil, 0, errStoreUnavailable
 }
 
-func (unavailableStore) RegisterRouter(context.Context, fleet.NodeID, string) error {
+func (unavailableStore) RegisterRouter(context.Context, fleet.NodeID, registry.Router) error {
 	return errStoreUnavailable
 }
 
-func (unavailableStore) ListRouters(context.Context) (map[fleet.NodeID]string, error) {
+func (unavailableStore) ListRouters(context.Context) (map[fleet.NodeID]registry.Router, error) {
 	return nil, errStoreUnavailable
 }
 
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -99,5 +99,8 @@
 // Ejected reports whether the upstream is ejected.
 func (d *Detector) Ejected(now time.Time) bool { return now.Before(d.ejectedUntil) }
 
+// EjectedUntil returns the end of the last ejection; zero if there was none.
+func (d *Detector) EjectedUntil() time.Time { return d.ejectedUntil }
+
 // FailureRate returns the moving average of the fraction of failed attempts.
 func (d *Detector) FailureRate() float64 { return d.failureRate }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -26,8 +26,29 @@
 	StartedUnixMs int64
 	// Version is the version of the upstream's software.
 	Version string
-	// ColdRemaining is how much longer the upstream is cold as of its registration.
+	// ColdRemaining is how much longer the upstream is cold as of its registration, and
+	// ColdSince when that registration was received. Apply sets ColdSince.
 	ColdRemaining time.Duration
+	ColdSince     time.Time
+	// RestartedAt is when a start time other than the one known before was received;
+	// zero if there was none. Apply sets it.
+	RestartedAt time.Time
+}
+
+// coldUntil returns the end of the cold period that the registration states.
+func (u Upstream) coldUntil() time.Time { return u.ColdSince.Add(u.ColdRemaining) }
+
+// ColdLeft returns how much longer the upstream is cold according to its registration.
+func (u Upstream) ColdLeft(now time.Time) time.Duration {
+	return max(u.coldUntil().Sub(now), 0)
+}
+
+// Router is the registration of a router.
+type Router struct {
+	// PeerAddress is the address at which the router accepts sessions of other routers.
+	PeerAddress string
+	// Domain is the router's failure domain; empty if unknown.
+	Domain fleet.FailureDomainID
 }
 
 // Entry is the registration of an upstream at a revision of the store.
@@ -104,6 +125,7 @@
 func (r *Registry) Apply(now time.Time, e Entry) bool {
 	rec := r.records[e.Upstream.ID]
 	if rec == nil {
+		setColdTimes(now, &e.Upstream, Upstream{StartedUnixMs: e.Upstream.StartedUnixMs})
 		r.records[e.Upstream.ID] = &record{Entry: e, updatedAt: now}
 		return true
 	}
@@ -112,11 +134,29 @@
 	}
 	if e.Removed && e.Upstream.Service == "" {
 		e.Upstream = rec.Upstream
+	} else {
+		setColdTimes(now, &e.Upstream, rec.Upstream)
 	}
 	*rec = record{Entry: e, updatedAt: now}
 	return true
 }
 
+// setColdTimes sets when an upstream is cold, given the state known before. If both are of
+// the same incarnation and the earlier registration states a later end, that one counts.
+func setColdTimes(now time.Time, u *Upstream, known Upstream) {
+	if u.ColdRemaining > 0 {
+		u.ColdSince = now
+	}
+	if u.StartedUnixMs != known.StartedUnixMs {
+		u.RestartedAt = now
+		return
+	}
+	u.RestartedAt = known.RestartedAt
+	if known.coldUntil().After(u.coldUntil()) {
+		u.ColdRemaining, u.ColdSince = known.ColdRemaining, known.ColdSince
+	}
+}
+
 // AdvanceRevision records that all changes up to revision were applied.
 func (r *Registry) AdvanceRevision(revision uint64) { r.revision = max(r.revision, revision) }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -119,3 +119,28 @@
 	r.Replace(start.Add(2*time.Minute), nil, 3, false)
 	g.Expect(r.Entries()).To(BeEmpty())
 }
+
+// Guards against a cold period that starts anew with each copy of a registration, ends early
+// by a later registration, or is missed because only the start time changed.
+func TestColdTimesOfRegistrations(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegistry()
+	apply := func(after time.Duration, revision uint64, started int64, remaining time.Duration) registry.Upstream {
+		entry := registered("u1", revision)
+		entry.Upstream.StartedUnixMs, entry.Upstream.ColdRemaining = started, remaining
+		r.Apply(start.Add(after), entry)
+		return r.Usable(start)[0]
+	}
+	first := apply(0, 1, 7, 3*time.Second)
+	g.Expect(first.ColdLeft(start.Add(time.Second))).To(Equal(2 * time.Second))
+	g.Expect(first.RestartedAt.IsZero()).To(BeTrue(), "the first start time known")
+	g.Expect(apply(time.Second, 1, 7, 3*time.Second)).To(Equal(first), "the same revision again")
+	g.Expect(apply(time.Second, 2, 7, 0).ColdLeft(start)).To(Equal(3 * time.Second))
+	g.Expect(apply(2*time.Second, 3, 7, 3*time.Second).ColdLeft(start)).To(Equal(5*time.Second), "cold again")
+	restarted := apply(10*time.Second, 4, 8, 0)
+	g.Expect(restarted.RestartedAt).To(Equal(start.Add(10 * time.Second)))
+	g.Expect(restarted.ColdLeft(start.Add(10 * time.Second))).To(BeZero())
+	r.Apply(start.Add(11*time.Second), removed("u1", 5))
+	g.Expect(apply(12*time.Second, 6, 9, 0).RestartedAt).To(Equal(start.Add(12*time.Second)), "removed in between")
+	g.Expect(apply(13*time.Second, 7, 9, 0).RestartedAt).To(Equal(start.Add(12 * time.Second)))
+}
--- /dev/null
+++ b/warmup/fleet.go
@@ -0,0 +1,93 @@
+package warmup
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Fleet is an immutable list of the routers from which senders are chosen, as one router
+// knows it. The zero value and nil choose no sender.
+type Fleet struct {
+	self fleet.NodeID
+	// routers holds all routers in no particular order, and byRegion those of each
+	// region.
+	routers  []router
+	byRegion map[fleet.RegionID][]router
+	// knownAt is when this router first received the list of registered routers, and
+	// sendsFrom is when it starts to send; both are zero before that.
+	knownAt   time.Time
+	sendsFrom time.Time
+}
+
+type router struct {
+	id   fleet.NodeID
+	hash uint64
+}
+
+// Size returns the number of routers.
+func (f *Fleet) Size() int {
+	if f == nil {
+		return 0
+	}
+	return len(f.routers)
+}
+
+// isSender reports whether this router is one of the senders of an upstream in a region.
+func (f *Fleet) isSender(upstream fleet.UpstreamID, region fleet.RegionID, senders int) bool {
+	if f == nil || f.knownAt.IsZero() {
+		return false
+	}
+	candidates := f.byRegion[region]
+	if region == "" || len(candidates) == 0 {
+		candidates = f.routers
+	}
+	key := xxhash.Sum64String(string(upstream))
+	own := router{id: f.self, hash: xxhash.Sum64String(string(f.self))}
+	preceding := 0
+	listed := false
+	for _, r := range candidates {
+		if r.id == f.self {
+			listed = true
+			continue
+		}
+		if precedes(key, r, own) {
+			preceding++
+		}
+	}
+	return listed && preceding < senders
+}
+
+// precedes reports whether router a precedes router b in the rendezvous order of an
+// upstream.
+func precedes(upstream uint64, a, b router) bool {
+	scoreA, scoreB := score(upstream, a.hash), score(upstream, b.hash)
+	if scoreA != scoreB {
+		return scoreA > scoreB
+	}
+	return a.id < b.id
+}
+
+func score(upstream, router uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], upstream)
+	binary.LittleEndian.PutUint64(pair[8:], router)
+	return xxhash.Sum64(pair[:])
+}
+
+// firstSlot returns the time before which this router sends nothing to cold upstreams. An
+// earlier process of the same router may have sent until just before the list of routers
+// became known, so at least one interval has to pass.
+func (f *Fleet) firstSlot(interval time.Duration) time.Time {
+	if f == nil {
+		return time.Time{}
+	}
+	first := f.knownAt.Add(interval)
+	if f.sendsFrom.After(first) {
+		return f.sendsFrom
+	}
+	return first
+}
--- /dev/null
+++ b/warmup/tracker.go
@@ -0,0 +1,192 @@
+package warmup
+
+import (
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/fleet"
+)
+
+// Cause is why an upstream is cold.
+type Cause string
+
+// Causes.
+const (
+	// Registered means that the upstream's registration states a cold time.
+	Registered Cause = "registered"
+	// Restarted means that a known upstream registered with a new start time.
+	Restarted Cause = "restarted"
+	// Ejected means that this router ejected the upstream, which may have restarted.
+	Ejected Cause = "ejected"
+	// Returned means that the evacuation of the upstream's failure domain ended.
+	Returned Cause = "returned"
+	// Reported means that a response of the upstream states a cold time.
+	Reported Cause = "reported"
+)
+
+// Upstream identifies an incarnation of an upstream.
+type Upstream struct {
+	ID fleet.UpstreamID
+	// Region is empty if unknown.
+	Region fleet.RegionID
+	// StartedUnixMs is the start time, which distinguishes restarts.
+	StartedUnixMs int64
+}
+
+// Period is the time during which an upstream is cold, as known to this router.
+type Period struct {
+	Upstream Upstream
+	Cause    Cause
+	Until    time.Time
+	// Sender is set if this router may send to the upstream meanwhile.
+	Sender bool
+}
+
+// Tracker tracks the cold upstreams of one service at one router and paces the requests
+// that this router sends to them. Invariant: while an upstream is cold, two sends of this
+// router to it are at least one interval of the plan apart.
+type Tracker struct {
+	limits  Limits
+	plan    Plan
+	fleet   *Fleet
+	periods map[fleet.UpstreamID]*period
+	// begun lists the periods that TakeBegun has not returned yet.
+	begun []Period
+}
+
+type period struct {
+	Period
+	// lastSend is when this router last sent a request; zero if it has not.
+	lastSend time.Time
+}
+
+// maxBegun bounds the number of periods that wait for TakeBegun.
+const maxBegun = 1024
+
+// NewTracker returns a tracker without cold upstreams.
+func NewTracker(limits Limits) *Tracker {
+	return &Tracker{limits: limits, plan: NewPlan(limits), periods: make(map[fleet.UpstreamID]*period)}
+}
+
+// SetLimits replaces the limits. Cold periods that have begun keep their end.
+func (t *Tracker) SetLimits(limits Limits) {
+	t.limits = limits
+	t.plan = NewPlan(limits)
+	t.chooseSenders()
+}
+
+// SetFleet replaces the routers from which senders are chosen.
+func (t *Tracker) SetFleet(f *Fleet) {
+	t.fleet = f
+	t.chooseSenders()
+}
+
+func (t *Tracker) chooseSenders() {
+	for _, p := range t.periods {
+		p.Sender = t.isSender(p.Upstream)
+	}
+}
+
+func (t *Tracker) isSender(u Upstream) bool {
+	return t.fleet.isSender(u.ID, u.Region, t.plan.Senders)
+}
+
+// ColdStart returns how long an upstream is cold after a start.
+func (t *Tracker) ColdStart() time.Duration { return t.limits.ColdStart }
+
+// MarkCold records that an upstream is cold until a time. If it is already known to be
+// cold, the later end counts, except that the first end known for a new incarnation
+// replaces that of an earlier one. Without a limit nothing is recorded.
+func (t *Tracker) MarkCold(now time.Time, u Upstream, until time.Time, cause Cause) {
+	if t.limits.Rate <= 0 || !until.After(now) {
+		return
+	}
+	p := t.periods[u.ID]
+	if p == nil {
+		p = &period{}
+		t.periods[u.ID] = p
+	}
+	restarted := p.Upstream.StartedUnixMs != u.StartedUnixMs
+	if !restarted && !until.After(p.Until) {
+		return
+	}
+	begins := restarted || !now.Before(p.Until)
+	p.Period = Period{Upstream: u, Cause: cause, Until: until, Sender: t.isSender(u)}
+	if begins && len(t.begun) < maxBegun {
+		t.begun = append(t.begun, p.Period)
+	}
+}
+
+// TakeBegun returns the periods that have begun since the previous call.
+func (t *Tracker) TakeBegun() []Period {
+	begun := t.begun
+	t.begun = nil
+	return begun
+}
+
+// active returns the period of an upstream that is cold now; nil if it is not cold.
+func (t *Tracker) active(now time.Time, id fleet.UpstreamID) *period {
+	p := t.periods[id]
+	if p == nil || t.limits.Rate <= 0 || !now.Before(p.Until) {
+		return nil
+	}
+	return p
+}
+
+// MaySend reports whether this router may send a request to an upstream now.
+func (t *Tracker) MaySend(now time.Time, id fleet.UpstreamID) bool {
+	p := t.active(now, id)
+	return p == nil || p.Sender && !now.Before(t.nextSlot(p))
+}
+
+// nextSlot returns the earliest time of a sender's next send.
+func (t *Tracker) nextSlot(p *period) time.Time {
+	next := t.fleet.firstSlot(t.plan.Interval)
+	if spaced := p.lastSend.Add(t.plan.Interval); spaced.After(next) {
+		return spaced
+	}
+	return next
+}
+
+// NextSend returns the earliest time at which this router may send a request to an
+// upstream: its next slot as a sender, or else the end of the cold period.
+func (t *Tracker) NextSend(now time.Time, id fleet.UpstreamID) time.Time {
+	p := t.active(now, id)
+	if p == nil {
+		return now
+	}
+	next := p.Until
+	if slot := t.nextSlot(p); p.Sender && slot.Before(next) {
+		next = slot
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+// RecordSend takes this router's slot for a request to an upstream, if the upstream is
+// cold.
+func (t *Tracker) RecordSend(now time.Time, id fleet.UpstreamID) {
+	if p := t.active(now, id); p != nil {
+		p.lastSend = now
+	}
+}
+
+// Period returns the cold period of an upstream and whether it is cold now.
+func (t *Tracker) Period(now time.Time, id fleet.UpstreamID) (Period, bool) {
+	p := t.active(now, id)
+	if p == nil {
+		return Period{}, false
+	}
+	return p.Period, true
+}
+
+// Expire forgets the periods that ended so long ago that they do not affect the pacing of
+// a new one.
+func (t *Tracker) Expire(now time.Time) {
+	for id, p := range t.periods {
+		if now.Sub(p.Until) > t.plan.Interval {
+			delete(t.periods, id)
+		}
+	}
+}
