--- a/admission/evacuate_test.go
+++ b/admission/evacuate_test.go
@@ -67,7 +67,7 @@
 	}
 
 	sim.scheduler.SetEvacuated(nil)
-	sim.scheduler.EvacuationEnded(sim.now, []fleet.FailureDomainID{"d2"})
+	sim.scheduler.MarkDomainsCold(sim.now, []fleet.FailureDomainID{"d2"})
 	after, late, _ := run(5 * time.Second)
 	sim.Expect(late).To(BeZero())
 	sim.Expect(after["d2"]).To(BeNumerically(">", 150))
--- a/admission/view.go
+++ b/admission/view.go
@@ -30,6 +30,8 @@
 	FailureRate  float64 `json:"failure_rate"`
 	// Evacuated is set while the upstream's failure domain is evacuated.
 	Evacuated bool `json:"evacuated"`
+	// Cold is nil if the upstream is not cold.
+	Cold *ColdView `json:"cold,omitempty"`
 }
 
 // View returns a snapshot of the scheduler's state.
@@ -51,6 +53,7 @@
 			Ejected:       u.detector.Ejected(now),
 			FailureRate:   u.detector.FailureRate(),
 			Evacuated:     u.evacuated,
+			Cold:          s.coldView(now, id),
 		}
 	}
 	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -209,7 +209,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduler.SetEvacuated(domains)
-	s.scheduler.EvacuationEnded(now, ended)
+	s.scheduler.MarkDomainsCold(now, ended)
+	s.logColdPeriods()
 }
 
 // EvacuationState is a gateway's view of the evacuated failure domains.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -338,6 +338,7 @@
 		zap.Int("routers", g.routerCount()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
 		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
 	)
+	fields = append(fields, coldFields(d)...)
 	return append(fields, j.home.logFields()...)
 }
 
