Predict by the speed of each engine

Cause: engines of one service differ in speed by up to 2.4 times. Predictions used one speed for all, so that slow engines collected late requests and fast ones were refused work that they could have done on time.

Change: each gateway estimates the factor of each engine, the logarithm of its observed rate relative to the gateway's own rate. Full reports and the sums by failure domain carry 16 factors each in turn. The factors of all gateways are pooled every 0.5 s with a prior, relative to their mean, which keeps factors and rate from drifting apart. Predictions, credited progress, mean queueing time, limits and Retry-After use the engine's speed. A prompt that only a slow engine answers late is no longer admitted there. Plain upstreams get a service time of their own, which counts beyond a quarter of the service's mean. /state and the log lines of decisions show the factors.

prefillModel.observe takes the engine's factor; its test passes 1.

--- a/admission/benchmark_test.go
+++ b/admission/benchmark_test.go
@@ -11,7 +11,7 @@
 // BenchmarkAdmit measures admission of prompts with long shared parts for different numbers
 // of engines, teams and routers.
 func BenchmarkAdmit(b *testing.B) {
-	for _, c := range []struct{ engines, teams, routers int }{{12, 16, 1}, {320, 16, 1}, {12, 3000, 1}, {38, 30, 20}} {
+	for _, c := range []struct{ engines, teams, routers int }{{12, 16, 1}, {320, 16, 1}, {12, 3000, 1}, {38, 30, 20}, {49, 120, 10}, {1600, 120, 40}} {
 		b.Run(fmt.Sprintf("%d engines %d teams %d routers", c.engines, c.teams, c.routers), func(b *testing.B) {
 			s := admission.NewScheduler(options(), engineCapacity())
 			s.SetUpstreams(upstreams(c.engines))
--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -7,31 +7,6 @@
 	"fulmarspindle.example/fulmarspindle/placement"
 )
 
-const (
-	// serviceTimeSmoothing is the weight of a new observation in the moving
-	// average of a plain upstream's service time.
-	serviceTimeSmoothing = 0.05
-	// initialServiceTime is the estimate before the first observation.
-	initialServiceTime = 20 * time.Millisecond
-)
-
-// serviceTime is the exponentially weighted mean service time of plain upstreams.
-type serviceTime struct{ mean time.Duration }
-
-func (t *serviceTime) observe(took time.Duration) {
-	if t.mean == 0 {
-		t.mean = initialServiceTime
-	}
-	t.mean += time.Duration(serviceTimeSmoothing * float64(took-t.mean))
-}
-
-func (t *serviceTime) get() time.Duration {
-	if t.mean == 0 {
-		return initialServiceTime
-	}
-	return t.mean
-}
-
 // candidates returns the upstreams that a request may be sent to, with predictions.
 func (s *Scheduler) candidates(now time.Time, r Request) []candidate {
 	usable := s.usable(now, r)
@@ -100,7 +75,7 @@
 	c.prefill = s.prefillWork(r.Prompt.Tokens()-sourceTokens, sourceTokens)
 	c.copyTokens = missing
 	c.copyDistance = s.distance(source, c.upstream)
-	c.predicted = s.speed().predict(c.backlog+float64(c.prefill)) + s.transfers.predict(c.copyDistance, missing)
+	c.predicted = s.speedOf(c.upstream).predict(c.backlog+float64(c.prefill)) + s.transfers.predict(c.copyDistance, missing)
 	c.cost = c.predicted + copyPenalty + s.remoteCost(c.upstream)
 }
 
@@ -120,7 +95,8 @@
 const minCopyTokens = 1000
 
 func (s *Scheduler) engineCandidate(now time.Time, r Request, u *upstream) candidate {
-	backlog := u.backlog(now, s.speed().Rate)
+	speed := s.speedOf(u)
+	backlog := u.backlog(now, speed.Rate)
 	// The last, unshared part may be cached too if the session used this engine before.
 	cached := u.cache.CachedTokens(r.Prompt)
 	prefill := s.prefillWork(r.Prompt.Tokens()-cached, cached)
@@ -131,7 +107,7 @@
 		backlog:   backlog,
 		prefill:   prefill,
 		cached:    cached,
-		predicted: s.speed().predict(backlog + float64(prefill)),
+		predicted: speed.predict(backlog + float64(prefill)),
 		full: float64(total.Running+1) > s.options.SlotLimit*float64(s.capacity.Slots) ||
 			float64(total.Memory+own) > s.options.MemoryLimit*float64(s.capacity.MemoryTokens),
 	}
@@ -157,9 +133,10 @@
 		running := u.total().Running
 		slots := max(u.Slots, 1)
 		queued := max(0, running+1-slots)
-		predicted := s.serviceTime.get() + s.serviceTime.get()*time.Duration(queued)/time.Duration(slots)
-		load := time.Duration(float64(s.serviceTime.get()) * float64(running) / float64(slots))
-		failing := time.Duration(u.detector.FailureRate() * float64(s.serviceTime.get()) * failureCost)
+		expected := s.serviceTimeOf(u)
+		predicted := expected + expected*time.Duration(queued)/time.Duration(slots)
+		load := time.Duration(float64(expected) * float64(running) / float64(slots))
+		failing := time.Duration(u.detector.FailureRate() * float64(expected) * failureCost)
 		out = append(out, candidate{
 			upstream: u, predicted: predicted, cost: predicted + load + failing + s.remoteCost(u),
 			full: s.capacity.Connections > 0 && float64(running+1) > maxConnectionFraction*float64(s.capacity.Connections),
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -60,6 +60,7 @@
 	}
 	fallback := cheapest(candidates)
 	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(fallback, limit), Predicted: fallback.predicted}
+	refused.SpeedFactor = fallback.upstream.factor
 	b.limit = s.waitLimit(r, 0)
 	if limit < b.limit && s.onTime(r, fallback, b) {
 		refused.Reason = OverShare
@@ -114,12 +115,13 @@
 	if len(s.ids) == 0 {
 		return 0
 	}
-	total := 0.0
+	total := time.Duration(0)
 	for _, id := range s.ids {
-		total += s.upstreams[id].backlog(now, s.speed().Rate)
+		u := s.upstreams[id]
+		speed := s.speedOf(u)
+		total += speed.prefillTime(u.backlog(now, speed.Rate))
 	}
-	mean := total / float64(len(s.ids))
-	return s.speed().prefillTime(mean)
+	return total / time.Duration(len(s.ids))
 }
 
 // The waiting limit of a team falls linearly from MaxWait or ReturnWait to OverShareWait as
@@ -150,14 +152,15 @@
 }
 
 // onTime reports whether a candidate is predicted to answer within the limit. A request
-// whose own prefill exceeds the limit is accepted if its queueing time is within the
-// limit, which is divided by busyLongPromptDivisor while the engines are busy.
+// whose own prefill exceeds the limit even at the fastest engine is accepted if its queueing
+// time is within the limit, which is divided by busyLongPromptDivisor while the engines are
+// busy. A request that only a slow engine answers late is not accepted there.
 func (s *Scheduler) onTime(r Request, c *candidate, b bounds) bool {
 	if r.Elapsed+c.predicted <= b.limit {
 		return true
 	}
 	queueing := s.queueTime(c)
-	alone := c.predicted - queueing
+	alone := c.predicted - queueing - s.slowness(c)
 	queueLimit := b.limit
 	if b.busy {
 		queueLimit /= busyLongPromptDivisor
@@ -175,7 +178,17 @@
 	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
 		return 0
 	}
-	return s.speed().prefillTime(c.backlog)
+	return s.speedOf(c.upstream).prefillTime(c.backlog)
+}
+
+// slowness returns how much longer than the fastest engine a candidate takes to prefill the
+// request itself. It is zero for plain services.
+func (s *Scheduler) slowness(c *candidate) time.Duration {
+	if s.capacity.MemoryTokens == 0 {
+		return 0
+	}
+	prefill := float64(c.prefill)
+	return s.speedOf(c.upstream).prefillTime(prefill) - s.fastestSpeed().prefillTime(prefill)
 }
 
 // retryAfter returns the time until a candidate is predicted to be within the limit.
--- a/admission/domain.go
+++ b/admission/domain.go
@@ -28,6 +28,7 @@
 	if full {
 		report.Teams = s.domainUsage(now, members)
 		report.Speed = s.domainSpeed(members)
+		report.Factors = s.domainFactors(now, members)
 	}
 	return report
 }
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -68,6 +68,17 @@
 	// prefillStarted is the estimated time at which the engine started on the
 	// first pending attempt.
 	prefillStarted time.Time
+	// ownFactor is this router's estimate of the engine's factor, and pooledFactor that
+	// of all routers at the last refresh.
+	ownFactor    factorEstimate
+	pooledFactor EngineFactor
+	// factor is the engine's prefill rate relative to the service's, derived from
+	// pooledFactor.
+	factor float64
+	// serviceTime is this router's estimate of a plain upstream's service time.
+	serviceTime upstreamServiceTime
+	// startedAnew is set if the engine replaced an earlier one of the same identifier.
+	startedAnew bool
 }
 
 // backlog returns the prefill work in tokens that is ahead of a request sent now. Engines
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -42,29 +42,30 @@
 	return prefillModel{initial: rate, rate: rate, overhead: overhead}
 }
 
-// predict returns the time to first token for tokens of work, the request's own included.
-func (m *prefillModel) predict(tokens float64) time.Duration {
-	return m.overhead + time.Duration(tokens/m.rate*float64(time.Second))
+// estimate returns the estimate, however few observations it is based on.
+func (m *prefillModel) estimate() EngineSpeed {
+	return EngineSpeed{Rate: m.rate, Overhead: m.overhead}
 }
 
 // speed returns the estimate and whether it is based on enough observations to be shared
 // with other routers.
 func (m *prefillModel) speed() (EngineSpeed, bool) {
-	return EngineSpeed{Rate: m.rate, Overhead: m.overhead}, m.rateObservations+m.overheadObservations >= minObservations
+	return m.estimate(), m.rateObservations+m.overheadObservations >= minObservations
 }
 
 // observe updates the model with the time to first token of a request that had tokens of
-// work before its first token, its own included.
-func (m *prefillModel) observe(tokens float64, took time.Duration) {
+// work before its first token, its own included, at an engine with the given factor. The
+// factor is taken out, so that the rate does not depend on which engines this router uses.
+func (m *prefillModel) observe(tokens, factor float64, took time.Duration) {
 	if tokens < minRateTokens {
-		sample := took - time.Duration(tokens/m.rate*float64(time.Second))
+		sample := took - time.Duration(tokens/(m.rate*factor)*float64(time.Second))
 		sample = min(max(sample, 0), maxOverhead)
 		m.overhead += time.Duration(observationWeight(rateSmoothing, m.overheadObservations) * float64(sample-m.overhead))
 		m.overheadObservations++
 		return
 	}
-	prefill := max(took-m.overhead, time.Millisecond).Seconds()
-	sample := min(max(tokens/prefill, m.initial/maxRateFactor), m.initial*maxRateFactor)
+	prefill := m.prefillTime(took).Seconds()
+	sample := min(max(tokens/factor/prefill, m.initial/maxRateFactor), m.initial*maxRateFactor)
 	m.rate *= math.Exp(observationWeight(rateSmoothing, m.rateObservations) * math.Log(sample/m.rate))
 	m.rateObservations++
 }
--- a/admission/rate_test.go
+++ b/admission/rate_test.go
@@ -17,9 +17,9 @@
 	)
 	m := newPrefillModel(initial, 0)
 	for range 8 {
-		m.observe(20_000, 20_000*time.Second/actual)
+		m.observe(20_000, 1, 20_000*time.Second/actual)
 	}
 	g.Expect(m.rate).To(BeNumerically("~", actual, 0.1*actual))
-	m.observe(20_000, 20_000*time.Second/initial)
+	m.observe(20_000, 1, 20_000*time.Second/initial)
 	g.Expect(m.rate).To(BeNumerically(">", 0.85*actual), "a later single observation has little weight")
 }
--- a/admission/report.go
+++ b/admission/report.go
@@ -19,6 +19,9 @@
 	// Speed is the router's own estimate of the engines' speed. It is set in full
 	// reports only, once it is based on enough observations.
 	Speed *EngineSpeed
+	// Factors lists some of the engines' factors in turn. It is set in full reports only.
+	// A factor without weight says that earlier ones of the engine no longer hold.
+	Factors map[fleet.UpstreamID]EngineFactor
 	// Prompts lists the prompts sent to engines since the previous report.
 	Prompts []SentPrompt
 }
@@ -39,6 +42,7 @@
 		if speed, ok := s.model.speed(); ok {
 			report.Speed = &speed
 		}
+		report.Factors = s.ownFactors()
 	}
 	for _, id := range s.ids {
 		u := s.upstreams[id]
@@ -55,6 +59,7 @@
 	if report.Full {
 		s.peerUsage[node] = peerUsage{usage: report.Teams, at: now}
 		s.setPeerSpeed(node, report.Speed)
+		s.setPeerFactors(now, node, report.Factors)
 	}
 	for _, prompt := range report.Prompts {
 		if u := s.upstreams[prompt.Upstream]; u != nil {
@@ -98,6 +103,7 @@
 func (s *Scheduler) RemovePeer(node fleet.NodeID) {
 	delete(s.peerUsage, node)
 	s.speeds.remove(node)
+	delete(s.factors.byRouter, node)
 	for _, u := range s.upstreams {
 		u.removePeer(node)
 	}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -113,6 +113,9 @@
 	Predicted time.Duration
 	// Prefill is the prefill work of the request at the chosen upstream in tokens.
 	Prefill int
+	// SpeedFactor is the speed of the engine that Predicted is for, relative to the
+	// service's.
+	SpeedFactor float64
 	// ShareRatio is the tokens served to the team relative to its share. It is zero
 	// without contention.
 	ShareRatio float64
@@ -124,6 +127,7 @@
 	capacity    Capacity
 	model       prefillModel
 	speeds      speedPool
+	factors     factorPool
 	transfers   transferModel
 	serviceTime serviceTime
 	upstreams   map[fleet.UpstreamID]*upstream
@@ -164,6 +168,7 @@
 		options:     options,
 		model:       newPrefillModel(options.PrefillRate, options.Overhead),
 		speeds:      newSpeedPool(),
+		factors:     newFactorPool(),
 		upstreams:   make(map[fleet.UpstreamID]*upstream),
 		inFlight:    make(map[string]*attempt),
 		usageWindow: newUsageWindow(options.Window),
@@ -196,7 +201,9 @@
 	for _, entry := range list {
 		known := s.upstreams[entry.ID]
 		if known == nil || known.StartedUnixMs != entry.StartedUnixMs || known.Address != entry.Address {
+			startedAnew := known != nil
 			known = s.newUpstream()
+			known.startedAnew = startedAnew
 		}
 		known.Upstream = entry
 		next[entry.ID] = known
@@ -211,6 +218,7 @@
 		detector: outlier.NewDetector(s.options.Outlier),
 		cache:    placement.NewCache(s.capacity.MemoryTokens),
 		peers:    make(map[fleet.NodeID]peerLoad),
+		factor:   1,
 	}
 }
 
@@ -233,6 +241,7 @@
 		s.usageWindow.add(now, r.Team, cost, 0)
 	}
 	s.expirePeers(now)
+	s.refreshFactors(now)
 	ratio := s.shareRatio(now, r.Team)
 	best, refused := s.choose(now, r, ratio)
 	if best == nil {
@@ -246,7 +255,7 @@
 	s.begin(now, r, best, cost)
 	return Decision{
 		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
-		Predicted: best.predicted, Prefill: best.prefill, ShareRatio: ratio,
+		Predicted: best.predicted, Prefill: best.prefill, SpeedFactor: best.upstream.factor, ShareRatio: ratio,
 	}
 }
 
@@ -285,23 +294,25 @@
 	if a == nil || a.started {
 		return
 	}
-	s.observeFirstToken(a, now.Sub(a.sent))
+	s.observeFirstToken(now, a, now.Sub(a.sent))
 	a.upstream.firstEvent(now, a)
 }
 
 // speed returns the speed estimate pooled over all routers.
 func (s *Scheduler) speed() EngineSpeed { return s.speeds.get(&s.model) }
 
-// observeFirstToken updates the prefill or transfer model with the time to first token of
-// an attempt.
-func (s *Scheduler) observeFirstToken(a *attempt, took time.Duration) {
+// observeFirstToken updates the prefill model and the engine's factor, or the transfer
+// model, with the time to first token of an attempt.
+func (s *Scheduler) observeFirstToken(now time.Time, a *attempt, took time.Duration) {
+	factor := a.upstream.factor
 	switch {
 	case s.capacity.MemoryTokens == 0:
 	case a.copyTokens == 0:
-		s.model.observe(a.workAhead, took)
+		s.observeFactor(now, a, took)
+		s.model.observe(a.workAhead, factor, took)
 		s.speeds.stale = true
 	case s.capacity.TransferRate > 0:
-		s.transfers.observe(a.copyDistance, a.copyTokens, took-s.model.predict(a.workAhead))
+		s.transfers.observe(a.copyDistance, a.copyTokens, took-s.model.estimate().at(factor).predict(a.workAhead))
 	}
 }
 
@@ -314,7 +325,7 @@
 	}
 	delete(s.inFlight, id)
 	if s.capacity.MemoryTokens == 0 && outcome == outlier.Success {
-		s.serviceTime.observe(now.Sub(a.sent))
+		s.observeServiceTime(a.upstream, now.Sub(a.sent))
 	}
 	if outcome == outlier.Unreachable || s.capacity.MemoryTokens > 0 {
 		s.refundUnstarted(now, a)
--- a/admission/view.go
+++ b/admission/view.go
@@ -8,7 +8,8 @@
 
 // View is a snapshot of a Scheduler's estimates and accounting for operators.
 type View struct {
-	// PrefillRate is the estimated prefill rate of an engine in tokens per second.
+	// PrefillRate is the estimated prefill rate of an engine with a speed factor of one,
+	// in tokens per second.
 	PrefillRate float64                           `json:"prefill_rate"`
 	OverheadMs  int64                             `json:"overhead_ms"`
 	Upstreams   map[fleet.UpstreamID]UpstreamView `json:"upstreams"`
@@ -28,11 +29,29 @@
 	CachedTokens int     `json:"cached_tokens"`
 	Ejected      bool    `json:"ejected"`
 	FailureRate  float64 `json:"failure_rate"`
+	// SpeedFactor is an engine's prefill rate relative to PrefillRate, and
+	// SpeedObservations the number of recent observations behind it. Both are zero for
+	// plain upstreams.
+	SpeedFactor       float64 `json:"speed_factor,omitempty"`
+	SpeedObservations float64 `json:"speed_observations,omitempty"`
+	// ServiceTimeMs is the estimated service time of a plain upstream.
+	ServiceTimeMs float64 `json:"service_time_ms,omitempty"`
+}
+
+// viewSpeed fills in the estimates of an upstream's speed.
+func (s *Scheduler) viewSpeed(view *UpstreamView, u *upstream) {
+	if s.capacity.MemoryTokens == 0 {
+		view.ServiceTimeMs = float64(s.serviceTimeOf(u).Microseconds()) / 1000
+		return
+	}
+	view.SpeedFactor = u.factor
+	view.SpeedObservations = u.pooledFactor.Weight
 }
 
 // View returns a snapshot of the scheduler's state.
 func (s *Scheduler) View(now time.Time) View {
 	s.expirePeers(now)
+	s.refreshFactors(now)
 	view := View{
 		PrefillRate: s.speed().Rate,
 		OverheadMs:  s.speed().Overhead.Milliseconds(),
@@ -41,14 +60,16 @@
 	}
 	for id, u := range s.upstreams {
 		total := u.total()
-		view.Upstreams[id] = UpstreamView{
+		upstreamView := UpstreamView{
 			Running:       total.Running,
-			BacklogTokens: u.backlog(now, s.speed().Rate),
+			BacklogTokens: u.backlog(now, s.speedOf(u).Rate),
 			MemoryTokens:  total.Memory,
 			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
 			FailureRate:   u.detector.FailureRate(),
 		}
+		s.viewSpeed(&upstreamView, u)
+		view.Upstreams[id] = upstreamView
 	}
 	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
 	return view
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -74,6 +74,11 @@
 	if r.Speed != nil {
 		out.Speed = &peerpb.EngineSpeed{Rate: r.Speed.Rate, OverheadUs: uint32(r.Speed.Overhead.Microseconds())}
 	}
+	for upstream, factor := range r.Factors {
+		out.EngineFactors = append(out.EngineFactors, &peerpb.EngineFactor{
+			Upstream: string(upstream), LogFactor: float32(factor.Log), Weight: float32(factor.Weight),
+		})
+	}
 	for _, prompt := range r.Prompts {
 		wire := &peerpb.SentPrompt{Upstream: string(prompt.Upstream)}
 		for _, part := range prompt.Prompt {
@@ -98,6 +103,12 @@
 	if speed := m.GetSpeed(); speed.GetRate() > 0 {
 		r.Speed = &admission.EngineSpeed{Rate: speed.GetRate(), Overhead: time.Duration(speed.GetOverheadUs()) * time.Microsecond}
 	}
+	if factors := m.GetEngineFactors(); len(factors) > 0 {
+		r.Factors = make(map[fleet.UpstreamID]admission.EngineFactor, len(factors))
+		for _, f := range factors {
+			r.Factors[fleet.UpstreamID(f.GetUpstream())] = admission.EngineFactor{Log: float64(f.GetLogFactor()), Weight: float64(f.GetWeight())}
+		}
+	}
 	for _, p := range m.GetPrompts() {
 		prompt := admission.SentPrompt{Upstream: fleet.UpstreamID(p.GetUpstream())}
 		for i := range min(len(p.GetParts()), len(p.GetTokens())) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -335,7 +335,7 @@
 	return []zap.Field{
 		zap.String("route", j.route.Name), zap.String("team", string(j.team)), zap.Uint64("registry", g.registryRevision()),
 		zap.Int("routers", g.routerCount()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
-		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
+		zap.Duration("predicted", d.Predicted), zap.Float64("speed_factor", d.SpeedFactor), zap.Float64("share_ratio", d.ShareRatio),
 	}
 }
 
