Place prompts on engines by speed

Cause: rendezvous hashing gave a slow engine as many prompts as a fast one.

Change: engines have placement weights, their pooled factors in steps of 1.35 with hysteresis. Weighted rendezvous hashing gives each a share of the prompts in proportion. While all weights are alike, the order is computed as before. The fastest engine that a late prompt is compared with is now the fastest of its candidates, so that a prompt that may only use slow engines is served, and Retry-After is that of a candidate that can be on time.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -20,7 +20,7 @@
 // largest cached part of it. A prompt that no engine has cached may also go to any engine with
 // free cache memory, because it evicts nothing there.
 func (s *Scheduler) engineCandidates(now time.Time, r Request, usable []fleet.UpstreamID) []candidate {
-	order := placement.PreferredEngines(r.Prompt.SharedKey(), usable)
+	order := s.preferredEngines(r.Prompt.SharedKey(), usable)
 	preferred := placement.PreferredEngineCount(r.Prompt, s.options.Replicas, len(order))
 	anywhere := preferred == len(order)
 	source, sourceTokens := s.bestCacheHit(r, usable)
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -44,6 +44,8 @@
 	// busy is set if the mean queueing time of the engines exceeds the limit divided
 	// by busyWaitDivisor.
 	busy bool
+	// fastest is the highest speed factor of the candidates.
+	fastest float64
 }
 
 // choose returns the best upstream that is predicted to answer on time, or else nil
@@ -54,11 +56,11 @@
 		return nil, Decision{Reason: NoUpstream, RetryAfter: s.options.Outlier.BaseEjection}
 	}
 	limit := s.waitLimit(r, ratio)
-	b := bounds{limit: limit, busy: s.meanQueueTime(now) > limit/busyWaitDivisor}
+	b := bounds{limit: limit, busy: s.meanQueueTime(now) > limit/busyWaitDivisor, fastest: fastestFactor(candidates)}
 	if best := s.best(r, candidates, b); best != nil {
 		return best, Decision{}
 	}
-	fallback := cheapest(candidates)
+	fallback := s.cheapest(candidates, b)
 	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(fallback, limit), Predicted: fallback.predicted}
 	refused.SpeedFactor = fallback.upstream.factor
 	b.limit = s.waitLimit(r, 0)
@@ -91,13 +93,22 @@
 	return !c.full && s.onTime(r, c, b)
 }
 
-func cheapest(candidates []candidate) *candidate {
-	best := &candidates[0]
+// cheapest returns the cheapest candidate. Those that are too slow count only if all are:
+// the request will not be accepted there later either.
+func (s *Scheduler) cheapest(candidates []candidate, b bounds) *candidate {
+	var best, bestOfAll *candidate
 	for i := range candidates {
-		if candidates[i].cost < best.cost {
-			best = &candidates[i]
+		c := &candidates[i]
+		if bestOfAll == nil || c.cost < bestOfAll.cost {
+			bestOfAll = c
+		}
+		if (best == nil || c.cost < best.cost) && !s.tooSlow(c, b) {
+			best = c
 		}
 	}
+	if best == nil {
+		return bestOfAll
+	}
 	return best
 }
 
@@ -152,15 +163,15 @@
 }
 
 // onTime reports whether a candidate is predicted to answer within the limit. A request
-// whose own prefill exceeds the limit even at the fastest engine is accepted if its queueing
+// whose own prefill exceeds the limit even at the fastest candidate is accepted if its queueing
 // time is within the limit, which is divided by busyLongPromptDivisor while the engines are
-// busy. A request that only a slow engine answers late is not accepted there.
+// busy. A request that only slower candidates answer late is not accepted there.
 func (s *Scheduler) onTime(r Request, c *candidate, b bounds) bool {
 	if r.Elapsed+c.predicted <= b.limit {
 		return true
 	}
 	queueing := s.queueTime(c)
-	alone := c.predicted - queueing - s.slowness(c)
+	alone := c.predicted - queueing - s.slowness(c, b)
 	queueLimit := b.limit
 	if b.busy {
 		queueLimit /= busyLongPromptDivisor
@@ -181,16 +192,6 @@
 	return s.speedOf(c.upstream).prefillTime(c.backlog)
 }
 
-// slowness returns how much longer than the fastest engine a candidate takes to prefill the
-// request itself. It is zero for plain services.
-func (s *Scheduler) slowness(c *candidate) time.Duration {
-	if s.capacity.MemoryTokens == 0 {
-		return 0
-	}
-	prefill := float64(c.prefill)
-	return s.speedOf(c.upstream).prefillTime(prefill) - s.fastestSpeed().prefillTime(prefill)
-}
-
 // retryAfter returns the time until a candidate is predicted to be within the limit.
 func (s *Scheduler) retryAfter(c *candidate, limit time.Duration) time.Duration {
 	return max(c.predicted-limit, s.options.Overhead)
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -75,6 +75,8 @@
 	// factor is the engine's prefill rate relative to the service's, derived from
 	// pooledFactor.
 	factor float64
+	// weight is the engine's weight in the placement of prompts.
+	weight placementWeight
 	// serviceTime is this router's estimate of a plain upstream's service time.
 	serviceTime upstreamServiceTime
 	// startedAnew is set if the engine replaced an earlier one of the same identifier.
--- a/admission/engine_speed_test.go
+++ b/admission/engine_speed_test.go
@@ -42,7 +42,7 @@
 }
 
 // Guards against treating engines of two speeds alike a few seconds after all routers
-// started.
+// started, and against sharing prompts among them evenly.
 func TestPooledFactorsTellSpeedsApartWithinSeconds(t *testing.T) {
 	sim := newFleetSimulation(t, 6, unevenSpeeds...)
 	sim.run(5*time.Second, 90)
@@ -50,12 +50,18 @@
 		expected := speed / math.Cbrt(0.7*0.7*1.7)
 		sim.Expect(sim.view(0, i).SpeedFactor).To(BeNumerically("~", expected, 0.3*expected), fmt.Sprint("engine ", i))
 	}
+	sim.run(10*time.Second, 90)
+	for i, speed := range unevenSpeeds {
+		if speed > 1 {
+			sim.Expect(sim.view(0, i).PlacementWeight).To(BeNumerically(">", 1.3), fmt.Sprint("engine ", i))
+		}
+	}
 }
 
-// Guards against telling engines apart that are alike, also while one of them is
+// Guards against moving prompts between engines that are alike, also while one of them is
 // slow for half a second, one router is short of processor time, or demand swings between
 // failure domains in antiphase.
-func TestEnginesThatAreAlikeAreNotToldApart(t *testing.T) {
+func TestNoPromptMovesWhileEnginesAreAlike(t *testing.T) {
 	scenarios := map[string]func(sim *fleetSimulation){
 		"steady": func(*fleetSimulation) {},
 		"slow period": func(sim *fleetSimulation) {
@@ -85,6 +91,7 @@
 				change(sim)
 				for i := range evenSpeeds {
 					view := sim.view(1, i)
+					sim.Expect(view.PlacementWeight).To(BeNumerically("==", 1), fmt.Sprint("engine ", i))
 					sim.Expect(view.SpeedFactor).To(BeNumerically("~", 1, 0.25), fmt.Sprint("engine ", i))
 				}
 			}
@@ -121,6 +128,13 @@
 	busy, _ := sim.send("team", prompt)
 	sim.Expect(busy.Admitted).To(BeFalse())
 	sim.Expect(busy.RetryAfter).To(BeNumerically("~", 150*time.Millisecond, 20*time.Millisecond), "when the fast engine has caught up")
+	report.Upstreams["u01"] = admission.UpstreamLoad{Prefill: 90_000, Running: 1}
+	sim.scheduler.ApplyPeerReport(sim.now, "other", report)
+	busy, _ = sim.send("team", prompt)
+	sim.Expect(busy.RetryAfter).To(BeNumerically("~", 750*time.Millisecond, 20*time.Millisecond), "also if the slow engine would answer sooner")
+	only := sim.scheduler.Admit(sim.now, admission.Request{ID: "only", Prompt: placement.Prompt{{ID: 2, Tokens: 25_000}}, Objective: objective, Exclude: []fleet.UpstreamID{"u01"}})
+	sim.Expect(only.Admitted).To(BeTrue(), "no other engine may serve it")
+	sim.scheduler.Cancel(sim.now, "only")
 	report.Upstreams = nil
 	sim.scheduler.ApplyPeerReport(sim.now, "other", report)
 	idle, _ := sim.send("team", prompt)
--- a/admission/factor_pool.go
+++ b/admission/factor_pool.go
@@ -30,8 +30,8 @@
 	// Factors are used relative to it, so that they and the rate can't drift apart in
 	// opposite directions.
 	mean float64
-	// fastest is the highest pooled factor of the engines.
-	fastest float64
+	// weighted is set if the placement weights of the engines differ.
+	weighted bool
 	// own and domain are the positions in the rotation of this router's reports and of
 	// those on its failure domain.
 	own, domain factorRotation
@@ -45,7 +45,7 @@
 }
 
 func newFactorPool() factorPool {
-	return factorPool{byRouter: make(map[fleet.NodeID]*routerFactors), fastest: 1}
+	return factorPool{byRouter: make(map[fleet.NodeID]*routerFactors)}
 }
 
 // setPeerFactors records the factors in another router's full report.
@@ -130,25 +130,46 @@
 	}
 }
 
-// applyFactors derives the engines' factors from the pooled factors.
+// applyFactors derives the engines' factors and placement weights from the pooled factors.
 func (s *Scheduler) applyFactors() {
 	s.refreshMean()
-	s.factors.fastest = 0
+	s.factors.weighted = false
 	for _, u := range s.upstreams {
 		log := u.pooledFactor.relativeTo(s.factors.mean)
 		u.factor = math.Exp(log)
-		s.factors.fastest = max(s.factors.fastest, u.factor)
-	}
-	if len(s.upstreams) == 0 {
-		s.factors.fastest = 1
+		u.weight.update(log, u.pooledFactor.Weight)
+		s.factors.weighted = s.factors.weighted || u.weight.step != 0
 	}
 }
 
 // speedOf returns the estimated speed of one engine.
 func (s *Scheduler) speedOf(u *upstream) EngineSpeed { return s.speed().at(u.factor) }
 
-// fastestSpeed returns the estimated speed of the fastest engine.
-func (s *Scheduler) fastestSpeed() EngineSpeed { return s.speed().at(s.factors.fastest) }
+// fastestFactor returns the highest factor of the candidates.
+func fastestFactor(candidates []candidate) float64 {
+	fastest := 0.0
+	for i := range candidates {
+		fastest = max(fastest, candidates[i].upstream.factor)
+	}
+	return fastest
+}
+
+// slowness returns how much longer than the fastest candidate a candidate takes to prefill
+// the request itself. It is zero for plain services.
+func (s *Scheduler) slowness(c *candidate, b bounds) time.Duration {
+	if s.capacity.MemoryTokens == 0 {
+		return 0
+	}
+	prefill := float64(c.prefill)
+	return s.speedOf(c.upstream).prefillTime(prefill) - s.speed().at(b.fastest).prefillTime(prefill)
+}
+
+// tooSlow reports whether a candidate exceeds the limit without any queueing, only because
+// it is slower than the fastest candidate.
+func (s *Scheduler) tooSlow(c *candidate, b bounds) bool {
+	alone := c.predicted - s.queueTime(c)
+	return alone > b.limit && alone-s.slowness(c, b) <= b.limit
+}
 
 // ownFactors returns the next of this router's own factors in the rotation.
 func (s *Scheduler) ownFactors() map[fleet.UpstreamID]EngineFactor {
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -219,6 +219,7 @@
 		cache:    placement.NewCache(s.capacity.MemoryTokens),
 		peers:    make(map[fleet.NodeID]peerLoad),
 		factor:   1,
+		weight:   placementWeight{value: 1},
 	}
 }
 
--- a/admission/view.go
+++ b/admission/view.go
@@ -34,6 +34,8 @@
 	// plain upstreams.
 	SpeedFactor       float64 `json:"speed_factor,omitempty"`
 	SpeedObservations float64 `json:"speed_observations,omitempty"`
+	// PlacementWeight is an engine's weight in the placement of prompts.
+	PlacementWeight float64 `json:"placement_weight,omitempty"`
 	// ServiceTimeMs is the estimated service time of a plain upstream.
 	ServiceTimeMs float64 `json:"service_time_ms,omitempty"`
 }
@@ -46,6 +48,7 @@
 	}
 	view.SpeedFactor = u.factor
 	view.SpeedObservations = u.pooledFactor.Weight
+	view.PlacementWeight = u.weight.value
 }
 
 // View returns a snapshot of the scheduler's state.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/placement"
@@ -101,6 +102,42 @@
 	g.Expect(float64(moved) / keys).To(BeNumerically("~", 1.0/12, 0.02))
 }
 
+// Changing the weight of one engine must move only keys to or from that engine, so that
+// routers that disagree about it place all other keys alike.
+func TestWeightOfAnEngineMovesOnlyItsKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		all := engines(rapid.IntRange(2, 20).Draw(t, "engines"))
+		weights := rapid.SliceOfN(rapid.Float64Range(0.2, 5), len(all), len(all)).Draw(t, "weights")
+		changed := rapid.IntRange(0, len(all)-1).Draw(t, "changed")
+		key := rapid.Uint64().Draw(t, "key")
+		before := placement.WeightedPreferredEngines(key, all, weights)
+		weights[changed] = rapid.Float64Range(0.2, 5).Draw(t, "weight")
+		after := placement.WeightedPreferredEngines(key, all, weights)
+		without := func(order []fleet.UpstreamID) []fleet.UpstreamID {
+			return slices.DeleteFunc(order, func(id fleet.UpstreamID) bool { return id == all[changed] })
+		}
+		g.Expect(without(after)).To(Equal(without(before)))
+	})
+}
+
+// Guards against a share of the prompts that does not follow an engine's speed, and against
+// another order than the unweighted one where all weights are equal.
+func TestShareOfKeysFollowsTheWeights(t *testing.T) {
+	g := NewWithT(t)
+	all := engines(6)
+	equal, uneven := []float64{3, 3, 3, 3, 3, 3}, []float64{1, 1, 1, 1, 1, 2.5}
+	const keys = 6000
+	preferred := 0
+	for key := range uint64(keys) {
+		g.Expect(placement.WeightedPreferredEngines(key, all, equal)).To(Equal(placement.PreferredEngines(key, all)))
+		if placement.WeightedPreferredEngines(key, all, uneven)[0] == all[5] {
+			preferred++
+		}
+	}
+	g.Expect(float64(preferred) / keys).To(BeNumerically("~", 2.5/7.5, 0.02))
+}
+
 func TestPreferenceIsIndependentOfListOrder(t *testing.T) {
 	g := NewWithT(t)
 	all := engines(9)
