--- a/admission/view.go
+++ b/admission/view.go
@@ -8,7 +8,8 @@
 
 // View is a snapshot of a Scheduler's estimates and accounting for operators.
 type View struct {
-	// PrefillRate is the estimated prefill rate of an engine in tokens per second.
+	// PrefillRate is the estimated prefill rate of an engine with a speed factor of one,
+	// in tokens per second.
 	PrefillRate float64                           `json:"prefill_rate"`
 	OverheadMs  int64                             `json:"overhead_ms"`
 	Upstreams   map[fleet.UpstreamID]UpstreamView `json:"upstreams"`
@@ -32,11 +33,32 @@
 	Evacuated bool `json:"evacuated"`
 	// Cold is nil if the upstream is not cold.
 	Cold *ColdView `json:"cold,omitempty"`
+	// SpeedFactor is an engine's prefill rate relative to PrefillRate, and
+	// SpeedObservations the number of recent observations behind it. Both are zero for
+	// plain upstreams.
+	SpeedFactor       float64 `json:"speed_factor,omitempty"`
+	SpeedObservations float64 `json:"speed_observations,omitempty"`
+	// PlacementWeight is an engine's weight in the placement of prompts.
+	PlacementWeight float64 `json:"placement_weight,omitempty"`
+	// ServiceTimeMs is the estimated service time of a plain upstream.
+	ServiceTimeMs float64 `json:"service_time_ms,omitempty"`
+}
+
+// viewSpeed fills in the estimates of an upstream's speed.
+func (s *Scheduler) viewSpeed(now time.Time, view *UpstreamView, u *upstream) {
+	if s.capacity.MemoryTokens == 0 {
+		view.ServiceTimeMs = float64(s.serviceTimeOf(now, u).Microseconds()) / 1000
+		return
+	}
+	view.SpeedFactor = u.factor
+	view.SpeedObservations = u.pooledFactor.Weight
+	view.PlacementWeight = u.weight.value
 }
 
 // View returns a snapshot of the scheduler's state.
 func (s *Scheduler) View(now time.Time) View {
 	s.expirePeers(now)
+	s.refreshFactors(now)
 	view := View{
 		PrefillRate: s.speed().Rate,
 		OverheadMs:  s.speed().Overhead.Milliseconds(),
@@ -45,9 +67,9 @@
 	}
 	for id, u := range s.upstreams {
 		total := u.total()
-		view.Upstreams[id] = UpstreamView{
+		upstreamView := UpstreamView{
 			Running:       total.Running,
-			BacklogTokens: u.backlog(now, s.speed().Rate),
+			BacklogTokens: u.backlog(now, s.speedOf(u).Rate),
 			MemoryTokens:  total.Memory,
 			CachedTokens:  u.cache.Tokens(),
 			Ejected:       u.detector.Ejected(now),
@@ -55,6 +77,8 @@
 			Evacuated:     u.evacuated,
 			Cold:          s.coldView(now, id),
 		}
+		s.viewSpeed(now, &upstreamView, u)
+		view.Upstreams[id] = upstreamView
 	}
 	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
 	return view
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -336,7 +336,7 @@
 	fields := append(g.decisionRevisions(),
 		zap.String("route", j.route.Name), zap.String("team", string(j.team)),
 		zap.Int("routers", g.routerCount()), zap.Int("attempt", j.attempts), zap.String("reason", string(d.Reason)),
-		zap.Duration("predicted", d.Predicted), zap.Float64("share_ratio", d.ShareRatio),
+		zap.Duration("predicted", d.Predicted), zap.Float64("speed_factor", d.SpeedFactor), zap.Float64("share_ratio", d.ShareRatio),
 	)
 	fields = append(fields, coldFields(d)...)
 	return append(fields, j.home.logFields()...)
