Read streams on time when their callers read slowly

Cause: one goroutine read a stream from its engine and wrote it to the caller. A caller that did not read stopped the reading, so that the engine cut the response off, kept its slot until then, and was blamed.

Change: while a stream is relayed, writes to the caller do not wait for it. The code of aborted responses is slow_caller. A long response that is not a stream waits for its caller as before, but an upstream that breaks it off after the caller blocked for a second is not blamed. Memory for request bodies of known length grows with the bytes that have arrived beyond 64 KB; it was allocated at the announced length and not counted.

Measured: go test -race -p 2 -count=1 ./gateway ./slowcaller ./upstream ./cmd/fulmarspindle ./config passes. Trials with the queue disabled, overtaken, not awaited, not released or not closed on an abort each made tests fail.

--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -19,6 +19,7 @@
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/slowcaller"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -35,6 +36,12 @@
 	// bufferedBodyFraction is the fraction of the memory that buffered request bodies and
 	// responses may use.
 	bufferedBodyFraction = 0.125
+	// slowCallerFraction is the fraction of the limit on buffered bytes that may be held
+	// for callers that read slowly. The rest is left to request bodies.
+	slowCallerFraction = 0.5
+	// slowResponseFraction is the fraction of the bytes for all slow callers that may be
+	// held for one of them.
+	slowResponseFraction = 0.125
 	// watchLatencyMargin is how long after its timeout the store may respond to a watch.
 	watchLatencyMargin = 700 * time.Millisecond
 	// storeFallbackTime is the time that a gateway needs to query the store itself.
@@ -114,6 +121,14 @@
 	return min(limits.MaxBufferedBytes, int64(bufferedBodyFraction*float64(limits.MemoryMB*bytesPerMB)))
 }
 
+// slowCallerOptions returns the bounds on the bytes held for callers that read slowly.
+func slowCallerOptions(limits config.GatewayLimits) slowcaller.Options {
+	total := cmp.Or(limits.MaxSlowCallerBytes, int64(slowCallerFraction*float64(maxBufferedBytes(limits))))
+	return slowcaller.Options{
+		MaxTotalBytes: total, MaxResponseBytes: cmp.Or(limits.MaxSlowResponseBytes, int64(slowResponseFraction*float64(total))),
+	}
+}
+
 // maxPeerStoreAge returns how long after the last response of the store gateways rely on
 // each other for changes. It is zero if a gateway that queries the store itself after that
 // time could not apply a change within ApplyWithin.
@@ -134,6 +149,7 @@
 		PeerAddress: cmp.Or(s.Listen.PeerAdvertised, s.Listen.Peer), Location: location, Processors: s.Limits.Processors, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxBufferedBytes: maxBufferedBytes(s.Limits), MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+		SlowCallers: slowCallerOptions(s.Limits),
 		IdleTimeout: s.Limits.IdleTimeout.Std(), MaxConnections: int(callerDescriptorFraction * float64(s.Limits.Descriptors)),
 		HeaderTimeout: s.Limits.HeaderTimeout.Std(), DefaultTimeout: s.Limits.RequestTimeout.Std(),
 		StoreRetry: s.Platform.RetryDelay.Std(), MaxPeerStoreAge: maxPeerStoreAge(s.Platform),
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -71,6 +71,13 @@
 	// MaxBufferedBytes limits the total size of the request bodies in flight and the
 	// buffered responses. If MemoryMB is set, the limit is at most a fraction of it.
 	MaxBufferedBytes int64 `yaml:"max_buffered_bytes,omitempty" validate:"gt=0"`
+	// MaxSlowCallerBytes limits the bytes of streamed responses that are held for callers
+	// that read slowly. They count towards MaxBufferedBytes too. Zero means a fraction of
+	// the limit on buffered bytes.
+	MaxSlowCallerBytes int64 `yaml:"max_slow_caller_bytes,omitempty" validate:"gte=0"`
+	// MaxSlowResponseBytes limits the same bytes of one response. Zero means a fraction
+	// of the limit for all responses.
+	MaxSlowResponseBytes int64 `yaml:"max_slow_response_bytes,omitempty" validate:"gte=0"`
 	// MaxAnswerBytes is the size up to which responses are buffered until they are
 	// complete.
 	MaxAnswerBytes int `yaml:"max_answer_bytes,omitempty" validate:"gt=0"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,7 @@
 	servingDuringShutdown atomic.Bool
 	inFlight              atomic.Int64
 	bufferedBytes         atomic.Int64
+	slowCallers           *slowCallers
 
 	// mu guards the registry, services and pools.
 	mu       sync.Mutex
@@ -89,6 +90,7 @@
 		background:    ctx,
 	}
 	g.policy.Store(&options.Policy)
+	g.slowCallers = newSlowCallers(options.SlowCallers, &g.bufferedBytes)
 	g.readiness = newReadiness(g)
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -150,6 +150,28 @@
 	releaseUndecided func()
 	// firstRequestTimer calls markDecided after firstRequestTimeout.
 	firstRequestTimer *time.Timer
+	// queue is set while writes do not wait for the caller. Only the goroutine that
+	// serves the connection uses it.
+	queue *sendQueue
+}
+
+// enableQueue makes writes queue what the socket does not accept. It returns false if the
+// connection has no socket.
+func (c *callerConn) enableQueue(shared *slowCallers) bool {
+	q := newSendQueue(shared, c.Conn)
+	if q == nil {
+		return false
+	}
+	c.queue = q
+	return true
+}
+
+// Write implements net.Conn. While the queue is enabled, it does not wait for the caller.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if c.queue != nil {
+		return c.queue.write(p)
+	}
+	return c.Conn.Write(p)
 }
 
 // markDecided records that the connection's first request was decided on, or that it
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -10,6 +10,7 @@
 	"fulmarspindle.example/fulmarspindle/overload"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/slowcaller"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -39,6 +40,10 @@
 	MaxBodyBytes   int64
 	// MaxBufferedBytes limits the total size of buffered request bodies and responses.
 	MaxBufferedBytes int64
+	// SlowCallers bounds the bytes of streamed responses that are held for callers that
+	// read slowly. They count towards MaxBufferedBytes too. If zero, none are held: an
+	// upstream is read no faster than its caller reads.
+	SlowCallers slowcaller.Options
 	// MaxAnswerBytes is the size up to which a response that is not a stream is
 	// buffered completely before it is relayed, so that a truncated one can be retried.
 	MaxAnswerBytes int
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -68,15 +68,16 @@
 		defer g.inFlight.Add(-1)
 	}
 	defer markRequestDecided(r.Context())
-	response := newResponseWriter(w, g.closesConnections)
+	response := newResponseWriter(w, r, g.closesConnections)
 	j, refused := g.receive(r, response.control, arrived)
-	defer func() { g.bufferedBytes.Add(-j.bufferedBytes) }()
+	defer g.releaseBuffered(j)
 	if refused != nil {
 		response.writeRefusal(refused)
 		g.logRefusal(j, refused, arrived)
 		return
 	}
 	j.response = response
+	defer func() { _ = response.awaitSent() }() // The server closes a connection whose writes fail.
 	if refused := g.refuseDuringShutdown(j); refused != nil {
 		g.sendRefusal(j, refused)
 		return
@@ -86,6 +87,12 @@
 	g.serve(ctx, j)
 }
 
+// releaseBuffered releases the request's body and its part of MaxBufferedBytes.
+func (g *Gateway) releaseBuffered(j *job) {
+	g.bufferedBytes.Add(-j.bufferedBytes)
+	j.bufferedBytes, j.body = 0, nil
+}
+
 // receive reads a request and looks up its route, team and limits.
 func (g *Gateway) receive(r *http.Request, control *http.ResponseController, arrived time.Time) (*job, *refusal) {
 	j := &job{method: r.Method, arrived: arrived}
@@ -200,9 +207,7 @@
 
 func readLimited(r io.Reader, length, limit int64) ([]byte, error) {
 	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
+		return readLength(r, length)
 	}
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(body)) > limit {
@@ -211,6 +216,28 @@
 	return body, err
 }
 
+// initialBodyBytes limits the memory that is allocated for a body of known length before
+// any of it has arrived.
+const initialBodyBytes = 64 << 10
+
+// readLength reads a body of known length. Memory beyond initialBodyBytes is allocated as
+// the bytes arrive, at most twice as much, so that callers that announce large bodies and
+// send them slowly do not take memory that is not counted.
+func readLength(r io.Reader, length int64) ([]byte, error) {
+	body := make([]byte, min(length, initialBodyBytes))
+	read := 0
+	for {
+		n, err := io.ReadFull(r, body[read:])
+		read += n
+		if err != nil || int64(read) == length {
+			return body[:read], err
+		}
+		larger := make([]byte, min(length, 2*int64(len(body))))
+		copy(larger, body)
+		body = larger
+	}
+}
+
 func bodyTooLarge() *refusal {
 	return &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: "the body is over the limit"}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -177,23 +177,38 @@
 func (g *Gateway) relayIncrementally(ctx context.Context, j *job, id string, x *upstream.Exchange, resp *bufferedResponse) result {
 	j.response.writeHead(resp.status, resp.header)
 	part, buf := resp.body, make([]byte, relayBufferBytes)
+	var longestWrite time.Duration
 	for {
-		if err := j.response.writeAndFlush(part); err != nil {
+		began := time.Now()
+		err := j.response.writeAndFlush(part)
+		longestWrite = max(longestWrite, time.Since(began))
+		if err != nil {
 			j.service.cancelAttempt(id)
 			return result{kind: callerGone, err: err}
 		}
-		n, err := x.Read(buf)
+		var n int
+		n, err = x.Read(buf)
 		part = buf[:n]
 		if errors.Is(err, io.EOF) && n == 0 {
 			g.recordOutcome(j, id, outlier.Success)
 			return result{kind: complete, status: resp.status}
 		}
+		if err != nil && !errors.Is(err, io.EOF) && longestWrite >= slowWriteTime {
+			// The upstream could not send meanwhile and may have cut off the response.
+			j.service.cancelAttempt(id)
+			j.response.unread = true
+			return result{kind: callerGone, status: resp.status, err: err}
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return g.classifyBroken(ctx, j, id, x, err)
 		}
 	}
 }
 
+// slowWriteTime is how long a caller has to delay a single write to count as the reason
+// for which an upstream broke off a response that is not a stream.
+const slowWriteTime = time.Second
+
 // classifyBroken returns the result of a response that broke off.
 func (g *Gateway) classifyBroken(ctx context.Context, j *job, id string, x *upstream.Exchange, err error) result {
 	if ctx.Err() != nil {
@@ -207,6 +222,7 @@
 // relayStream relays each event as soon as it is complete. On a retry the caller
 // already has the headers and some events.
 func (g *Gateway) relayStream(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
+	g.queueUnsent(ctx, j)
 	var splitter eventstream.Splitter
 	lastEvent := time.Time{}
 	res := result{kind: complete, status: http.StatusOK}
--- a/gateway/request_benchmark_test.go
+++ b/gateway/request_benchmark_test.go
@@ -12,11 +12,20 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/route"
+	"fulmarspindle.example/fulmarspindle/slowcaller"
 )
 
 // BenchmarkStreamedResponse relays responses of 40 events, each of which the upstream
-// sends in a separate write.
+// sends in a separate write, with writes that wait for the caller and with those that
+// queue what a slow caller does not accept.
 func BenchmarkStreamedResponse(b *testing.B) {
+	b.Run("waiting", func(b *testing.B) { benchmarkStreamedResponse(b, slowcaller.Options{}) })
+	b.Run("queueing", func(b *testing.B) {
+		benchmarkStreamedResponse(b, slowcaller.Options{MaxResponseBytes: 1 << 20, MaxTotalBytes: 1 << 23})
+	})
+}
+
+func benchmarkStreamedResponse(b *testing.B, options slowcaller.Options) {
 	const events = 40
 	engine := startServer(b, "i-1", "engines", func(_ *server, c net.Conn, r *http.Request) {
 		streamHead(c, r)
@@ -31,7 +40,7 @@
 	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
 	log := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(io.Discard), zap.InfoLevel))
 	n := startGateway(b, "g1", storeOf(configuration, engine), func(o *gateway.Options) {
-		o.Log = log
+		o.Log, o.SlowCallers = log, options
 		o.Location = fleet.Location{Region: "r1", FailureDomain: "d1"}
 	})
 	awaitReady(b, n)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -37,10 +38,18 @@
 	// closing reports whether the connection is closed after the response.
 	closing func() bool
 	started bool
+	// request is the context of the caller's request. It ends when the caller
+	// disconnects.
+	request context.Context
+	// conn is the caller's connection while it queues what its socket does not accept;
+	// nil otherwise.
+	conn *callerConn
+	// unread is set if an upstream broke off because the caller did not read.
+	unread bool
 }
 
-func newResponseWriter(w http.ResponseWriter, closing func() bool) *responseWriter {
-	return &responseWriter{w: w, control: http.NewResponseController(w), closing: closing}
+func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool) *responseWriter {
+	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing}
 }
 
 // writeHead writes the status line and the headers.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -145,7 +145,7 @@
 func (g *Gateway) conclude(ctx context.Context, j *job, last result) {
 	switch {
 	case last.kind == complete:
-		j.countCompleteMetrics(last)
+		g.concludeComplete(j, last)
 	case last.kind == callerLeftEarly && !errors.Is(last.err, errDeadline):
 		g.breakOff(j, "caller_left_early")
 	case last.kind == callerGone && !errors.Is(last.err, errDeadline) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
@@ -188,11 +188,18 @@
 	}
 }
 
-// breakOff closes the caller's connection before the response is complete.
+// breakOff closes the caller's connection before the response is complete. What was
+// received for the caller is sent first.
 func (g *Gateway) breakOff(j *job, code string) {
+	fields := []zap.Field{zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("upstream", string(j.upstream.ID)),
+		zap.Int("attempts", j.attempts), zap.Duration("elapsed", time.Since(j.arrived))}
+	if aborted := j.response.slowCallerAbort(); aborted != nil {
+		code = codeSlowCaller
+		fields = append(fields, slowCallerFields(aborted)...)
+	}
+	_ = j.response.awaitSent() // The connection is closed in any case.
 	requestCounts.Add(j.route.Kind.String()+"/"+code, 1)
-	g.log.Warn("answer broken off", zap.String("request", j.in.ID), zap.String("route", j.route.Name), zap.String("code", code),
-		zap.Int("attempts", j.attempts), zap.Duration("elapsed", time.Since(j.arrived)))
+	g.log.Warn("answer broken off", append(fields, zap.String("code", code))...)
 	j.response.abort()
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -34,8 +34,10 @@
 	// RegistryAgeMs is the time since the store or a router confirmed it.
 	RegistryRevision uint64 `json:"registry_revision"`
 	RegistryAgeMs    int64  `json:"registry_age_ms"`
-	// BufferedBytes is the total size of buffered request bodies and responses.
+	// BufferedBytes is the total size of buffered request bodies and responses,
+	// including what is held for slow callers.
 	BufferedBytes int64                              `json:"buffered_bytes"`
+	SlowCallers   SlowCallers                        `json:"slow_callers"`
 	Routers       []fleet.NodeID                     `json:"routers"`
 	Upstreams     []UpstreamEntry                    `json:"upstreams"`
 	Services      map[fleet.ServiceID]admission.View `json:"services"`
@@ -72,6 +74,7 @@
 		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
 		Retries:  make(map[fleet.ServiceID]retry.Usage),
 		Suspects: g.suspects.view(now), BufferedBytes: g.bufferedBytes.Load(),
+		SlowCallers: g.slowCallers.view(),
 	}
 	for _, s := range g.peers.sessions.ByRole(peerpb.Role_ROLE_ROUTER) {
 		state.Routers = append(state.Routers, s.ID())
