--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 	servingDuringShutdown atomic.Bool
 	inFlight              atomic.Int64
 	bufferedBytes         atomic.Int64
+	slowCallers           *slowCallers
 
 	// mu guards the registry, services, pools and fleet.
 	mu       sync.Mutex
@@ -96,6 +97,7 @@
 	g.evacuations = evacuations{begunAt: make(map[fleet.FailureDomainID]time.Time), waitingSince: time.Now()}
 	g.storeContact.followsEvacuations = g.followsEvacuations()
 	g.policy.Store(&options.Policy)
+	g.slowCallers = newSlowCallers(options.SlowCallers, &g.bufferedBytes)
 	g.readiness = newReadiness(g)
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
