Key the usage of teams by team and home regions

The account of requests with home regions was one string of team and regions, split again at a control character.

Usage is keyed by admission.Account, a struct of team and regions, and TeamUsage carries the regions in home_regions. No name is parsed. The unused identifier of an attempt is dropped, so that the larger account does not move the attempt to the next allocation size.

Tests of admission, gateway, peer and docs pass; those of admission differ in types only.

--- a/admission/accounts.go
+++ b/admission/accounts.go
@@ -1,52 +1,48 @@
 package admission
 
 import (
-	"strings"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
-// regionSeparator separates the team from the home regions in the name of an account. It
-// is a control character that names of teams do not contain.
-const regionSeparator = "\x1f"
+// Account names the requests of a team whose usage is counted together.
+type Account struct {
+	Team fleet.TeamID
+	// Regions lists the home regions of the requests, see fleet.RegionSet.String. It is
+	// empty for requests without home regions.
+	Regions string
+}
 
-// accountOf returns the name under which the usage of a request is counted: its team,
-// followed by its home regions if it has any. The accounts are kept apart because a
-// request with home regions cannot use the capacity of other regions.
-func accountOf(r Request) fleet.TeamID {
+// accountOf returns the account in which the usage of a request is counted. The accounts
+// of a team are kept apart because a request with home regions cannot use the capacity of
+// other regions.
+func accountOf(r Request) Account {
 	if r.Regions.All() {
-		return r.Team
+		return Account{Team: r.Team}
 	}
-	return r.Team + regionSeparator + fleet.TeamID(r.Regions.String())
-}
-
-// splitAccount returns the team and the home regions of an account. The regions are empty
-// for requests without home regions.
-func splitAccount(account fleet.TeamID) (fleet.TeamID, string) {
-	team, regions, _ := strings.Cut(string(account), regionSeparator)
-	return fleet.TeamID(team), regions
+	return Account{Team: r.Team, Regions: r.Regions.String()}
 }
 
 // hasHomeRegions reports whether any account is one of requests with home regions.
 func (u Usage) hasHomeRegions() bool {
 	for account := range u {
-		if _, regions := splitAccount(account); regions != "" {
+		if account.Regions != "" {
 			return true
 		}
 	}
 	return false
 }
 
-// byTeam returns the usage of each team over all its accounts.
+// byTeam returns the usage of each team over all its accounts, as accounts without home
+// regions.
 func (u Usage) byTeam() Usage {
 	if !u.hasHomeRegions() {
 		return u
 	}
 	teams := make(Usage, len(u))
 	for account, usage := range u {
-		team, _ := splitAccount(account)
-		teams.add(Usage{team: usage})
+		teams.add(Usage{{Team: account.Team}: usage})
 	}
 	return teams
 }
@@ -55,16 +51,16 @@
 func (u Usage) byRegions() map[string]Usage {
 	sets := make(map[string]Usage)
 	for account, usage := range u {
-		team, regions := splitAccount(account)
-		if sets[regions] == nil {
-			sets[regions] = make(Usage)
+		if sets[account.Regions] == nil {
+			sets[account.Regions] = make(Usage)
 		}
-		sets[regions][team] = usage
+		sets[account.Regions][Account{Team: account.Team}] = usage
 	}
 	return sets
 }
 
-// teamShares is the usage of teams and their max-min fair share.
+// teamShares is the usage of teams and their max-min fair share. The accounts of teams
+// have no regions.
 type teamShares struct {
 	teams     Usage
 	maxMin    float64
@@ -83,7 +79,7 @@
 	if !t.contended || t.maxMin <= 0 {
 		return 0
 	}
-	return t.teams[team].Served / t.maxMin
+	return t.teams[Account{Team: team}].Served / t.maxMin
 }
 
 // shareSnapshot is the teams' usage over all routers at one point in time.
@@ -116,6 +112,5 @@
 	if s.byRegions == nil {
 		return ratio
 	}
-	_, regions := splitAccount(accountOf(r))
-	return min(ratio, s.byRegions[regions].ratio(r.Team))
+	return min(ratio, s.byRegions[accountOf(r).Regions].ratio(r.Team))
 }
--- a/admission/benchmark_test.go
+++ b/admission/benchmark_test.go
@@ -43,7 +43,7 @@
 		r.Upstreams[u.ID] = admission.UpstreamLoad{Prefill: 100, Running: 1, Memory: 2000}
 	}
 	for i := range teams {
-		r.Teams[fleet.TeamID(fmt.Sprint("team-", i))] = admission.TeamUsage{Requested: 10_000, Served: 8000}
+		r.Teams[admission.Account{Team: fleet.TeamID(fmt.Sprint("team-", i))}] = admission.TeamUsage{Requested: 10_000, Served: 8000}
 	}
 	return r
 }
--- a/admission/engine.go
+++ b/admission/engine.go
@@ -11,11 +11,10 @@
 
 // attempt is a request that was sent to an upstream and has not ended.
 type attempt struct {
-	id       string
 	upstream *upstream
 	sent     time.Time
 	// account is the account of its team, and served the number of tokens charged to it.
-	account fleet.TeamID
+	account Account
 	served  float64
 	// prefill is the prefill work of its own prompt in tokens.
 	prefill int
--- a/admission/report_test.go
+++ b/admission/report_test.go
@@ -50,7 +50,8 @@
 	report := sim.scheduler.Report(sim.now, true)
 	sim.Expect(report.Prompts).To(HaveLen(1))
 	sim.Expect(report.Upstreams["u00"]).To(Equal(admission.UpstreamLoad{Prefill: 12_000, Running: 1, Memory: 2050}))
-	sim.Expect(report.Teams["team"].Served).To(Equal(report.Teams["team"].Requested))
+	account := admission.Account{Team: "team"}
+	sim.Expect(report.Teams[account].Served).To(Equal(report.Teams[account].Requested))
 	sim.scheduler.End(sim.now, id, outlier.Success)
 	report = sim.scheduler.Report(sim.now, true)
 	sim.Expect(report.Prompts).To(BeEmpty())
@@ -76,6 +77,6 @@
 	sim.scheduler.End(sim.now, id, outlier.Success)
 	sim.Expect(report(false).Upstreams).To(HaveKeyWithValue(first.Upstream.ID, admission.UpstreamLoad{}))
 	sim.Expect(other.View(sim.now).Upstreams[first.Upstream.ID].Running).To(BeZero())
-	sim.Expect(report(true).Teams).To(HaveKey(fleet.TeamID("team")))
+	sim.Expect(report(true).Teams).To(HaveKey(admission.Account{Team: "team"}))
 	sim.Expect(other.View(sim.now).Teams).To(HaveKey(fleet.TeamID("team")))
 }
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -274,7 +274,7 @@
 func (s *Scheduler) begin(now time.Time, r Request, c *candidate, served float64) {
 	own := r.Prompt.Tokens() - r.Prompt.SharedTokens()
 	a := &attempt{
-		id: r.ID, upstream: c.upstream, sent: now, prefill: c.prefill, account: accountOf(r), served: served,
+		upstream: c.upstream, sent: now, prefill: c.prefill, account: accountOf(r), served: served,
 		workAhead: c.backlog + float64(c.prefill), memory: own + r.OutputTokens,
 		copyTokens: c.copyTokens, copyDistance: c.copyDistance,
 	}
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/rolling"
 )
 
@@ -19,38 +18,38 @@
 	Served    float64 `json:"served"`
 }
 
-// Usage maps teams to their token usage. A team's requests with home regions are counted
-// in accounts of their own, see accountOf.
-type Usage map[fleet.TeamID]TeamUsage
+// Usage maps accounts to their token usage.
+type Usage map[Account]TeamUsage
 
-// usageWindow sums the tokens requested by and served to each team over a sliding window.
+// usageWindow sums the tokens requested by and served to each account over a sliding
+// window.
 type usageWindow struct{ window *rolling.Window[Usage] }
 
 func newUsageWindow(window time.Duration) *usageWindow {
 	return &usageWindow{window: rolling.New[Usage](max(window, usageBuckets*time.Millisecond), usageBuckets)}
 }
 
-func (w *usageWindow) add(now time.Time, team fleet.TeamID, requested, served float64) {
+func (w *usageWindow) add(now time.Time, account Account, requested, served float64) {
 	bucket := w.window.Current(now)
 	if *bucket == nil {
 		*bucket = make(Usage)
 	}
-	usage := (*bucket)[team]
+	usage := (*bucket)[account]
 	usage.Requested += requested
 	usage.Served += served
-	(*bucket)[team] = usage
+	(*bucket)[account] = usage
 }
 
 // refund subtracts served tokens from the bucket of the time at which they were added.
 // It does nothing if that bucket has left the window.
-func (w *usageWindow) refund(now, added time.Time, team fleet.TeamID, served float64) {
+func (w *usageWindow) refund(now, added time.Time, account Account, served float64) {
 	bucket := w.window.At(now, added)
 	if bucket == nil || *bucket == nil {
 		return
 	}
-	usage := (*bucket)[team]
+	usage := (*bucket)[account]
 	usage.Served = max(usage.Served-served, 0)
-	(*bucket)[team] = usage
+	(*bucket)[account] = usage
 }
 
 func (w *usageWindow) sum(now time.Time) Usage {
@@ -62,11 +61,11 @@
 }
 
 func (u Usage) add(other Usage) {
-	for team, usage := range other {
-		sum := u[team]
+	for account, usage := range other {
+		sum := u[account]
 		sum.Requested += usage.Requested
 		sum.Served += usage.Served
-		u[team] = sum
+		u[account] = sum
 	}
 }
 
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -81,7 +81,7 @@
 		return admission.Report{
 			Full: true, Upstreams: map[fleet.UpstreamID]admission.UpstreamLoad{"u00": {Prefill: backlog}},
 			Teams: admission.Usage{
-				"hot": {Requested: 900_000, Served: hot}, "a": {Requested: 200_000, Served: 100_000}, "b": {Requested: 200_000, Served: 100_000},
+				{Team: "hot"}: {Requested: 900_000, Served: hot}, {Team: "a"}: {Requested: 200_000, Served: 100_000}, {Team: "b"}: {Requested: 200_000, Served: 100_000},
 			},
 		}
 	}
--- a/admission/view.go
+++ b/admission/view.go
@@ -35,11 +35,12 @@
 // View returns a snapshot of the scheduler's state.
 func (s *Scheduler) View(now time.Time) View {
 	s.expirePeers(now)
+	usage := s.usage(now).byTeam()
 	view := View{
 		PrefillRate: s.speed().Rate,
 		OverheadMs:  s.speed().Overhead.Milliseconds(),
 		Upstreams:   make(map[fleet.UpstreamID]UpstreamView, len(s.upstreams)),
-		Teams:       s.usage(now).byTeam(),
+		Teams:       make(map[fleet.TeamID]TeamUsage, len(usage)),
 	}
 	for id, u := range s.upstreams {
 		total := u.total()
@@ -53,6 +54,9 @@
 			Evacuated:     u.evacuated,
 		}
 	}
-	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
+	for account, used := range usage {
+		view.Teams[account.Team] = used
+	}
+	view.Share, view.Contended = usage.maxMinShare()
 	return view
 }
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -68,8 +68,10 @@
 			Upstream: string(upstream), Prefill: uint32(load.Prefill), Running: uint32(load.Running), Memory: uint32(load.Memory),
 		})
 	}
-	for team, usage := range r.Teams {
-		out.Teams = append(out.Teams, &peerpb.TeamUsage{Team: string(team), Asked: float32(usage.Requested), Served: float32(usage.Served)})
+	for account, usage := range r.Teams {
+		out.Teams = append(out.Teams, &peerpb.TeamUsage{
+			Team: string(account.Team), HomeRegions: account.Regions, Asked: float32(usage.Requested), Served: float32(usage.Served),
+		})
 	}
 	if r.Speed != nil {
 		out.Speed = &peerpb.EngineSpeed{Rate: r.Speed.Rate, OverheadUs: uint32(r.Speed.Overhead.Microseconds())}
@@ -93,7 +95,8 @@
 		}
 	}
 	for _, t := range m.GetTeams() {
-		r.Teams[fleet.TeamID(t.GetTeam())] = admission.TeamUsage{Requested: float64(t.GetAsked()), Served: float64(t.GetServed())}
+		account := admission.Account{Team: fleet.TeamID(t.GetTeam()), Regions: t.GetHomeRegions()}
+		r.Teams[account] = admission.TeamUsage{Requested: float64(t.GetAsked()), Served: float64(t.GetServed())}
 	}
 	if speed := m.GetSpeed(); speed.GetRate() > 0 {
 		r.Speed = &admission.EngineSpeed{Rate: speed.GetRate(), Overhead: time.Duration(speed.GetOverheadUs()) * time.Microsecond}
--- a/gateway/report_benchmark_test.go
+++ b/gateway/report_benchmark_test.go
@@ -30,7 +30,7 @@
 				report.Upstreams[fleet.UpstreamID(fmt.Sprintf("i-%010x", i))] = admission.UpstreamLoad{Prefill: 9000, Running: 9, Memory: 60_000}
 			}
 			for i := range c.teams {
-				report.Teams[fleet.TeamID(fmt.Sprintf("team%04d", i))] = admission.TeamUsage{Requested: 900_000, Served: 700_000}
+				report.Teams[admission.Account{Team: fleet.TeamID(fmt.Sprintf("team%04d", i))}] = admission.TeamUsage{Requested: 900_000, Served: 700_000}
 			}
 			for i := range c.prompts {
 				prompt := placement.Prompt{{ID: 1 << 60, Tokens: 2500}, {ID: 3 << 60, Tokens: 3700}, {ID: 5 << 60, Tokens: 2900}}
