e2e: home regions and evacuations with real processes

The specs had one upstream in the test process and one region, so no test with processes showed that requests stay in their home regions or that an evacuation is in force everywhere in time.

The stand-ins of the plain service and the engine act as registered servers: they reject requests for another server (421), mark their responses, and count requests, while cold also the maximum within any second. Their cold phase starts with the process (--cold-ms) or by POST /cold. The specs of configurations, registrations and evacuations are types. GatewayFleet starts such servers as processes, spreads failure domains over regions, has a fault proxy between each gateway and the platform, and begins and ends evacuations.

--- a/e2e/cmd/standin/main.go
+++ b/e2e/cmd/standin/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -16,7 +17,16 @@
 
 type platformCommand struct{}
 
+// serverOptions are the options of the stand-ins for servers of the platform.
+type serverOptions struct {
+	ID     string `arg:"--id" help:"name of the registration; requests for another server are rejected"`
+	ColdMs int64  `arg:"--cold-ms" help:"milliseconds for which the server is cold after its start"`
+}
+
+func (o serverOptions) cold() time.Duration { return time.Duration(o.ColdMs) * time.Millisecond }
+
 type engineCommand struct {
+	serverOptions
 	Slots           int     `arg:"--slots" default:"8" help:"requests that run at once"`
 	TokenIntervalMs float64 `arg:"--token-interval-ms" default:"5" help:"milliseconds for each output token"`
 	PrefillMsPer1k  float64 `arg:"--prefill-ms-per-1k" default:"10" help:"milliseconds for 1,000 prompt tokens"`
@@ -25,6 +35,7 @@
 }
 
 type serviceCommand struct {
+	serverOptions
 	Slots  int     `arg:"--slots" default:"8" help:"requests that run at once"`
 	CostMs float64 `arg:"--cost-ms" default:"5" help:"service time of a request that names none"`
 }
@@ -71,7 +82,7 @@
 	case args.Engine != nil:
 		return newEngine(args.Engine)
 	case args.Service != nil:
-		return standin.NewService(args.Service.Slots, standin.ServiceSwitches{CostMs: args.Service.CostMs})
+		return newService(args.Service)
 	case args.Baseline != nil:
 		return standin.NewBaseline(args.Baseline.Targets, args.Baseline.Source)
 	default:
@@ -79,11 +90,22 @@
 	}
 }
 
+func newService(command *serviceCommand) standin.StandIn {
+	return standin.NewService(standin.ServiceOptions{
+		ID:       command.ID,
+		Slots:    command.Slots,
+		Cold:     command.cold(),
+		Switches: standin.ServiceSwitches{CostMs: command.CostMs},
+	})
+}
+
 func newEngine(command *engineCommand) standin.StandIn {
 	switches := standin.DefaultEngineSwitches()
 	switches.TokenIntervalMs = command.TokenIntervalMs
 	switches.PrefillMsPer1k = command.PrefillMsPer1k
 	return standin.NewEngine(standin.EngineOptions{
+		ID:            command.ID,
+		Cold:          command.cold(),
 		Slots:         command.Slots,
 		ChecksFencing: command.ChecksFencing,
 		CacheBlocks:   command.CacheBlocks,
--- a/e2e/harness/gateways.go
+++ b/e2e/harness/gateways.go
@@ -1,9 +1,7 @@
 package harness
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -29,9 +27,6 @@
 	gatewayAdvertisedPort      = 7106
 )
 
-// ErrWriteObject reports an object that could not be written to the platform stand-in.
-var ErrWriteObject = eris.New("harness: object not written")
-
 // GatewayFleet runs gateways as processes that connect to a platform stand-in.
 type GatewayFleet struct {
 	Network *Network
@@ -49,14 +44,21 @@
 // GatewayFleetOptions configures a GatewayFleet.
 type GatewayFleetOptions struct {
 	Gateways int
-	// FailureDomains is the number of failure domains, all in one region, over which
-	// the gateways are distributed; zero means one.
+	// FailureDomains is the number of failure domains over which the gateways are
+	// distributed, named z1, z2 and so on; zero means one.
 	FailureDomains int
+	// Regions is the number of regions over which the failure domains are distributed,
+	// named r1, r2 and so on; zero means one.
+	Regions int
+	// EvacuateWithin is the time in which an evacuation must be in force. Zero means
+	// that the gateways do not follow evacuations.
+	EvacuateWithin time.Duration
 	// Dir is the directory of the settings and logs.
 	Dir string
 	// Settings is YAML that is appended to the gateways' settings.
 	Settings string
-	// Proxied puts a fault proxy in front of each gateway's peer listener.
+	// Proxied puts a fault proxy in front of each gateway's peer listener, and one
+	// between each gateway and the platform.
 	Proxied bool
 }
 
@@ -66,7 +68,9 @@
 	Name         string
 	SettingsPath string
 	// Link is the fault proxy in front of the peer listener, or nil.
-	Link          *faultproxy.Link
+	Link *faultproxy.Link
+	// PlatformLink is the fault proxy between the gateway and the platform, or nil.
+	PlatformLink  *faultproxy.Link
 	address       string
 	failureDomain string
 }
@@ -151,16 +155,14 @@
 		if err != nil {
 			return err
 		}
-		failureDomain := fmt.Sprint("z", 1+i%max(f.options.FailureDomains, 1))
+		failureDomain := FailureDomain(i % max(f.options.FailureDomains, 1))
 		f.Gateways = append(f.Gateways, &Gateway{Name: fmt.Sprint("gateway-", i+1), address: address, failureDomain: failureDomain})
 	}
 	for _, g := range f.Gateways {
 		if f.options.Proxied {
-			link, err := faultproxy.NewLink(hostPort(g.address, gatewayAdvertisedPort), hostPort(g.address, gatewayPeerPort))
-			if err != nil {
+			if err := f.addLinks(g); err != nil {
 				return err
 			}
-			g.Link = link
 		}
 	}
 	for _, g := range f.Gateways {
@@ -171,6 +173,15 @@
 	return nil
 }
 
+func (f *GatewayFleet) addLinks(g *Gateway) error {
+	var err error
+	if g.Link, err = faultproxy.NewLink(hostPort(g.address, gatewayAdvertisedPort), hostPort(g.address, gatewayPeerPort)); err != nil {
+		return err
+	}
+	g.PlatformLink, err = faultproxy.NewLink(hostPort(g.address, gatewayPlatformPort), f.PlatformAddress)
+	return err
+}
+
 func (f *GatewayFleet) writeSettings(g *Gateway) error {
 	g.SettingsPath = filepath.Join(f.dir, g.Name+".yaml")
 	var peers []string
@@ -178,30 +189,64 @@
 		peers = append(peers, fmt.Sprintf("%q", other.advertisedAddress()))
 	}
 	settings := fmt.Sprintf(`id: %s
-region: r1
+region: %s
 failure_domain: %s
 regions: {%s}
 listen: {caller: %q, ready: %q, peer: %q, peer_advertised: %q, metrics: %q}
 peers: [%s]
-platform: {url: "http://%s", retry: 50ms}
+platform: {url: "http://%s", retry: 50ms%s}
 stop: {grace: 5s, withdrawal: 200ms}
-%s`, g.Name, g.failureDomain, f.regionsYAML(), g.CallerAddress(), hostPort(g.address, gatewayReadyPort), hostPort(g.address, gatewayPeerPort), g.advertisedAddress(), g.MetricsAddress(),
-		strings.Join(peers, ","), f.PlatformAddress, f.options.Settings)
+%s`, g.Name, f.Region(g.failureDomain), g.failureDomain, f.regionsYAML(), g.CallerAddress(), hostPort(g.address, gatewayReadyPort), hostPort(g.address, gatewayPeerPort), g.advertisedAddress(), g.MetricsAddress(),
+		strings.Join(peers, ","), f.platformAddressOf(g), f.evacuateWithinYAML(), f.options.Settings)
 	if err := os.WriteFile(g.SettingsPath, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(ErrFiles, err.Error())
 	}
 	return nil
 }
 
-// regionsYAML returns the YAML entries that map each failure domain to the region.
+// platformAddressOf returns the address at which a gateway reaches the platform.
+func (f *GatewayFleet) platformAddressOf(g *Gateway) string {
+	if g.PlatformLink == nil {
+		return f.PlatformAddress
+	}
+	return g.PlatformLink.Address()
+}
+
+// evacuateWithinYAML returns the entry of the platform's settings, or nothing.
+func (f *GatewayFleet) evacuateWithinYAML() string {
+	if f.options.EvacuateWithin == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", evacuate_within: %v", f.options.EvacuateWithin)
+}
+
+// regionsYAML returns the YAML entries that map each failure domain to its region.
 func (f *GatewayFleet) regionsYAML() string {
 	var entries []string
 	for i := range max(f.options.FailureDomains, 1) {
-		entries = append(entries, fmt.Sprintf("z%d: r1", i+1))
+		entries = append(entries, fmt.Sprintf("%s: %s", FailureDomain(i), f.regionOf(i)))
 	}
 	return strings.Join(entries, ", ")
 }
 
+// FailureDomain returns the name of the failure domain with an index from zero.
+func FailureDomain(index int) string { return fmt.Sprint("z", index+1) }
+
+func (f *GatewayFleet) regionOf(failureDomain int) string {
+	return fmt.Sprint("r", 1+failureDomain%max(f.options.Regions, 1))
+}
+
+// Region returns the region of a failure domain, and nothing for one that the fleet does
+// not have.
+func (f *GatewayFleet) Region(failureDomain string) string {
+	for i := range max(f.options.FailureDomains, 1) {
+		if FailureDomain(i) == failureDomain {
+			return f.regionOf(i)
+		}
+	}
+	return ""
+}
+
 // CallerAddress returns the address of the caller listener.
 func (g *Gateway) CallerAddress() string { return hostPort(g.address, gatewayCallerPort) }
 
@@ -250,30 +295,6 @@
 	return nil
 }
 
-// Put creates or replaces an object on the platform stand-in.
-func (f *GatewayFleet) Put(ctx context.Context, kind, name string, spec any) error {
-	body, err := json.Marshal(map[string]any{"metadata": map[string]any{"name": name}, "spec": spec})
-	if err != nil {
-		return eris.Wrap(ErrWriteObject, err.Error())
-	}
-	url := fmt.Sprintf("http://%s/fulmarspindle/objects/%s/%s", f.PlatformAddress, kind, name)
-	for _, method := range []string{http.MethodPost, http.MethodPut} {
-		req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-		if err != nil {
-			return eris.Wrap(ErrWriteObject, err.Error())
-		}
-		resp, err := controlClient.Do(req)
-		if err != nil {
-			return eris.Wrap(ErrWriteObject, err.Error())
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
-			return nil
-		}
-	}
-	return eris.Wrapf(ErrWriteObject, "%s/%s", kind, name)
-}
-
 // Isolate cuts the given gateways off from all others, in both directions. They
 // still reach each other. It requires GatewayFleetOptions.Proxied.
 func (f *GatewayFleet) Isolate(isolated ...*Gateway) {
@@ -297,6 +318,9 @@
 		if err := g.Link.Heal(); err != nil {
 			return err
 		}
+		if err := g.PlatformLink.Heal(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -310,6 +334,9 @@
 		if g.Link != nil {
 			g.Link.Close()
 		}
+		if g.PlatformLink != nil {
+			g.PlatformLink.Close()
+		}
 	}
 	if f.Network != nil {
 		f.Network.Close()
--- a/e2e/standin/batch.go
+++ b/e2e/standin/batch.go
@@ -11,6 +11,7 @@
 
 // EngineCounters counts the requests of an engine.
 type EngineCounters struct {
+	InstanceCounters
 	Running   int    `json:"running"`
 	Queued    int    `json:"queued"`
 	Peak      int    `json:"peak"`
--- a/e2e/standin/engine.go
+++ b/e2e/standin/engine.go
@@ -21,6 +21,10 @@
 
 // EngineOptions configures an Engine.
 type EngineOptions struct {
+	// ID is the name of the server's registration with the platform, or empty.
+	ID string
+	// Cold is how long the engine is cold after its start.
+	Cold time.Duration
 	// Slots is the maximum number of concurrent requests.
 	Slots int
 	// ChecksFencing makes the engine reject orders with an outdated fencing token.
@@ -73,6 +77,7 @@
 
 // Engine is a test double of a model engine.
 type Engine struct {
+	instance instance
 	options  EngineOptions
 	switches *switchSet[EngineSwitches]
 	batch    *batch
@@ -86,6 +91,7 @@
 		options.Exit = os.Exit
 	}
 	return &Engine{
+		instance: instance{id: options.ID, coldUntil: time.Now().Add(options.Cold)},
 		options:  options,
 		switches: newSwitchSet(options.Switches),
 		batch:    newBatch(options.Slots),
@@ -97,28 +103,31 @@
 // Handler returns the handler of the engine's API.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
-		e.complete(w, r, true)
-	})
-	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
-		e.complete(w, r, false)
-	})
+	complete := func(chat bool) http.HandlerFunc {
+		return e.instance.identify(func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, chat) })
+	}
+	mux.HandleFunc("POST /v1/chat/completions", complete(true))
+	mux.HandleFunc("POST /v1/completions", complete(false))
 	mux.HandleFunc("GET /health", e.health)
 	mux.HandleFunc("GET /load", e.load)
 	mux.HandleFunc("GET /cache/events", e.cacheEvents)
-	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("POST /orders", e.instance.identify(e.order))
 	mux.HandleFunc("GET /orders", e.orderState)
 	return mux
 }
 
 // ControlHandler returns the handler of the control port.
 func (e *Engine) ControlHandler() http.Handler {
-	return controlMux(e.switches, e.Counters)
+	mux := controlMux(e.switches, e.Counters)
+	mux.HandleFunc("POST /cold", e.instance.serveCold)
+	return mux
 }
 
 // Counters returns the current counters.
 func (e *Engine) Counters() EngineCounters {
-	return e.batch.snapshot()
+	counters := e.batch.snapshot()
+	counters.InstanceCounters = e.instance.snapshot()
+	return counters
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
--- a/e2e/standin/engine_test.go
+++ b/e2e/standin/engine_test.go
@@ -123,7 +123,7 @@
 
 var _ = Describe("the plain service", func() {
 	It("counts runs per idempotency key, including those whose response is lost", func() {
-		service := standin.NewService(2, standin.ServiceSwitches{LoseResponses: 1})
+		service := standin.NewService(standin.ServiceOptions{Slots: 2, Switches: standin.ServiceSwitches{LoseResponses: 1}})
 		url, control := serveStandIn(service)
 		_, err := call("POST", url+"/bookings", "{}", "Idempotency-Key", "k1")
 		Expect(err).To(HaveOccurred())
--- a/e2e/standin/objects.go
+++ b/e2e/standin/objects.go
@@ -8,12 +8,8 @@
 	"time"
 )
 
-const (
-	// serversKind is the kind of the objects in which servers register themselves.
-	serversKind = "servers"
-	// maxPageObjects is the maximum number of objects in one page of a list.
-	maxPageObjects = 500
-)
+// maxPageObjects is the maximum number of objects in one page of a list.
+const maxPageObjects = 500
 
 // Metadata is the metadata of an object.
 type Metadata struct {
@@ -115,7 +111,7 @@
 		return
 	}
 	kind := r.PathValue("kind")
-	if kind == serversKind && p.vms.isSet() {
+	if kind == ServersKind && p.vms.isSet() {
 		switches, _ := p.switches.get()
 		writeJSON(w, http.StatusOK, p.vms.page(time.Now(), milliseconds(switches.VMLagMs)))
 		return
--- a/e2e/standin/platform.go
+++ b/e2e/standin/platform.go
@@ -104,7 +104,7 @@
 	switch {
 	case r.URL.Query().Has("watch"):
 		return func(c *PlatformCounters) { c.Watch++ }
-	case r.PathValue("kind") == serversKind:
+	case r.PathValue("kind") == ServersKind:
 		return func(c *PlatformCounters) { c.VMs++ }
 	default:
 		return func(c *PlatformCounters) { c.List++ }
--- a/e2e/standin/platform_test.go
+++ b/e2e/standin/platform_test.go
@@ -120,6 +120,23 @@
 		Expect(page.Revision).To(BeEquivalentTo(3))
 	})
 
+	// Guards against a store that orders evacuations and registrations by different
+	// counters, which gateways compare.
+	It("reports the begin and the end of an evacuation", func() {
+		evacuation := url + objectsPath + standin.EvacuationsKind + "/z1"
+		mustCall("POST", url+objectsPath+standin.ServersKind+"/s-1", objectBody("x", 0))
+		began := decode[standin.Object](mustCall("POST", evacuation, `{"spec":{}}`)).Metadata.Revision
+		Expect(began).To(BeEquivalentTo(2))
+		page := decode[standin.Page](mustCall("GET", url+objectsPath+standin.EvacuationsKind, ""))
+		Expect(page.Items).To(HaveLen(1))
+		Expect(page.Items[0].Metadata.Name).To(Equal("z1"))
+		Expect(mustCall("DELETE", evacuation, "").StatusCode).To(Equal(200))
+		changes := decode[standin.Changes](mustCall("GET", url+objectsPath+standin.EvacuationsKind+"?watch=2&waitMs=10000", ""))
+		Expect(changes.Revision).To(BeEquivalentTo(3))
+		Expect(changes.Events).To(HaveLen(1))
+		Expect(changes.Events[0].Deleted).To(BeTrue())
+	})
+
 	It("paginates lists", func() {
 		for i := range 501 {
 			mustCall("POST", url+objectsPath+fmt.Sprintf("a/%03d", i), objectBody("x", 0))
--- a/e2e/standin/service.go
+++ b/e2e/standin/service.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // headerIdempotencyKey is the header by which the runs of a request are counted.
@@ -55,6 +56,7 @@
 
 // Service is a test double of a plain service.
 type Service struct {
+	instance instance
 	switches *switchSet[ServiceSwitches]
 	batch    *batch
 
@@ -62,11 +64,24 @@
 	runs map[string]int
 }
 
-// NewService returns a service that runs up to slots requests concurrently.
-func NewService(slots int, switches ServiceSwitches) *Service {
+// ServiceOptions configures a Service.
+type ServiceOptions struct {
+	// ID is the name of the server's registration with the platform, or empty.
+	ID string
+	// Slots is the maximum number of concurrent requests.
+	Slots int
+	// Cold is how long the service is cold after its start.
+	Cold time.Duration
+	// Switches are the initial switches.
+	Switches ServiceSwitches
+}
+
+// NewService returns a service.
+func NewService(options ServiceOptions) *Service {
 	return &Service{
-		switches: newSwitchSet(switches),
-		batch:    newBatch(slots),
+		instance: instance{id: options.ID, coldUntil: time.Now().Add(options.Cold)},
+		switches: newSwitchSet(options.Switches),
+		batch:    newBatch(options.Slots),
 		runs:     map[string]int{},
 	}
 }
@@ -81,7 +96,7 @@
 			writeError(w, http.StatusServiceUnavailable, "down")
 		}
 	})
-	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("/", s.instance.identify(s.serve))
 	return mux
 }
 
@@ -91,6 +106,7 @@
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Counts())
 	})
+	mux.HandleFunc("POST /cold", s.instance.serveCold)
 	return mux
 }
 
@@ -104,6 +120,7 @@
 // Counters returns the current counters.
 func (s *Service) Counters() ServiceCounters {
 	counters := ServiceCounters{EngineCounters: s.batch.snapshot()}
+	counters.InstanceCounters = s.instance.snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counters.Keys = len(s.runs)
--- a/e2e/standin/vmlist.go
+++ b/e2e/standin/vmlist.go
@@ -60,28 +60,17 @@
 	return page
 }
 
-// serverEntry is the spec of the object in which a server registers itself.
-type serverEntry struct {
-	Service     string `json:"service"`
-	Address     string `json:"address"`
-	Zone        string `json:"zone"`
-	Slots       int    `json:"slots"`
-	State       string `json:"state"`
-	Sequence    int    `json:"sequence"`
-	Incarnation uint64 `json:"born"`
-}
-
 // serverEntries returns one server object per VM.
 func serverEntries(vms []VM, revision uint64) []Object {
-	states := map[string]string{"live": "ready", "leaving": "draining"}
+	states := map[string]string{"live": ServerReady, "leaving": ServerDraining}
 	out := make([]Object, 0, len(vms))
 	for _, vm := range vms {
-		spec, err := json.Marshal(serverEntry{
-			Service: "service", Address: net.JoinHostPort(vm.Address, "80"), Zone: "zone", Slots: 1,
-			State: states[vm.State], Incarnation: vm.Incarnation,
+		spec, err := json.Marshal(Registration{
+			Service: "service", Address: net.JoinHostPort(vm.Address, "80"), FailureDomain: "zone", Slots: 1,
+			State: states[vm.State], StartedUnixMs: int64(vm.Incarnation),
 		})
 		if err != nil {
-			panic(err) // serverEntry always encodes.
+			panic(err) // Registration always encodes.
 		}
 		out = append(out, Object{Metadata: Metadata{Name: vm.ID, Revision: revision}, Spec: spec})
 	}
