--- a/e2e/standin/engine.go
+++ b/e2e/standin/engine.go
@@ -77,7 +77,7 @@
 
 // Engine is a test double of a model engine.
 type Engine struct {
-	instance instance
+	instance *instance
 	options  EngineOptions
 	switches *switchSet[EngineSwitches]
 	batch    *batch
@@ -91,7 +91,7 @@
 		options.Exit = os.Exit
 	}
 	return &Engine{
-		instance: instance{id: options.ID, coldUntil: time.Now().Add(options.Cold)},
+		instance: newInstance(options.ID, options.Cold),
 		options:  options,
 		switches: newSwitchSet(options.Switches),
 		batch:    newBatch(options.Slots),
--- a/e2e/standin/instance.go
+++ b/e2e/standin/instance.go
@@ -4,9 +4,8 @@
 	"encoding/json"
 	"math"
 	"net/http"
-	"slices"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,10 +22,7 @@
 // without health checks and requests for another server.
 type InstanceCounters struct {
 	Received uint64 `json:"received"`
-	// ColdReceived counts the requests received while cold, ColdPeak is the maximum of
-	// them within any second.
-	ColdReceived uint64 `json:"cold_received"`
-	ColdPeak     int    `json:"cold_peak"`
+	ColdCounters
 }
 
 // instance is the part that engines and plain services have in common as servers of the
@@ -36,12 +32,14 @@
 	// requests for any server and does not mark its responses.
 	id string
 
-	mu        sync.Mutex
-	coldUntil time.Time
-	// recent holds the arrival times of the requests received while cold within the
-	// last second.
-	recent   []time.Time
-	counters InstanceCounters
+	received atomic.Uint64
+	cold     ColdMeter
+}
+
+func newInstance(id string, cold time.Duration) *instance {
+	i := &instance{id: id}
+	i.cold.Start(time.Now(), cold)
+	return i
 }
 
 // coldControl is the body of POST /cold.
@@ -49,33 +47,8 @@
 	Ms int64 `json:"ms"`
 }
 
-// startCold begins a cold phase.
-func (i *instance) startCold(now time.Time, d time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.coldUntil = now.Add(d)
-}
-
-// receive counts a request and returns how much longer the server is cold.
-func (i *instance) receive(now time.Time) time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.counters.Received++
-	remaining := i.coldUntil.Sub(now)
-	if remaining <= 0 {
-		return 0
-	}
-	i.recent = slices.DeleteFunc(i.recent, func(at time.Time) bool { return now.Sub(at) >= time.Second })
-	i.recent = append(i.recent, now)
-	i.counters.ColdReceived++
-	i.counters.ColdPeak = max(i.counters.ColdPeak, len(i.recent))
-	return remaining
-}
-
 func (i *instance) snapshot() InstanceCounters {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.counters
+	return InstanceCounters{Received: i.received.Load(), ColdCounters: i.cold.Counters()}
 }
 
 // identify returns a handler that rejects requests for another server, counts the others
@@ -88,7 +61,8 @@
 			writeError(w, http.StatusMisdirectedRequest, "not "+expected)
 			return
 		}
-		remaining := i.receive(time.Now())
+		i.received.Add(1)
+		remaining, _ := i.cold.Receive(time.Now())
 		if i.id != "" {
 			w.Header().Set(headerAttemptID, r.Header.Get(headerAttemptID))
 			w.Header().Set(headerServerSeal, i.id)
@@ -107,6 +81,6 @@
 		writeError(w, http.StatusBadRequest, "ms: want a count of milliseconds")
 		return
 	}
-	i.startCold(time.Now(), milliseconds(body.Ms))
+	i.cold.Start(time.Now(), milliseconds(body.Ms))
 	writeJSON(w, http.StatusOK, body)
 }
--- a/e2e/standin/instance_test.go
+++ b/e2e/standin/instance_test.go
@@ -24,6 +24,9 @@
 		e := standin.NewEngine(standin.EngineOptions{ID: "s-1", Slots: 8, Cold: cold})
 		return server{e, func() standin.InstanceCounters { return e.Counters().InstanceCounters }, "/v1/completions"}
 	}
+	counters := func(received uint64) standin.InstanceCounters {
+		return standin.InstanceCounters{Received: received, ColdCounters: standin.ColdCounters{ColdReceived: 3, ColdPeak: 3}}
+	}
 	body := requestBody(standin.CompletionRequest{Prompt: "a", MaxTokens: 1})
 
 	// Guards against a meter that misses requests, or counts those that do not count: health
@@ -42,9 +45,9 @@
 		Expect(other.StatusCode).To(Equal(http.StatusMisdirectedRequest))
 		Expect(other.Header.Get("Not-Run")).NotTo(BeEmpty())
 		Expect(mustCall("GET", url+"/health", "").StatusCode).To(Equal(200))
-		Expect(s.counters()).To(Equal(standin.InstanceCounters{Received: 3, ColdReceived: 3, ColdPeak: 3}))
+		Expect(s.counters()).To(Equal(counters(3)))
 		Expect(mustCall("POST", control+"/cold", `{"ms":0}`).StatusCode).To(Equal(200))
 		Expect(mustCall("POST", url+s.path, body).Header.Get("Cold-Ms")).To(BeEmpty())
-		Expect(s.counters()).To(Equal(standin.InstanceCounters{Received: 4, ColdReceived: 3, ColdPeak: 3}))
+		Expect(s.counters()).To(Equal(counters(4)))
 	}, Entry("a plain service", service), Entry("an engine", engine))
 })
--- a/e2e/standin/service.go
+++ b/e2e/standin/service.go
@@ -56,7 +56,7 @@
 
 // Service is a test double of a plain service.
 type Service struct {
-	instance instance
+	instance *instance
 	switches *switchSet[ServiceSwitches]
 	batch    *batch
 
@@ -79,7 +79,7 @@
 // NewService returns a service.
 func NewService(options ServiceOptions) *Service {
 	return &Service{
-		instance: instance{id: options.ID, coldUntil: time.Now().Add(options.Cold)},
+		instance: newInstance(options.ID, options.Cold),
 		switches: newSwitchSet(options.Switches),
 		batch:    newBatch(options.Slots),
 		runs:     map[string]int{},
