soak: evacuations, home regions and upstreams that return cold

Faults: a failure domain is evacuated for 3 s to 6 s; an upstream ends with its connections and returns as a new, cold instance. One route and one team have home regions throughout. Each arrival is checked while the run lasts: in its home regions, and not at an evacuated upstream once the bound (3 s, all gateways watch the store) has passed. Requests name the gateway that they are sent to; one that was paused, or whose store was away, before the bound had passed gets the bound anew. A broken rule ends the run.

--- a/e2e/harness/gateways.go
+++ b/e2e/harness/gateways.go
@@ -256,6 +256,9 @@
 // SourceAddress returns the IP address from which the gateway connects to others.
 func (g *Gateway) SourceAddress() string { return g.address }
 
+// FailureDomain returns the gateway's failure domain.
+func (g *Gateway) FailureDomain() string { return g.failureDomain }
+
 // advertisedAddress returns the peer address that other gateways connect to.
 func (g *Gateway) advertisedAddress() string {
 	if g.Link == nil {
--- a/e2e/soak/budget_test.go
+++ b/e2e/soak/budget_test.go
@@ -45,7 +45,7 @@
 // retries would exceed the budget.
 func lookupWorkload(env *Environment) *Workload {
 	return &Workload{
-		Service: deskService, Team: "team-1", Path: "/lookup/1", Rate: 100, Gateways: env.CallerAddresses(0, 1, 2),
+		Service: deskService, Team: "team-1", Path: lookupPath + "1", Rate: 100, Gateways: env.CallerAddresses(0, 1, 2),
 		Objective: 200 * time.Millisecond, Deadline: 2 * time.Second, FirstByteTimeout: time.Second,
 	}
 }
--- a/e2e/soak/doc.go
+++ b/e2e/soak/doc.go
@@ -1,5 +1,6 @@
 // Package soak runs gateway processes under load and injected faults. From the
 // requests that callers and upstreams record it verifies that retries stay within
 // the budget, teams get their fair share, non-idempotent requests run at most once,
-// and no request that was refused as not run has run.
+// and no request that was refused as not run has run. At each arrival it verifies that
+// requests stay in their home regions and that evacuated upstreams receive nothing.
 package soak
--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -3,15 +3,30 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/e2e/harness"
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
 )
 
 const (
 	siteHost     = "h.example"
 	upstreamPort = 7200
+	// coldStart is how long upstreams are cold after a start, coldRate the number of
+	// requests per second that they tolerate meanwhile.
+	coldStart = 3 * time.Second
+	coldRate  = 6.9
+)
+
+// Path prefixes of the routes. The home region of homePath is homeRegion.
+const (
+	lookupPath = "/lookup/"
+	orderPath  = "/order/"
+	draftPath  = "/draft/"
+	homePath   = "/home/"
+	homeRegion = "r1"
 )
 
 // Environment is a set of gateways and upstreams with callers that load them.
@@ -20,6 +35,11 @@
 	Recorder     *Recorder
 	PlainServers []*plainServer
 	Engines      []*engine
+	Rules        *Rules
+
+	servers []*server
+	// evacuating is the set of the failure domains that a fault evacuates.
+	evacuating sync.Map
 
 	options    Options
 	cancelLoad context.CancelFunc
@@ -32,6 +52,15 @@
 	PlainServers int
 	Engines      int
 	Teams        []string
+	// FailureDomains and Regions are those of harness.GatewayFleetOptions. The upstreams
+	// are distributed over the failure domains as well.
+	FailureDomains int
+	Regions        int
+	// HomeRegions maps teams to their home region.
+	HomeRegions map[string]string
+	// EvacuateWithin is the time in which an evacuation must be in force. Zero means
+	// that the gateways do not follow evacuations.
+	EvacuateWithin time.Duration
 	// Settings is YAML that is appended to the gateways' settings.
 	Settings string
 	// PrefillRate is the prompt tokens that an engine processes per second.
@@ -48,11 +77,15 @@
 
 // NewEnvironment starts the platform stand-in, the upstreams and the gateways.
 func NewEnvironment(ctx context.Context, dir string, options Options) (*Environment, error) {
-	gateways, err := harness.NewGatewayFleet(ctx, harness.GatewayFleetOptions{Gateways: options.Gateways, Dir: dir, Settings: options.Settings, Proxied: true})
+	gateways, err := harness.NewGatewayFleet(ctx, harness.GatewayFleetOptions{
+		Gateways: options.Gateways, FailureDomains: options.FailureDomains, Regions: options.Regions,
+		EvacuateWithin: options.EvacuateWithin, Dir: dir, Settings: options.Settings, Proxied: true,
+	})
 	if err != nil {
 		return nil, err
 	}
 	env := &Environment{GatewayFleet: gateways, Recorder: &Recorder{}, options: options}
+	env.Rules = &Rules{Region: env.Region, Homes: env.homes, EvacuateWithin: options.EvacuateWithin}
 	if err := env.start(ctx); err != nil {
 		env.Close()
 		return nil, err
@@ -66,76 +99,96 @@
 		return err
 	}
 	for i := range env.options.PlainServers {
-		p := &plainServer{server: server{service: deskService, id: fmt.Sprint("d-", i), recorder: env.Recorder}, serviceTime: 10 * time.Millisecond, slots: make(chan struct{}, 16)}
+		p := &plainServer{serviceTime: 10 * time.Millisecond, slots: make(chan struct{}, plainSlots)}
+		p.server = server{service: deskService, name: fmt.Sprint("d-", i), slotLimit: plainSlots, handler: p}
 		env.PlainServers = append(env.PlainServers, p)
-		if err := p.serve(host, upstreamPort+i, p); err != nil {
-			return err
-		}
-		if err := env.register(ctx, &p.server, cap(p.slots)); err != nil {
-			return err
-		}
+		env.servers = append(env.servers, &p.server)
 	}
 	for i := range env.options.Engines {
-		e := newEngine(fmt.Sprint("m-", i), modelService, env.Recorder, env.options.PrefillRate, 20*time.Millisecond)
+		e := newEngine(env.options.PrefillRate, 20*time.Millisecond)
+		e.server = server{service: modelService, name: fmt.Sprint("m-", i), slotLimit: engineSlots, handler: e}
 		env.Engines = append(env.Engines, e)
-		if err := e.serve(host, upstreamPort+env.options.PlainServers+i, e); err != nil {
+		env.servers = append(env.servers, &e.server)
+	}
+	for i, s := range env.servers {
+		s.address = fmt.Sprintf("%s:%d", host, upstreamPort+i)
+		s.failureDomain = harness.FailureDomain(i % max(env.options.FailureDomains, 1))
+		s.recorder, s.rules = env.Recorder, env.Rules
+		if err := s.serve(); err != nil {
 			return err
 		}
-		if err := env.register(ctx, &e.server, engineSlots); err != nil {
+		if err := env.register(ctx, s, 0); err != nil {
 			return err
 		}
 	}
-	if err := env.Put(ctx, "config", "main", env.configuration(1)); err != nil {
+	if err := env.Put(ctx, standin.ConfigKind, standin.ConfigName, env.configuration()); err != nil {
 		return err
 	}
 	return env.StartAll(ctx)
 }
 
+// plainSlots is the number of requests that a plain server runs at once.
+const plainSlots = 16
+
 // Configured limits of an engine: concurrent requests, and tokens in the KV cache.
 const (
 	engineSlots    = 64
 	engineKVTokens = 1_000_000
 )
 
-func (env *Environment) register(ctx context.Context, s *server, slots int) error {
-	return env.Put(ctx, "servers", s.id, map[string]any{
-		"service": s.service, "address": s.address, "zone": "z1", "version": "v1", "slots": slots, "state": "ready",
-		"coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+// register registers the current instance of a server.
+func (env *Environment) register(ctx context.Context, s *server, cold time.Duration) error {
+	return env.Put(ctx, standin.ServersKind, s.id(), standin.Registration{
+		Service: s.service, Address: s.address, FailureDomain: s.failureDomain, Version: "v1", Slots: s.slotLimit, State: standin.ServerReady,
+		ColdRemainingMs: cold.Milliseconds(), Sequence: 1, StartedUnixMs: time.Now().UnixMilli(),
 	})
 }
 
 // configuration returns the operator configuration of routes, services and teams.
-func (env *Environment) configuration(version int) map[string]any {
-	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": siteHost, "pathPrefix": prefix, "kind": kind, "service": service,
-			"timeoutMs": 5000, "targetLatencyMs": 200, "maxAttempts": 3,
-		}
-		for key, value := range extra {
-			r[key] = value
-		}
-		return r
-	}
-	var teams []any
-	for _, team := range env.options.Teams {
-		teams = append(teams, map[string]any{"name": team, "apiKeys": []string{apiKey(team)}})
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("lookup", "/lookup/", "safe", deskService, nil),
-			route("order", "/order/", "unsafe", deskService, nil),
-			route("draft", "/draft/", "streaming", modelService, map[string]any{
-				"targetLatencyMs": env.options.Objective.Milliseconds(), "targetGapMs": 500, "stickySessions": true, "resumeStreams": true,
-			}),
+func (env *Environment) configuration() standin.Configuration {
+	c := standin.Configuration{
+		Version: 1,
+		Routes: []standin.Route{
+			route("lookup", lookupPath, standin.SafeRoute, deskService),
+			route("order", orderPath, standin.UnsafeRoute, deskService),
+			route("home", homePath, standin.SafeRoute, deskService),
+			route("draft", draftPath, standin.StreamingRoute, modelService),
 		},
-		"services": []any{
-			map[string]any{"name": deskService, "maxConnections": 200},
-			map[string]any{"name": modelService, "maxConnections": 400, "engine": map[string]any{"slots": engineSlots, "kvCapacityTokens": engineKVTokens}},
+		Services: []standin.ServiceConfig{
+			{Name: deskService, MaxConnections: 200},
+			{Name: modelService, MaxConnections: 400, Engine: &standin.EngineConfig{Slots: engineSlots, KVCapacityTokens: engineKVTokens}},
 		},
-		"limits":  map[string]any{"maxBodyBytes": 4096},
-		"tenants": teams,
+		Limits: standin.Limits{MaxBodyBytes: 4096},
 	}
+	home, draft := &c.Routes[2], &c.Routes[3]
+	home.AllowedRegions = []string{homeRegion}
+	draft.TargetLatencyMs, draft.TargetGapMs = env.options.Objective.Milliseconds(), 500
+	draft.StickySessions, draft.ResumeStreams = true, true
+	for i := range c.Services {
+		c.Services[i].ColdStartS, c.Services[i].ColdPerS = coldStart.Seconds(), coldRate
+	}
+	for _, team := range env.options.Teams {
+		ofTeam, _ := env.homes(team, "")
+		c.Tenants = append(c.Tenants, standin.Tenant{Name: team, APIKeys: []string{apiKey(team)}, AllowedRegions: ofTeam})
+	}
+	return c
+}
+
+func route(name, prefix, kind, service string) standin.Route {
+	return standin.Route{
+		Name: name, Host: siteHost, PathPrefix: prefix, Kind: kind, Service: service, TimeoutMs: 5000, TargetLatencyMs: 200, MaxAttempts: 3,
+	}
+}
+
+// homes returns the home regions of a team and of the route of a path.
+func (env *Environment) homes(team, path string) (ofTeam, ofRoute []string) {
+	if region := env.options.HomeRegions[team]; region != "" {
+		ofTeam = []string{region}
+	}
+	if strings.HasPrefix(path, homePath) {
+		ofRoute = []string{homeRegion}
+	}
+	return ofTeam, ofRoute
 }
 
 func apiKey(team string) string { return "key-" + team }
@@ -170,11 +223,8 @@
 // Close stops the load, the upstreams, the gateways and the platform stand-in.
 func (env *Environment) Close() {
 	env.StopLoad()
-	for _, p := range env.PlainServers {
-		p.Close()
-	}
-	for _, e := range env.Engines {
-		e.Close()
+	for _, s := range env.servers {
+		s.Close()
 	}
 	env.GatewayFleet.Close()
 }
--- a/e2e/soak/fair_test.go
+++ b/e2e/soak/fair_test.go
@@ -20,7 +20,7 @@
 // draftWorkload sends the streaming requests of a team through one gateway.
 func draftWorkload(env *Environment, team string, rate float64, gateway int) *Workload {
 	return &Workload{
-		Service: modelService, Team: team, Path: "/draft/1", Rate: rate, Gateways: env.CallerAddresses(gateway),
+		Service: modelService, Team: team, Path: draftPath + "1", Rate: rate, Gateways: env.CallerAddresses(gateway),
 		Objective: streamObjective, Deadline: 5 * time.Second, FirstByteTimeout: time.Second,
 		SharedTokens: 2000, UniqueTokens: 2000, OutputTokens: 4, SharedPrefixes: 2,
 	}
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -36,8 +36,9 @@
 		g.Terminate()
 		return env.restart(ctx, g)
 	}},
-	{"pause", func(ctx context.Context, _ *Environment, g *harness.Gateway, duration time.Duration) error {
+	{"pause", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
 		p := g.Process
+		defer env.Rules.beginGap(g.SourceAddress())()
 		p.Pause()
 		sleep(ctx, duration)
 		p.Resume()
@@ -67,6 +68,7 @@
 		return nil
 	}},
 	{"platform outage", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		defer env.Rules.beginGap(env.sourceAddresses()...)()
 		if err := env.Platform.Set(ctx, map[string]any{"outage": true}); err != nil {
 			return err
 		}
@@ -89,6 +91,12 @@
 		}
 		return nil
 	}},
+	{"evacuation", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
+		return env.evacuateFor(ctx, g.FailureDomain(), env.options.EvacuateWithin+duration/2)
+	}},
+	{"cold return", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		return env.returnCold(ctx, env.servers[int(duration)%len(env.servers)], duration/4)
+	}},
 }
 
 // restart starts a gateway again once its process has exited. The caller holds the
@@ -100,7 +108,8 @@
 	return env.Start(g)
 }
 
-// InjectFaults injects faults drawn from a seed until ctx ends, and reverts them. It
+// InjectFaults injects faults drawn from a seed until ctx ends or a rule is broken, and
+// reverts them. It
 // returns a description of all faults, one per line, and the first error. Faults of one
 // gateway run one at a time.
 func (env *Environment) InjectFaults(ctx context.Context, seed uint64) (string, error) {
@@ -118,7 +127,7 @@
 		kind := faultKinds[random.IntN(len(faultKinds))]
 		g := env.Gateways[random.IntN(len(env.Gateways))]
 		duration := time.Duration(random.Int64N(int64(maxFaultDuration)))
-		if !sleep(ctx, interval) {
+		if !sleep(ctx, interval) || env.Rules.Violation() != "" {
 			break
 		}
 		injected = append(injected, fmt.Sprintf("%.2f s: %s of %s for %v", time.Since(start).Seconds(), kind.name, g.Name, duration.Round(time.Millisecond)))
--- a/e2e/soak/random_test.go
+++ b/e2e/soak/random_test.go
@@ -20,8 +20,16 @@
 	logDir        = flag.String("keep", "", "directory for the logs of all seeds")
 )
 
+const (
+	// homeTeam has the home region homeTeamRegion.
+	homeTeam       = "team-home"
+	homeTeamRegion = "r2"
+	// evacuateWithin leaves time to check evacuations within maxFaultDuration.
+	evacuateWithin = 3 * time.Second
+)
+
 // mixedWorkloads loads every route through all gateways. One team demands far more
-// than its share.
+// than its share; one team and one route have home regions.
 func mixedWorkloads(env *Environment) []*Workload {
 	addresses := env.CallerAddresses(0, 1, 2, 3)
 	desk := func(team, path string, rate float64) *Workload {
@@ -36,8 +44,9 @@
 		return w
 	}
 	return []*Workload{
-		desk("team-1", "/lookup/1", 60), desk("team-2", "/order/1", 30),
-		model("team-1", 60), model("team-2", 8), model("team-3", 8),
+		desk("team-1", lookupPath+"1", 60), desk("team-2", orderPath+"1", 30),
+		desk("team-3", homePath+"1", 20), desk(homeTeam, lookupPath+"1", 20), desk(homeTeam, orderPath+"1", 10),
+		model("team-1", 60), model("team-2", 8), model("team-3", 8), model(homeTeam, 8),
 	}
 }
 
@@ -46,6 +55,7 @@
 	GinkgoHelper()
 	requests, arrivals := env.Recorder.Snapshot()
 	Expect(requests).NotTo(BeEmpty())
+	Expect(env.Rules.Violation()).To(BeEmpty(), description)
 	for _, service := range []string{deskService, modelService} {
 		Expect(budget.Violation(service, requests, arrivals)).To(BeEmpty(), description)
 	}
@@ -58,7 +68,8 @@
 		for n := range *seeds {
 			seed := *firstSeed + uint64(n)
 			env := newEnvironment(Options{
-				Gateways: 4, PlainServers: 4, Engines: 3, Teams: []string{"team-1", "team-2", "team-3"},
+				Gateways: 4, PlainServers: 4, Engines: 3, Teams: []string{"team-1", "team-2", "team-3", homeTeam},
+				FailureDomains: 3, Regions: 2, HomeRegions: map[string]string{homeTeam: homeTeamRegion}, EvacuateWithin: evacuateWithin,
 				Settings: budgetSettings, PrefillRate: 60_000, Objective: streamObjective,
 			})
 			env.StartLoad(seed, mixedWorkloads(env)...)
--- a/e2e/soak/recorder.go
+++ b/e2e/soak/recorder.go
@@ -13,6 +13,9 @@
 	// AttemptID identifies the caller's request; retries by a router share it.
 	AttemptID string
 	Team      string
+	Path      string
+	// Gateway is the IP address of the gateway that sent the request.
+	Gateway string
 	// NonIdempotent is set if the request must not run twice.
 	NonIdempotent bool
 	ReceivedAt    time.Time
--- /dev/null
+++ b/e2e/soak/rules_test.go
@@ -0,0 +1,61 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func newTestRules() *Rules {
+	return &Rules{
+		Region: func(failureDomain string) string { return map[string]string{"z1": "r1", "z2": "r2"}[failureDomain] },
+		Homes: func(team, path string) (ofTeam, ofRoute []string) {
+			return map[string][]string{"t": {"r1", "r2"}}[team], map[string][]string{"/home/": {"r1"}}[path]
+		},
+		EvacuateWithin: time.Second,
+	}
+}
+
+// Guards against a check that passes requests outside their home regions.
+func TestArrivalOutsideItsHomeRegions(t *testing.T) {
+	for _, c := range []struct {
+		team, path, failureDomain string
+		broken                    bool
+	}{
+		{"other", "/", "z2", false}, {"other", "/", "z9", false},
+		{"other", "/home/", "z1", false}, {"other", "/home/", "z2", true},
+		{"t", "/", "z2", false}, {"t", "/home/", "z2", true}, {"t", "/", "z9", true},
+	} {
+		rules := newTestRules()
+		rules.check(Arrival{Team: c.team, Path: c.path, ReceivedAt: noon}, c.failureDomain)
+		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), "%+v", c)
+	}
+}
+
+// Guards against a check that accepts late requests, or blames a gateway that could not
+// know of the evacuation in time.
+func TestArrivalAtAnEvacuatedUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		gap     *gap
+		arrival int
+		broken  bool
+	}{
+		{"within the bound", nil, 1000, false},
+		{"later", nil, 1001, true},
+		{"a gap before the evacuation", &gap{begin: at(-900), end: at(-1)}, 1001, true},
+		{"within the bound of the end of a gap", &gap{begin: at(-900), end: at(500)}, 1500, false},
+		{"later than that", &gap{begin: at(-900), end: at(500)}, 1501, true},
+		{"in a gap", &gap{begin: at(1000)}, 5000, false},
+		{"in a gap that began when it was in force", &gap{begin: at(1001)}, 5000, true},
+	} {
+		rules := newTestRules()
+		rules.evacuations = map[string]time.Time{"z1": noon}
+		if c.gap != nil {
+			rules.gaps = map[string][]*gap{"g": {c.gap}}
+		}
+		rules.check(Arrival{Gateway: "g", ReceivedAt: at(c.arrival)}, "z1")
+		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), c.name)
+	}
+}
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -19,6 +19,7 @@
 	headerAttemptID    = "Attempt-Id"
 	headerTeam         = "Tenant"
 	headerServerSeal   = "Server-Seal"
+	headerInstance     = "Expect-Instance"
 	headerNotRun       = "Not-Run"
 	headerPromptPrefix = "Prompt-Prefix"
 	headerTokenCounts  = "Token-Counts"
@@ -27,48 +28,83 @@
 
 // server is the common part of all upstreams.
 type server struct {
-	service  string
-	id       string
-	recorder *Recorder
+	service string
+	// name is the identifier of the first instance.
+	name          string
+	failureDomain string
+	slotLimit     int
+	handler       http.Handler
+	recorder      *Recorder
+	rules         *Rules
+	// restarting is held while the server returns as a new instance.
+	restarting sync.Mutex
+	// restarts is the number of instances before this one.
+	restarts atomic.Int64
 	// failurePermille is the share of requests, in thousandths, that fail after
 	// they have run.
 	failurePermille atomic.Int64
 	// endlessHeaders is set while responses send headers without end.
 	endlessHeaders atomic.Bool
-	http           http.Server
+	http           *http.Server
 	address        string
 }
 
-// serve starts an HTTP server on the given address; Close stops it.
-func (s *server) serve(host string, port int, handler http.Handler) error {
+// id returns the identifier of the current instance.
+func (s *server) id() string {
+	if n := s.restarts.Load(); n > 0 {
+		return fmt.Sprint(s.name, "-", n)
+	}
+	return s.name
+}
+
+// serve starts an HTTP server at the address; Close stops it.
+func (s *server) serve() error {
 	var config net.ListenConfig
-	ln, err := config.Listen(context.Background(), "tcp", fmt.Sprintf("%s:%d", host, port))
+	ln, err := config.Listen(context.Background(), "tcp", s.address)
 	if err != nil {
 		return err
 	}
-	s.address = ln.Addr().String()
-	s.http.Handler = handler
-	go func() { _ = s.http.Serve(ln) }()
+	s.http = &http.Server{Handler: s.identify(s.id())}
+	go func(server *http.Server) { _ = server.Serve(ln) }(s.http)
 	return nil
 }
 
-func (s *server) Close() { _ = s.http.Close() }
+// identify returns a handler that rejects requests for another instance.
+func (s *server) identify(id string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if expected := r.Header.Get(headerInstance); expected != "" && expected != id {
+			w.Header().Set(headerNotRun, "other instance")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		s.handler.ServeHTTP(w, r)
+	})
+}
+
+func (s *server) Close() {
+	if s.http != nil {
+		_ = s.http.Close()
+	}
+}
 
 // recordArrival reads the whole body first: net/http detects a closed connection, and
 // cancels the request's context, only after that.
 func (s *server) recordArrival(r *http.Request) *Arrival {
 	_, _ = io.Copy(io.Discard, r.Body)
-	return s.recorder.addArrival(Arrival{
-		Service: s.service, AttemptID: r.Header.Get(headerAttemptID), Team: r.Header.Get(headerTeam), ReceivedAt: time.Now(), Cost: requestCost(r.Header),
-		NonIdempotent: strings.HasPrefix(r.URL.Path, "/order/"),
-	})
+	id := r.Header.Get(headerAttemptID)
+	a := Arrival{
+		Service: s.service, AttemptID: id, Team: r.Header.Get(headerTeam), Path: r.URL.Path, Gateway: gatewayOf(id),
+		ReceivedAt: time.Now(), Cost: requestCost(r.Header), NonIdempotent: strings.HasPrefix(r.URL.Path, orderPath),
+	}
+	s.rules.check(a, s.failureDomain)
+	return s.recorder.addArrival(a)
 }
 
 // setResponseHeaders sets the headers that mark a response as that of a request that
 // ran on this server.
 func (s *server) setResponseHeaders(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerAttemptID, r.Header.Get(headerAttemptID))
-	w.Header().Set(headerServerSeal, s.id)
+	w.Header().Set(headerServerSeal, s.id())
 }
 
 // shouldFail decides at random whether a request fails.
@@ -147,9 +183,9 @@
 	cached      map[string]bool
 }
 
-func newEngine(id, service string, recorder *Recorder, prefillRate float64, tokenInterval time.Duration) *engine {
+func newEngine(prefillRate float64, tokenInterval time.Duration) *engine {
 	return &engine{
-		server: server{service: service, id: id, recorder: recorder}, prefillRate: prefillRate, tokenInterval: tokenInterval,
+		prefillRate: prefillRate, tokenInterval: tokenInterval,
 		prefillSlot: make(chan struct{}, 1), cached: map[string]bool{},
 	}
 }
@@ -168,7 +204,7 @@
 	_, output := tokenCounts(r.Header)
 	first, _ := strconv.Atoi(r.Header.Get(headerLastEventID))
 	for i := first + 1; i <= output; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.id)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.id())
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
 		}
--- a/e2e/soak/workload.go
+++ b/e2e/soak/workload.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,19 @@
 // lastAttemptID numbers the requests of all callers.
 var lastAttemptID atomic.Int64
 
+// attemptID returns a new identifier. It names the IP address of the gateway that the
+// request is sent to, so that upstreams know which gateway a request comes from.
+func attemptID(gateway string) string {
+	host, _, _ := strings.Cut(gateway, ":")
+	return fmt.Sprintf("a%d@%s", lastAttemptID.Add(1), host)
+}
+
+// gatewayOf returns the IP address of the gateway that an identifier names.
+func gatewayOf(attemptID string) string {
+	_, gateway, _ := strings.Cut(attemptID, "@")
+	return gateway
+}
+
 // Workload is the load of the callers of one team on one route.
 type Workload struct {
 	Service string
@@ -82,7 +96,7 @@
 // retry.
 func (w *Workload) attempt(client *http.Client, gateway string, prompt int, expires time.Time, recorder *Recorder) (time.Duration, bool) {
 	sent := Request{
-		Service: w.Service, Team: w.Team, AttemptID: fmt.Sprintf("a%d", lastAttemptID.Add(1)), SentAt: time.Now(),
+		Service: w.Service, Team: w.Team, AttemptID: attemptID(gateway), SentAt: time.Now(),
 		Cost: w.cost(), Objective: w.Objective,
 	}
 	defer func() {
