soak: empty the cache of an engine that returns

A new instance of an engine kept the cached parts of the one before, so that it was faster than a gateway could know. The upstreams are created in a function of their own.

--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -98,18 +98,7 @@
 	if err != nil {
 		return err
 	}
-	for i := range env.options.PlainServers {
-		p := &plainServer{serviceTime: 10 * time.Millisecond, slots: make(chan struct{}, plainSlots)}
-		p.server = server{service: deskService, name: fmt.Sprint("d-", i), slotLimit: plainSlots, handler: p}
-		env.PlainServers = append(env.PlainServers, p)
-		env.servers = append(env.servers, &p.server)
-	}
-	for i := range env.options.Engines {
-		e := newEngine(env.options.PrefillRate, 20*time.Millisecond)
-		e.server = server{service: modelService, name: fmt.Sprint("m-", i), slotLimit: engineSlots, handler: e}
-		env.Engines = append(env.Engines, e)
-		env.servers = append(env.servers, &e.server)
-	}
+	env.addServers()
 	for i, s := range env.servers {
 		s.address = fmt.Sprintf("%s:%d", host, upstreamPort+i)
 		s.failureDomain = harness.FailureDomain(i % max(env.options.FailureDomains, 1))
@@ -127,6 +116,22 @@
 	return env.StartAll(ctx)
 }
 
+// addServers creates the upstreams.
+func (env *Environment) addServers() {
+	for i := range env.options.PlainServers {
+		p := &plainServer{serviceTime: 10 * time.Millisecond, slots: make(chan struct{}, plainSlots)}
+		p.server = server{service: deskService, name: fmt.Sprint("d-", i), slotLimit: plainSlots, handler: p}
+		env.PlainServers = append(env.PlainServers, p)
+		env.servers = append(env.servers, &p.server)
+	}
+	for i := range env.options.Engines {
+		e := newEngine(env.options.PrefillRate, 20*time.Millisecond)
+		e.server = server{service: modelService, name: fmt.Sprint("m-", i), slotLimit: engineSlots, handler: e}
+		env.Engines = append(env.Engines, e)
+		env.servers = append(env.servers, &e.server)
+	}
+}
+
 // plainSlots is the number of requests that a plain server runs at once.
 const plainSlots = 16
 
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -250,6 +250,12 @@
 	return total
 }
 
+func (e *engine) clearCache() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.cached)
+}
+
 // tokenCounts returns the prompt tokens and the requested output tokens.
 func tokenCounts(h http.Header) (int, int) {
 	in, out, _ := strings.Cut(h.Get(headerTokenCounts), ",")
--- a/e2e/soak/upstream_faults.go
+++ b/e2e/soak/upstream_faults.go
@@ -35,6 +35,9 @@
 		return err
 	}
 	sleep(ctx, downtime)
+	if e, ok := s.handler.(*engine); ok {
+		e.clearCache()
+	}
 	s.restarts.Add(1)
 	if err := s.serve(); err != nil {
 		return err
