--- a/admission/choose.go
+++ b/admission/choose.go
@@ -33,6 +33,9 @@
 	// cold is set if the engine would have to prefill shared parts that another
 	// engine has cached or is the preferred one to cache.
 	cold bool
+	// passedOver is set if the candidate is acceptable but for the limit on requests to
+	// cold upstreams.
+	passedOver bool
 	// ranked is set if candidates are tried in placement order instead of by cost.
 	ranked bool
 }
@@ -44,6 +47,10 @@
 	// busy is set if the mean queueing time of the engines exceeds the limit divided
 	// by busyWaitDivisor.
 	busy bool
+	// now is the time of the decision.
+	now time.Time
+	// fastest is the highest speed factor of the candidates.
+	fastest float64
 }
 
 // choose returns the best upstream that is predicted to answer on time, or else nil
@@ -55,14 +62,19 @@
 		return nil, Decision{Reason: s.unavailable(r), RetryAfter: s.options.Outlier.BaseEjection}
 	}
 	limit := s.waitLimit(r, ratio)
-	b := bounds{limit: limit, busy: s.meanQueueTime(now, usable) > limit/busyWaitDivisor}
+	b := bounds{
+		limit: limit, busy: s.meanQueueTime(now, usable) > limit/busyWaitDivisor, now: now, fastest: fastestFactor(candidates),
+	}
 	if best := s.best(r, candidates, b); best != nil {
-		return best, Decision{}
+		return best, Decision{PassedOver: countPassedOver(candidates)}
+	}
+	fallback := s.cheapest(candidates, b)
+	refused := Decision{
+		Reason: Overloaded, RetryAfter: s.refusalDelay(now, candidates, s.retryAfter(fallback, limit)), Predicted: fallback.predicted,
+		PassedOver: countPassedOver(candidates), SpeedFactor: fallback.upstream.factor,
 	}
-	fallback := cheapest(candidates)
-	refused := Decision{Reason: Overloaded, RetryAfter: s.retryAfter(fallback, limit), Predicted: fallback.predicted}
 	b.limit = s.waitLimit(r, 0)
-	if limit < b.limit && s.onTime(r, fallback, b) {
+	if limit < b.limit && !fallback.passedOver && s.onTime(r, fallback, b) {
 		refused.Reason = OverShare
 	}
 	return nil, refused
@@ -88,14 +100,19 @@
 	if c.cold && (b.busy || s.queueTime(c) > b.limit/coldWaitDivisor) {
 		return false
 	}
-	return !c.full && s.onTime(r, c, b)
+	return !c.full && s.onTime(r, c, b) && s.mayWarm(b.now, c)
 }
 
-func cheapest(candidates []candidate) *candidate {
+// cheapest returns the cheapest candidate, of those that may accept the request later if
+// there are any. One that is passed over or too slow will not, whatever its queue.
+func (s *Scheduler) cheapest(candidates []candidate, b bounds) *candidate {
 	best := &candidates[0]
+	bestUnsuitable := best.passedOver || s.tooSlow(best, b)
 	for i := range candidates {
-		if candidates[i].cost < best.cost {
-			best = &candidates[i]
+		c := &candidates[i]
+		unsuitable := c.passedOver || s.tooSlow(c, b)
+		if unsuitable == bestUnsuitable && c.cost < best.cost || bestUnsuitable && !unsuitable {
+			best, bestUnsuitable = c, unsuitable
 		}
 	}
 	return best
@@ -115,12 +132,13 @@
 	if len(usable) == 0 {
 		return 0
 	}
-	total := 0.0
+	total := time.Duration(0)
 	for _, id := range usable {
-		total += s.upstreams[id].backlog(now, s.speed().Rate)
+		u := s.upstreams[id]
+		speed := s.speedOf(u)
+		total += speed.prefillTime(u.backlog(now, speed.Rate))
 	}
-	mean := total / float64(len(usable))
-	return s.speed().prefillTime(mean)
+	return total / time.Duration(len(usable))
 }
 
 // The waiting limit of a team falls linearly from MaxWait or ReturnWait to OverShareWait as
@@ -151,14 +169,15 @@
 }
 
 // onTime reports whether a candidate is predicted to answer within the limit. A request
-// whose own prefill exceeds the limit is accepted if its queueing time is within the
-// limit, which is divided by busyLongPromptDivisor while the engines are busy.
+// whose own prefill exceeds the limit even at the fastest candidate is accepted if its queueing
+// time is within the limit, which is divided by busyLongPromptDivisor while the engines are
+// busy. A request that only slower candidates answer late is not accepted there.
 func (s *Scheduler) onTime(r Request, c *candidate, b bounds) bool {
 	if r.Elapsed+c.predicted <= b.limit {
 		return true
 	}
 	queueing := s.queueTime(c)
-	alone := c.predicted - queueing
+	alone := c.predicted - queueing - s.slowness(c, b)
 	queueLimit := b.limit
 	if b.busy {
 		queueLimit /= busyLongPromptDivisor
@@ -176,7 +195,7 @@
 	if len(s.upstreams) == 0 || s.capacity.MemoryTokens == 0 {
 		return 0
 	}
-	return s.speed().prefillTime(c.backlog)
+	return s.speedOf(c.upstream).prefillTime(c.backlog)
 }
 
 // retryAfter returns the time until a candidate is predicted to be within the limit.
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -8,6 +8,7 @@
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/warmup"
 )
 
 // Reason is the reason for which a request was refused.
@@ -78,6 +79,11 @@
 	// Connections is the number of connections that an upstream accepts from all
 	// routers together. Zero means no limit.
 	Connections int
+	// ColdStart is how long an upstream is cold after a start, and ColdRate the number
+	// of requests per second that a cold upstream tolerates from all routers together.
+	// Zero ColdRate means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Request is a request for admission.
@@ -119,9 +125,17 @@
 	Predicted time.Duration
 	// Prefill is the prefill work of the request at the chosen upstream in tokens.
 	Prefill int
+	// SpeedFactor is the speed of the engine that Predicted is for, relative to the
+	// service's.
+	SpeedFactor float64
 	// ShareRatio is the tokens served to the team relative to its share. It is zero
 	// without contention.
 	ShareRatio float64
+	// Cold is set if the chosen upstream is cold.
+	Cold bool
+	// PassedOver is the number of cold upstreams that were acceptable, but to which this
+	// router may not send now.
+	PassedOver int
 }
 
 // Scheduler decides on the admission of requests to one service at one router.
@@ -130,14 +144,13 @@
 	capacity    Capacity
 	model       prefillModel
 	speeds      speedPool
+	factors     factorPool
 	transfers   transferModel
 	serviceTime serviceTime
 	upstreams   map[fleet.UpstreamID]*upstream
 	ids         []fleet.UpstreamID
 	// evacuated holds the evacuated failure domains.
-	evacuated map[fleet.FailureDomainID]bool
-	// returnedAt is when the evacuation of a failure domain last ended.
-	returnedAt  map[fleet.FailureDomainID]time.Time
+	evacuated   map[fleet.FailureDomainID]bool
 	inFlight    map[string]*attempt
 	usageWindow *usageWindow
 	shares      shareSnapshot
@@ -153,6 +166,8 @@
 	// unreportedTokens is the prefill work in tokens not yet reported to the other
 	// routers.
 	unreportedTokens int
+	// warming holds the cold upstreams.
+	warming *warmup.Tracker
 }
 
 // urgentPrefill is the unreported prefill time from which on a report is sent before the
@@ -174,11 +189,12 @@
 		options:     options,
 		model:       newPrefillModel(options.PrefillRate, options.Overhead),
 		speeds:      newSpeedPool(),
+		factors:     newFactorPool(),
 		upstreams:   make(map[fleet.UpstreamID]*upstream),
 		inFlight:    make(map[string]*attempt),
 		usageWindow: newUsageWindow(options.Window),
 		peerUsage:   make(map[fleet.NodeID]peerUsage),
-		returnedAt:  make(map[fleet.FailureDomainID]time.Time),
+		warming:     warmup.NewTracker(coldLimits(options, capacity)),
 	}
 	s.SetCapacity(capacity)
 	return s
@@ -191,12 +207,14 @@
 		s.usageWindow = newUsageWindow(options.Window)
 	}
 	s.options = options
+	s.warming.SetLimits(coldLimits(options, s.capacity))
 }
 
 // SetCapacity replaces the configured capacity of the service's upstreams.
 func (s *Scheduler) SetCapacity(capacity Capacity) {
 	s.capacity = capacity
 	s.transfers.setRate(capacity.TransferRate)
+	s.warming.SetLimits(coldLimits(s.options, capacity))
 }
 
 // SetUpstreams replaces the list of available upstreams. An upstream whose start time or
@@ -207,7 +225,9 @@
 	for _, entry := range list {
 		known := s.upstreams[entry.ID]
 		if known == nil || known.StartedUnixMs != entry.StartedUnixMs || known.Address != entry.Address {
+			startedAnew := known != nil
 			known = s.newUpstream()
+			known.startedAnew = startedAnew
 		}
 		known.Upstream = entry
 		known.evacuated = s.evacuated[entry.Domain]
@@ -223,6 +243,8 @@
 		detector: outlier.NewDetector(s.options.Outlier),
 		cache:    placement.NewCache(s.capacity.MemoryTokens),
 		peers:    make(map[fleet.NodeID]peerLoad),
+		factor:   1,
+		weight:   placementWeight{value: 1},
 	}
 }
 
@@ -245,6 +267,7 @@
 		s.usageWindow.add(now, accountOf(r), cost, 0)
 	}
 	s.expirePeers(now)
+	s.refreshFactors(now)
 	ratio := s.shareRatio(now, r)
 	best, refused := s.choose(now, r, ratio)
 	if best == nil {
@@ -258,7 +281,8 @@
 	s.begin(now, r, best, cost)
 	return Decision{
 		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
-		Predicted: best.predicted, Prefill: best.prefill, ShareRatio: ratio,
+		Predicted: best.predicted, Prefill: best.prefill, SpeedFactor: best.upstream.factor, ShareRatio: ratio,
+		Cold: s.cold(now, best.upstream.ID), PassedOver: refused.PassedOver,
 	}
 }
 
@@ -280,6 +304,7 @@
 	}
 	s.inFlight[r.ID] = a
 	c.upstream.begin(now, a)
+	s.warming.RecordSend(now, c.upstream.ID)
 	if s.capacity.MemoryTokens > 0 {
 		s.unreportedTokens += c.prefill
 		c.upstream.cache.Add(r.Prompt)
@@ -297,23 +322,25 @@
 	if a == nil || a.started {
 		return
 	}
-	s.observeFirstToken(a, now.Sub(a.sent))
+	s.observeFirstToken(now, a, now.Sub(a.sent))
 	a.upstream.firstEvent(now, a)
 }
 
 // speed returns the speed estimate pooled over all routers.
 func (s *Scheduler) speed() EngineSpeed { return s.speeds.get(&s.model) }
 
-// observeFirstToken updates the prefill or transfer model with the time to first token of
-// an attempt.
-func (s *Scheduler) observeFirstToken(a *attempt, took time.Duration) {
+// observeFirstToken updates the prefill model and the engine's factor, or the transfer
+// model, with the time to first token of an attempt.
+func (s *Scheduler) observeFirstToken(now time.Time, a *attempt, took time.Duration) {
+	factor := a.upstream.factor
 	switch {
 	case s.capacity.MemoryTokens == 0:
 	case a.copyTokens == 0:
-		s.model.observe(a.workAhead, took)
+		s.observeFactor(now, a, took)
+		s.model.observe(a.workAhead, factor, took)
 		s.speeds.stale = true
 	case s.capacity.TransferRate > 0:
-		s.transfers.observe(a.copyDistance, a.copyTokens, took-s.model.predict(a.workAhead))
+		s.transfers.observe(a.copyDistance, a.copyTokens, took-s.model.estimate().at(factor).predict(a.workAhead))
 	}
 }
 
@@ -326,7 +353,7 @@
 	}
 	delete(s.inFlight, id)
 	if s.capacity.MemoryTokens == 0 && outcome == outlier.Success {
-		s.serviceTime.observe(now.Sub(a.sent))
+		s.observeServiceTime(now, a.upstream, now.Sub(a.sent))
 	}
 	if outcome == outlier.Unreachable || s.capacity.MemoryTokens > 0 {
 		s.refundUnstarted(now, a)
@@ -348,6 +375,7 @@
 	ejected := u.detector.Observe(now, started, outcome)
 	if ejected {
 		u.cache = placement.NewCache(s.capacity.MemoryTokens)
+		s.markEjectedCold(now, u)
 	}
 	return ejected
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/upstream"
+	"fulmarspindle.example/fulmarspindle/warmup"
 )
 
 // ErrListen reports that an address could not be listened on or that a listener failed.
@@ -39,14 +40,17 @@
 	servingDuringShutdown atomic.Bool
 	inFlight              atomic.Int64
 	bufferedBytes         atomic.Int64
+	slowCallers           *slowCallers
 
-	// mu guards the registry, services and pools.
+	// mu guards the registry, services, pools and fleet.
 	mu       sync.Mutex
 	registry *registry.Registry
 	services map[fleet.ServiceID]*service
 	pools    map[poolKey]*upstream.Pool
 	// evacuations is guarded by mu.
 	evacuations evacuations
+	// fleet lists the routers from which the senders to cold upstreams are chosen.
+	fleet *warmup.Fleet
 	// adoptedAt is when the configuration in force was adopted; registeredAt is when
 	// registrations were last received from the store or a router.
 	adoptedAt    time.Time
@@ -93,6 +97,7 @@
 	g.evacuations = evacuations{begunAt: make(map[fleet.FailureDomainID]time.Time), waitingSince: time.Now()}
 	g.storeContact.followsEvacuations = g.followsEvacuations()
 	g.policy.Store(&options.Policy)
+	g.slowCallers = newSlowCallers(options.SlowCallers, &g.bufferedBytes)
 	g.readiness = newReadiness(g)
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
@@ -109,6 +114,7 @@
 	}
 	g.mu.Unlock()
 	g.peers.setMemberTTL(policy.MemberTTL)
+	g.updateFleet()
 	g.peers.addAddresses(g.background, nil)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,11 @@
 	retryCounts = expvar.NewMap("gateway_retries")
 	// evacuatedDomains is the number of failure domains that are evacuated.
 	evacuatedDomains = expvar.NewInt("gateway_evacuated_domains")
+	// coldSendCounts counts requests sent to cold upstreams by service.
+	coldSendCounts = expvar.NewMap("gateway_cold_sends")
+	// coldPassedOverCounts counts the times by service that an otherwise acceptable
+	// upstream was passed over because it is cold.
+	coldPassedOverCounts = expvar.NewMap("gateway_cold_passed_over")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -76,6 +76,11 @@
 	if r.Speed != nil {
 		out.Speed = &peerpb.EngineSpeed{Rate: r.Speed.Rate, OverheadUs: uint32(r.Speed.Overhead.Microseconds())}
 	}
+	for upstream, factor := range r.Factors {
+		out.EngineFactors = append(out.EngineFactors, &peerpb.EngineFactor{
+			Upstream: string(upstream), LogFactor: float32(factor.Log), Weight: float32(factor.Weight),
+		})
+	}
 	for _, prompt := range r.Prompts {
 		wire := &peerpb.SentPrompt{Upstream: string(prompt.Upstream)}
 		for _, part := range prompt.Prompt {
@@ -101,6 +106,12 @@
 	if speed := m.GetSpeed(); speed.GetRate() > 0 {
 		r.Speed = &admission.EngineSpeed{Rate: speed.GetRate(), Overhead: time.Duration(speed.GetOverheadUs()) * time.Microsecond}
 	}
+	if factors := m.GetEngineFactors(); len(factors) > 0 {
+		r.Factors = make(map[fleet.UpstreamID]admission.EngineFactor, len(factors))
+		for _, f := range factors {
+			r.Factors[fleet.UpstreamID(f.GetUpstream())] = admission.EngineFactor{Log: float64(f.GetLogFactor()), Weight: float64(f.GetWeight())}
+		}
+	}
 	for _, p := range m.GetPrompts() {
 		prompt := admission.SentPrompt{Upstream: fleet.UpstreamID(p.GetUpstream())}
 		for i := range min(len(p.GetParts()), len(p.GetTokens())) {
@@ -170,12 +181,13 @@
 
 // registryUpdate returns the registrations that changed after a revision.
 func (g *Gateway) registryUpdate(after uint64) *peerpb.RegistryUpdate {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := &peerpb.RegistryUpdate{Revision: g.registry.LatestRevision()}
 	for _, entry := range g.registry.Entries() {
 		if entry.Revision > after {
-			out.Registrations = append(out.Registrations, registrationToWire(entry))
+			out.Registrations = append(out.Registrations, registrationToWire(now, entry))
 		}
 	}
 	return out
@@ -196,11 +208,12 @@
 	g.updateServices(now)
 }
 
-func registrationToWire(entry registry.Entry) *peerpb.Registration {
+func registrationToWire(now time.Time, entry registry.Entry) *peerpb.Registration {
 	return &peerpb.Registration{
 		Upstream: string(entry.Upstream.ID), Service: string(entry.Upstream.Service), Address: entry.Upstream.Address,
 		FailureDomain: string(entry.Upstream.Domain), Slots: uint32(entry.Upstream.Slots), Draining: entry.Upstream.Draining,
 		StartedUnixMs: entry.Upstream.StartedUnixMs, Version: entry.Upstream.Version, Revision: entry.Revision, Removed: entry.Removed,
+		ColdRemainingMs: coldRemainingToWire(entry.Upstream.ColdLeft(now)),
 	}
 }
 
@@ -210,6 +223,7 @@
 			ID: fleet.UpstreamID(m.GetUpstream()), Service: fleet.ServiceID(m.GetService()), Address: m.GetAddress(),
 			Domain: fleet.FailureDomainID(m.GetFailureDomain()), Slots: int(m.GetSlots()), Draining: m.GetDraining(),
 			StartedUnixMs: m.GetStartedUnixMs(), Version: m.GetVersion(),
+			ColdRemaining: time.Duration(m.GetColdRemainingMs()) * time.Millisecond,
 		},
 		Revision: m.GetRevision(), Removed: m.GetRemoved(),
 	}
