--- a/admission/view.go
+++ b/admission/view.go
@@ -59,11 +59,12 @@
 func (s *Scheduler) View(now time.Time) View {
 	s.expirePeers(now)
 	s.refreshFactors(now)
+	usage := s.usage(now).byTeam()
 	view := View{
 		PrefillRate: s.speed().Rate,
 		OverheadMs:  s.speed().Overhead.Milliseconds(),
 		Upstreams:   make(map[fleet.UpstreamID]UpstreamView, len(s.upstreams)),
-		Teams:       s.usage(now).byTeam(),
+		Teams:       make(map[fleet.TeamID]TeamUsage, len(usage)),
 	}
 	for id, u := range s.upstreams {
 		total := u.total()
@@ -80,6 +81,9 @@
 		s.viewSpeed(now, &upstreamView, u)
 		view.Upstreams[id] = upstreamView
 	}
-	view.Share, view.Contended = Usage(view.Teams).maxMinShare()
+	for account, used := range usage {
+		view.Teams[account.Team] = used
+	}
+	view.Share, view.Contended = usage.maxMinShare()
 	return view
 }
