admission: use upstreams of which most were ejected at once

Cause: a gateway that was cut off has ejected every upstream and takes them all for cold afterwards. Where it is not one of their senders it refused all requests until three seconds after the last ejection.

Change: ejections of more than half of a service's upstreams don't make them cold.

Measured: TestGatewayThatEjectedMostUpstreamsUsesThem fails without the change and passes with it.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -51,6 +51,8 @@
 	now time.Time
 	// fastest is the highest speed factor of the candidates.
 	fastest float64
+	// mostEjected is set if most upstreams count as cold because they were ejected.
+	mostEjected bool
 }
 
 // choose returns the best upstream that is predicted to answer on time, or else nil
@@ -64,6 +66,7 @@
 	limit := s.waitLimit(r, ratio)
 	b := bounds{
 		limit: limit, busy: s.meanQueueTime(now, usable) > limit/busyWaitDivisor, now: now, fastest: fastestFactor(candidates),
+		mostEjected: s.mostEjected(now),
 	}
 	if best := s.best(r, candidates, b); best != nil {
 		return best, Decision{PassedOver: countPassedOver(candidates)}
@@ -100,7 +103,7 @@
 	if c.cold && (b.busy || s.queueTime(c) > b.limit/coldWaitDivisor) {
 		return false
 	}
-	return !c.full && s.onTime(r, c, b) && s.mayWarm(b.now, c)
+	return !c.full && s.onTime(r, c, b) && s.mayWarm(b, c)
 }
 
 // cheapest returns the cheapest candidate, of those that may accept the request later if
--- a/admission/warming.go
+++ b/admission/warming.go
@@ -77,13 +77,26 @@
 	s.warming.MarkCold(now, incarnation, until, cause)
 }
 
+// mostEjected reports whether most upstreams count as cold only because this router has
+// ejected them. It was its own network that failed then, not that many upstreams.
+func (s *Scheduler) mostEjected(now time.Time) bool {
+	return 2*s.warming.Count(now, warmup.Ejected) > len(s.ids)
+}
+
 // mayWarm reports whether this router may send a request to a candidate now: it is not
 // cold, or this router is one of its senders and has a slot.
-func (s *Scheduler) mayWarm(now time.Time, c *candidate) bool {
-	c.passedOver = !s.warming.MaySend(now, c.upstream.ID)
+func (s *Scheduler) mayWarm(b bounds, c *candidate) bool {
+	c.passedOver = !s.warming.MaySend(b.now, c.upstream.ID) && !s.wronglyEjected(b, c)
 	return !c.passedOver
 }
 
+// wronglyEjected reports whether a candidate counts as cold only because of a failure of
+// this router's own network.
+func (s *Scheduler) wronglyEjected(b bounds, c *candidate) bool {
+	period, _ := s.warming.Period(b.now, c.upstream.ID)
+	return b.mostEjected && period.Cause == warmup.Ejected
+}
+
 // cold reports whether an upstream is cold.
 func (s *Scheduler) cold(now time.Time, id fleet.UpstreamID) bool {
 	_, cold := s.warming.Period(now, id)
--- a/admission/warming_test.go
+++ b/admission/warming_test.go
@@ -218,3 +218,18 @@
 	s.MarkRegisteredCold(start.Add(time.Second))
 	f.Expect(s.View(start.Add(time.Second)).Upstreams["u00"].Cold.RemainingMs).To(BeEquivalentTo(5000))
 }
+
+// Guards against a gateway that refuses all requests after its own network was cut: it has
+// ejected every upstream, and none of them has restarted.
+func TestGatewayThatEjectedMostUpstreamsUsesThem(t *testing.T) {
+	f := newWarmFleet(t)
+	s := f.schedulers[0]
+	for _, u := range f.list {
+		s.Unreachable(f.now, u.ID)
+	}
+	f.now = f.now.Add(options().Outlier.BaseEjection + coldStart/2)
+	for i := range 10 {
+		d := s.Admit(f.now, admission.Request{ID: fmt.Sprint("after-", i), Team: "team", Objective: 80 * time.Millisecond})
+		f.Expect(d.Admitted).To(BeTrue())
+	}
+}
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -181,6 +181,17 @@
 	return p.Period, true
 }
 
+// Count returns the number of upstreams that are cold now for a cause.
+func (t *Tracker) Count(now time.Time, cause Cause) int {
+	count := 0
+	for id, p := range t.periods {
+		if p.Cause == cause && t.active(now, id) != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // Expire forgets the periods that ended so long ago that they do not affect the pacing of
 // a new one.
 func (t *Tracker) Expire(now time.Time) {
