warmup: keep the stated cause of a cold period when the upstream is ejected

Cause: an ejection replaced the cause of a cold period if it ended later, and a stated cause with an earlier end did not replace Ejected. A gateway that had ejected more than half of the upstreams ignores periods of cause Ejected, so it sent without limit to upstreams that had registered or answered as cold.

Change: Ejected does not replace another cause of a period that has not ended, and any other cause replaces Ejected.

Measured: TestEjectionDoesNotReplaceAnotherCause fails without the change, and TestEjectionOfMostUpstreamsKeepsTheBoundOfStatedColdPeriods sees 117 requests in a second of 23 allowed. Both pass with it.

--- a/admission/warming_test.go
+++ b/admission/warming_test.go
@@ -233,3 +233,22 @@
 		f.Expect(d.Admitted).To(BeTrue())
 	}
 }
+
+// Guards against requests beyond the bound to upstreams that state that they are cold, from
+// gateways that have ejected most of them as well.
+func TestEjectionOfMostUpstreamsKeepsTheBoundOfStatedColdPeriods(t *testing.T) {
+	f := newWarmFleet(t)
+	for _, s := range f.schedulers {
+		for _, u := range f.list {
+			s.MarkReportedCold(f.now, u.ID, coldStart)
+			s.Unreachable(f.now, u.ID)
+		}
+	}
+	for range 40 * warmGateways {
+		f.step(1)
+	}
+	f.Expect(f.sent).NotTo(BeEmpty())
+	for id := range f.sent {
+		f.expectBound(id, start, start.Add(coldStart))
+	}
+}
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -95,7 +95,9 @@
 
 // MarkCold records that an upstream is cold until a time. If it is already known to be
 // cold, the later end counts, except that the first end known for a new incarnation
-// replaces that of an earlier one. Without a limit nothing is recorded.
+// replaces that of an earlier one. Ejected never replaces another cause of the same cold
+// period, because an ejection alone may be due to this router's own network. Without a limit
+// nothing is recorded.
 func (t *Tracker) MarkCold(now time.Time, u Upstream, until time.Time, cause Cause) {
 	if t.limits.Rate <= 0 || !until.After(now) {
 		return
@@ -106,10 +108,16 @@
 		t.periods[u.ID] = p
 	}
 	restarted := p.Upstream.StartedUnixMs != u.StartedUnixMs
-	if !restarted && !until.After(p.Until) {
+	begins := restarted || !now.Before(p.Until)
+	if !begins && cause == Ejected {
+		cause = p.Cause
+	}
+	if !begins && !until.After(p.Until) {
+		if p.Cause == Ejected {
+			p.Cause = cause
+		}
 		return
 	}
-	begins := restarted || !now.Before(p.Until)
 	p.Period = Period{Upstream: u, Cause: cause, Until: until, Sender: t.isSender(u)}
 	if begins && len(t.begun) < maxBegun {
 		t.begun = append(t.begun, p.Period)
--- a/warmup/tracker_test.go
+++ b/warmup/tracker_test.go
@@ -63,6 +63,32 @@
 	g.Expect(cold).To(BeFalse())
 }
 
+// Guards against an upstream that is stated to be cold and counts as cold only because of an
+// ejection, whichever of the two was known first.
+func TestEjectionDoesNotReplaceAnotherCause(t *testing.T) {
+	g := NewWithT(t)
+	for name, causes := range map[string][]warmup.Cause{
+		"ejected last":  {warmup.Registered, warmup.Ejected},
+		"ejected first": {warmup.Ejected, warmup.Registered},
+	} {
+		for _, ends := range [][]time.Duration{{2 * time.Second, 4 * time.Second}, {4 * time.Second, 2 * time.Second}} {
+			tracker := single()
+			for i, cause := range causes {
+				tracker.MarkCold(start, engine, start.Add(ends[i]), cause)
+			}
+			period, _ := tracker.Period(start, "u1")
+			g.Expect(period.Cause).To(Equal(warmup.Registered), "%s, ends %v", name, ends)
+			g.Expect(period.Until).To(Equal(start.Add(4*time.Second)), "%s, ends %v", name, ends)
+			g.Expect(tracker.TakeBegun()).To(HaveLen(1), "%s, ends %v", name, ends)
+		}
+	}
+	tracker := single()
+	tracker.MarkCold(start, engine, start.Add(time.Second), warmup.Registered)
+	tracker.MarkCold(start.Add(time.Second), engine, start.Add(2*time.Second), warmup.Ejected)
+	period, _ := tracker.Period(start.Add(time.Second), "u1")
+	g.Expect(period.Cause).To(Equal(warmup.Ejected), "the stated period has ended")
+}
+
 // Guards against a later, shorter cold time ending the period early, and against the period
 // of an ejection outlasting that of the incarnation that has started since.
 func TestEndOfAPeriod(t *testing.T) {
