admission: count only registered upstreams as ejected

Cause: cold periods outlast the registration of an upstream, while the number that they are compared with is that of registered upstreams. After crashed upstreams had been removed, the ejection of one more could count as more than half, and every gateway sent to it without the limit for cold upstreams.

Change: periods of upstreams that are no longer registered are not counted.

Measured: TestRemovedUpstreamsDoNotCountAsEjected sees 9 senders of 3 without the change and passes with it.

--- a/admission/warming.go
+++ b/admission/warming.go
@@ -80,7 +80,8 @@
 // mostEjected reports whether most upstreams count as cold only because this router has
 // ejected them. It was its own network that failed then, not that many upstreams.
 func (s *Scheduler) mostEjected(now time.Time) bool {
-	return 2*s.warming.Count(now, warmup.Ejected) > len(s.ids)
+	registered := func(id fleet.UpstreamID) bool { return s.upstreams[id] != nil }
+	return 2*s.warming.Count(now, warmup.Ejected, registered) > len(s.ids)
 }
 
 // mayWarm reports whether this router may send a request to a candidate now: it is not
--- a/admission/warming_test.go
+++ b/admission/warming_test.go
@@ -252,3 +252,22 @@
 		f.expectBound(id, start, start.Add(coldStart))
 	}
 }
+
+// Guards against ejected upstreams that are no longer registered making this gateway take its
+// network for broken, and so send without limit to the one that it has ejected since.
+func TestRemovedUpstreamsDoNotCountAsEjected(t *testing.T) {
+	f := newWarmFleet(t)
+	sent := 0
+	for _, s := range f.schedulers {
+		for _, u := range f.list[:4] {
+			s.Unreachable(f.now, u.ID)
+		}
+		s.SetUpstreams(f.list[4:9])
+		s.Unreachable(f.now, "u04")
+		d := s.Admit(f.now, admission.Request{ID: "a", Team: "team", Objective: time.Second, Exclude: []fleet.UpstreamID{"u05", "u06", "u07", "u08"}})
+		if d.Admitted {
+			sent++
+		}
+	}
+	f.Expect(sent).To(Equal(3), "the senders of u04")
+}
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -189,11 +189,12 @@
 	return p.Period, true
 }
 
-// Count returns the number of upstreams that are cold now for a cause.
-func (t *Tracker) Count(now time.Time, cause Cause) int {
+// Count returns the number of upstreams that are cold now for a cause, of those that are
+// registered. Periods outlast the registration because an upstream may register again.
+func (t *Tracker) Count(now time.Time, cause Cause, registered func(fleet.UpstreamID) bool) int {
 	count := 0
 	for id, p := range t.periods {
-		if p.Cause == cause && t.active(now, id) != nil {
+		if p.Cause == cause && registered(id) && t.active(now, id) != nil {
 			count++
 		}
 	}
