e2e: bound of the requests to cold upstreams

Only tests within one process showed that all gateways together keep the bound of a cold upstream.

The soak checks the bound at each arrival at an upstream that has returned.

--- a/e2e/soak/doc.go
+++ b/e2e/soak/doc.go
@@ -2,5 +2,6 @@
 // requests that callers and upstreams record it verifies that retries stay within
 // the budget, teams get their fair share, non-idempotent requests run at most once,
 // and no request that was refused as not run has run. At each arrival it verifies that
-// requests stay in their home regions and that evacuated upstreams receive nothing.
+// requests stay in their home regions, that evacuated upstreams receive nothing, and
+// that cold ones receive no more than the bound.
 package soak
--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -18,6 +18,9 @@
 	// requests per second that they tolerate meanwhile.
 	coldStart = 3 * time.Second
 	coldRate  = 6.9
+	// coldOverage and coldSlack are those of coldSettings.
+	coldOverage = 1.5
+	coldSlack   = 5
 )
 
 // Path prefixes of the routes. The home region of homePath is homeRegion.
@@ -85,7 +88,7 @@
 		return nil, err
 	}
 	env := &Environment{GatewayFleet: gateways, Recorder: &Recorder{}, options: options}
-	env.Rules = &Rules{Region: env.Region, Homes: env.homes, EvacuateWithin: options.EvacuateWithin}
+	env.Rules = &Rules{Region: env.Region, Homes: env.homes, EvacuateWithin: options.EvacuateWithin, ColdBound: coldRate*coldOverage + coldSlack}
 	if err := env.start(ctx); err != nil {
 		env.Close()
 		return nil, err
--- a/e2e/soak/random_test.go
+++ b/e2e/soak/random_test.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// coldSettings sets the bound of the requests to cold upstreams.
+const coldSettings = `
+admission: {cold_overage: 1.5, cold_slack: 5}
+`
+
 // expectGuarantees checks the recorded requests of a run.
 func (env *Environment) expectGuarantees(description string) {
 	GinkgoHelper()
@@ -70,7 +75,7 @@
 			env := newEnvironment(Options{
 				Gateways: 4, PlainServers: 4, Engines: 3, Teams: []string{"team-1", "team-2", "team-3", homeTeam},
 				FailureDomains: 3, Regions: 2, HomeRegions: map[string]string{homeTeam: homeTeamRegion}, EvacuateWithin: evacuateWithin,
-				Settings: budgetSettings, PrefillRate: 60_000, Objective: streamObjective,
+				Settings: budgetSettings + coldSettings, PrefillRate: 60_000, Objective: streamObjective,
 			})
 			env.StartLoad(seed, mixedWorkloads(env)...)
 			ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
--- a/e2e/soak/rules.go
+++ b/e2e/soak/rules.go
@@ -8,7 +8,8 @@
 )
 
 // Rules checks at each arrival, while a run lasts, that requests stay in their home
-// regions and that evacuated upstreams receive nothing. It is safe for concurrent use.
+// regions, that evacuated upstreams receive nothing, and that cold ones receive no more
+// than the bound. It is safe for concurrent use.
 type Rules struct {
 	// Region returns the region of a failure domain.
 	Region func(failureDomain string) string
@@ -17,6 +18,9 @@
 	Homes func(team, path string) (ofTeam, ofRoute []string)
 	// EvacuateWithin is the time in which an evacuation must be in force.
 	EvacuateWithin time.Duration
+	// ColdBound is the number of requests that a cold upstream may receive within any
+	// second.
+	ColdBound float64
 
 	mu sync.Mutex
 	// evacuations maps the evacuated failure domains to the time of the platform's
@@ -42,8 +46,9 @@
 	return r.violation
 }
 
-// check checks an arrival at an upstream in a failure domain.
-func (r *Rules) check(a Arrival, failureDomain string) {
+// check checks an arrival at an upstream in a failure domain. coldArrivals is the number
+// of requests that the upstream received within the last second while it was cold.
+func (r *Rules) check(a Arrival, failureDomain string, coldArrivals int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.violation != "" {
@@ -53,6 +58,10 @@
 	if r.violation == "" {
 		r.violation = r.evacuated(a, failureDomain)
 	}
+	if r.violation == "" && float64(coldArrivals) > r.ColdBound {
+		r.violation = fmt.Sprintf("%s is number %d within a second at a cold upstream of %s in %s at %s; allowed %.2f",
+			a.AttemptID, coldArrivals, a.Service, failureDomain, a.ReceivedAt.Format(timeLayout), r.ColdBound)
+	}
 }
 
 func (r *Rules) outsideHome(a Arrival, failureDomain string) string {
--- a/e2e/soak/rules_test.go
+++ b/e2e/soak/rules_test.go
@@ -28,7 +28,7 @@
 		{"t", "/", "z2", false}, {"t", "/home/", "z2", true}, {"t", "/", "z9", true},
 	} {
 		rules := newTestRules()
-		rules.check(Arrival{Team: c.team, Path: c.path, ReceivedAt: noon}, c.failureDomain)
+		rules.check(Arrival{Team: c.team, Path: c.path, ReceivedAt: noon}, c.failureDomain, 0)
 		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), "%+v", c)
 	}
 }
@@ -55,7 +55,17 @@
 		if c.gap != nil {
 			rules.gaps = map[string][]*gap{"g": {c.gap}}
 		}
-		rules.check(Arrival{Gateway: "g", ReceivedAt: at(c.arrival)}, "z1")
+		rules.check(Arrival{Gateway: "g", ReceivedAt: at(c.arrival)}, "z1", 0)
 		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), c.name)
 	}
 }
+
+// Guards against a check that passes one request too many at a cold upstream.
+func TestArrivalsAtAColdUpstream(t *testing.T) {
+	for coldArrivals, broken := range map[int]bool{0: false, 15: false, 16: true} {
+		rules := newTestRules()
+		rules.ColdBound = 15.35
+		rules.check(Arrival{ReceivedAt: noon}, "z1", coldArrivals)
+		NewWithT(t).Expect(rules.Violation() != "").To(Equal(broken), "%d", coldArrivals)
+	}
+}
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
 )
 
 // Headers of the platform protocol.
@@ -36,6 +38,7 @@
 	handler       http.Handler
 	recorder      *Recorder
 	rules         *Rules
+	cold          standin.ColdMeter
 	// restarting is held while the server returns as a new instance.
 	restarting sync.Mutex
 	// restarts is the number of instances before this one.
@@ -96,7 +99,8 @@
 		Service: s.service, AttemptID: id, Team: r.Header.Get(headerTeam), Path: r.URL.Path, Gateway: gatewayOf(id),
 		ReceivedAt: time.Now(), Cost: requestCost(r.Header), NonIdempotent: strings.HasPrefix(r.URL.Path, orderPath),
 	}
-	s.rules.check(a, s.failureDomain)
+	_, coldArrivals := s.cold.Receive(a.ReceivedAt)
+	s.rules.check(a, s.failureDomain, coldArrivals)
 	return s.recorder.addArrival(a)
 }
 
