overload: leave gateways of unknown size out of the mean size

Cause: ready gateways without limits.processors counted with zero cores, so in a failure domain where only some gateways have the setting, these took the others for smaller and never turned unready.

Change: only gateways whose CPU time is known count in the mean.

Measured: TestGatewaysOfUnknownSizeDoNotCountAsSmall fails without the change and passes with it.

--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -114,6 +114,9 @@
 			d.Unready++
 			continue
 		}
+		if s.Processors() <= 0 {
+			d.ReadyUnknown++
+		}
 		d.ReadyProcessors += s.Processors()
 	}
 	return d
--- a/overload/readiness.go
+++ b/overload/readiness.go
@@ -39,16 +39,19 @@
 	// all ready other gateways together, in cores. Zero means unknown.
 	Processors      float64
 	ReadyProcessors float64
+	// ReadyUnknown is the number of ready other gateways whose CPU time is unknown and not
+	// part of ReadyProcessors.
+	ReadyUnknown int
 }
 
 // readyAreSmaller reports whether the ready other gateways have less CPU time than this
-// one, on average.
+// one, on average over those whose CPU time is known.
 func (d DomainStatus) readyAreSmaller() bool {
-	ready := d.Others - d.Unready
-	if ready <= 0 || d.Processors <= 0 || d.ReadyProcessors <= 0 {
+	known := d.Others - d.Unready - d.ReadyUnknown
+	if known <= 0 || d.Processors <= 0 || d.ReadyProcessors <= 0 {
 		return false
 	}
-	return d.ReadyProcessors/float64(ready) < d.Processors
+	return d.ReadyProcessors/float64(known) < d.Processors
 }
 
 // Readiness tracks whether a gateway accepts new connections.
--- a/overload/readiness_test.go
+++ b/overload/readiness_test.go
@@ -136,3 +136,13 @@
 		g.Expect(newQueue().run(10*time.Second, 300, 100, domain)).To(BeNumerically(">", 0.5))
 	}
 }
+
+// Guards against gateways of unknown size counting as small: a domain in which only some
+// gateways have limits.processors would keep every gateway that has it ready.
+func TestGatewaysOfUnknownSizeDoNotCountAsSmall(t *testing.T) {
+	g := NewWithT(t)
+	domain := overload.DomainStatus{Others: 3, Processors: 0.8, ReadyProcessors: 2 * 0.8, ReadyUnknown: 1}
+	g.Expect(newQueue().run(10*time.Second, 300, 100, domain)).To(BeNumerically(">", 0.5))
+	domain.ReadyProcessors = 2 * 0.144
+	g.Expect(newQueue().run(10*time.Second, 300, 100, domain)).To(BeZero())
+}
