admission: separate the names of cache misses and cold upstreams

Candidate.cold meant that an engine lacks cached parts, Decision.Cold that an upstream has just started. The former is cacheMiss now. mayWarm, at and several comments get plainer wording, and refusalDelay loses a state variable. No change of behaviour.

--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -35,10 +35,10 @@
 			// All routers send an uncached prompt to the first engine in placement
 			// order, so that it is cached once and later requests find it there.
 			c.ranked = true
-			c.cold = rank > 0 && !hasRoom
+			c.cacheMiss = rank > 0 && !hasRoom
 		}
 		if !anywhere && source != nil && s.capacity.TransferRate == 0 {
-			c.cold = c.cached < sourceTokens
+			c.cacheMiss = c.cached < sourceTokens
 		}
 		s.planCopy(&c, r, source, sourceTokens)
 		out = append(out, c)
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -30,9 +30,9 @@
 	// between the two engines.
 	copyTokens   int
 	copyDistance fleet.Distance
-	// cold is set if the engine would have to prefill shared parts that another
+	// cacheMiss is set if the engine would have to prefill shared parts that another
 	// engine has cached or is the preferred one to cache.
-	cold bool
+	cacheMiss bool
 	// passedOver is set if the candidate is acceptable but for the limit on requests to
 	// cold upstreams.
 	passedOver bool
@@ -100,10 +100,10 @@
 }
 
 func (s *Scheduler) allowed(r Request, c *candidate, b bounds) bool {
-	if c.cold && (b.busy || s.queueTime(c) > b.limit/coldWaitDivisor) {
+	if c.cacheMiss && (b.busy || s.queueTime(c) > b.limit/cacheMissWaitDivisor) {
 		return false
 	}
-	return !c.full && s.onTime(r, c, b) && s.mayWarm(b, c)
+	return !c.full && s.onTime(r, c, b) && s.withinColdLimit(b, c)
 }
 
 // cheapest returns the cheapest candidate, of those that may accept the request later if
@@ -121,10 +121,11 @@
 	return best
 }
 
-// coldWaitDivisor divides the limit to give the maximum queueing time at a cold candidate.
+// cacheMissWaitDivisor divides the limit to give the maximum queueing time at a candidate
+// that lacks cached parts.
 // Prefilling shared parts that another engine has cached costs more than the rest of the
 // request, so only idle engines do it.
-const coldWaitDivisor = 8
+const cacheMissWaitDivisor = 8
 
 // busyWaitDivisor divides the limit to give the mean queueing time above which the engines
 // count as busy and have no capacity left for prefilling shared parts on a second engine.
--- a/admission/factor.go
+++ b/admission/factor.go
@@ -38,7 +38,7 @@
 }
 
 // bounded returns a reported factor within the bounds. It returns false for a factor that
-// says nothing: one without weight, or with values that are not numbers.
+// carries no information: one without weight, or with values that are not numbers.
 func (f EngineFactor) bounded() (EngineFactor, bool) {
 	if math.IsNaN(f.Log) || !(f.Weight > 0) {
 		return EngineFactor{}, false
@@ -86,7 +86,7 @@
 
 // logFactor returns the logarithm of the observed prefill rate of an engine divided by this
 // router's own estimate of the rate. Delays of this router are in both and cancel out. It
-// returns false if the observation says too little.
+// returns false for a prompt that is too short, or while the rate is uncertain.
 func (m *prefillModel) logFactor(tokens float64, took time.Duration) (float64, bool) {
 	if tokens < minRateTokens || m.rateObservations < minObservations {
 		return 0, false
@@ -100,7 +100,7 @@
 	return max(took-m.overhead, time.Millisecond)
 }
 
-// at returns the speed of an engine with the given factor.
-func (s EngineSpeed) at(factor float64) EngineSpeed {
+// scaledBy returns the speed of an engine with the given factor.
+func (s EngineSpeed) scaledBy(factor float64) EngineSpeed {
 	return EngineSpeed{Rate: s.Rate * factor, Overhead: s.Overhead}
 }
--- a/admission/factor_pool.go
+++ b/admission/factor_pool.go
@@ -143,7 +143,7 @@
 }
 
 // speedOf returns the estimated speed of one engine.
-func (s *Scheduler) speedOf(u *upstream) EngineSpeed { return s.speed().at(u.factor) }
+func (s *Scheduler) speedOf(u *upstream) EngineSpeed { return s.speed().scaledBy(u.factor) }
 
 // fastestFactor returns the highest factor of the candidates.
 func fastestFactor(candidates []candidate) float64 {
@@ -161,7 +161,7 @@
 		return 0
 	}
 	prefill := float64(c.prefill)
-	return s.speedOf(c.upstream).prefillTime(prefill) - s.speed().at(b.fastest).prefillTime(prefill)
+	return s.speedOf(c.upstream).prefillTime(prefill) - s.speed().scaledBy(b.fastest).prefillTime(prefill)
 }
 
 // tooSlow reports whether a candidate exceeds the limit without any queueing, only because
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -55,7 +55,7 @@
 
 // observe updates the model with the time to first token of a request that had tokens of
 // work before its first token, its own included, at an engine with the given factor. The
-// factor is taken out, so that the rate does not depend on which engines this router uses.
+// rate is divided by the factor, so that it does not depend on which engines this router uses.
 func (m *prefillModel) observe(tokens, factor float64, took time.Duration) {
 	if tokens < minRateTokens {
 		sample := took - time.Duration(tokens/(m.rate*factor)*float64(time.Second))
--- a/admission/report.go
+++ b/admission/report.go
@@ -20,7 +20,7 @@
 	// reports only, once it is based on enough observations.
 	Speed *EngineSpeed
 	// Factors lists some of the engines' factors in turn. It is set in full reports only.
-	// A factor without weight says that earlier ones of the engine no longer hold.
+	// A factor without weight invalidates earlier ones of the engine.
 	Factors map[fleet.UpstreamID]EngineFactor
 	// Prompts lists the prompts sent to engines since the previous report.
 	Prompts []SentPrompt
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -340,7 +340,7 @@
 		s.model.observe(a.workAhead, factor, took)
 		s.speeds.stale = true
 	case s.capacity.TransferRate > 0:
-		s.transfers.observe(a.copyDistance, a.copyTokens, took-s.model.estimate().at(factor).predict(a.workAhead))
+		s.transfers.observe(a.copyDistance, a.copyTokens, took-s.model.estimate().scaledBy(factor).predict(a.workAhead))
 	}
 }
 
--- a/admission/service_time.go
+++ b/admission/service_time.go
@@ -15,15 +15,15 @@
 	// counts in the estimate for one of its upstreams.
 	serviceTimePriorWeight = 10
 	// serviceTimeTolerance is the fraction of the service's mean by which an upstream
-	// may differ without being told from it. It keeps noise from choosing between
+	// may differ and still count as equal. It keeps noise from deciding between
 	// upstreams that are alike.
 	serviceTimeTolerance = 0.25
 	// minServiceTimeObservations is the number of recent observations up to which an
-	// upstream is taken to be like the others, so that a few long requests do not mark
-	// it as slow.
+	// upstream is assumed to have the service's mean, so that a few long requests do not
+	// mark it as slow.
 	minServiceTimeObservations = 5
 	// serviceTimeMemory is the time after which observations count 1/e. An upstream
-	// that is taken for slow gets no requests that could correct the estimate.
+	// that is considered slow gets no requests that could correct the estimate.
 	serviceTimeMemory = 15 * time.Second
 )
 
--- a/admission/warming.go
+++ b/admission/warming.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -66,7 +67,7 @@
 }
 
 // markEjectedCold begins the cold period of an upstream that was just ejected. It may have
-// restarted, or restart until the ejection ends, before the store says so. The period
+// restarted, or restart until the ejection ends, before its new registration is known. The period
 // begins at once, because ejected upstreams are used if no others are left.
 func (s *Scheduler) markEjectedCold(now time.Time, u *upstream) {
 	s.markCold(now, u, u.detector.EjectedUntil().Add(s.warming.ColdStart()), warmup.Ejected)
@@ -78,15 +79,16 @@
 }
 
 // mostEjected reports whether most upstreams count as cold only because this router has
-// ejected them. It was its own network that failed then, not that many upstreams.
+// ejected them. The cause is then this router's own network rather than so many restarts.
 func (s *Scheduler) mostEjected(now time.Time) bool {
 	registered := func(id fleet.UpstreamID) bool { return s.upstreams[id] != nil }
 	return 2*s.warming.Count(now, warmup.Ejected, registered) > len(s.ids)
 }
 
-// mayWarm reports whether this router may send a request to a candidate now: it is not
-// cold, or this router is one of its senders and has a slot.
-func (s *Scheduler) mayWarm(b bounds, c *candidate) bool {
+// withinColdLimit reports whether the limit on requests to cold upstreams allows this router
+// to send to a candidate now: it is not cold, or this router is one of its senders and has a
+// slot. It records the result in the candidate.
+func (s *Scheduler) withinColdLimit(b bounds, c *candidate) bool {
 	c.passedOver = !s.warming.MaySend(b.now, c.upstream.ID) && !s.wronglyEjected(b, c)
 	return !c.passedOver
 }
@@ -119,15 +121,12 @@
 // is on time, given as untilOnTime, whichever is sooner.
 func (s *Scheduler) refusalDelay(now time.Time, candidates []candidate, untilOnTime time.Duration) time.Duration {
 	delay := untilOnTime
-	first := countPassedOver(candidates) == len(candidates)
+	if countPassedOver(candidates) == len(candidates) {
+		delay = math.MaxInt64 // There is no other candidate.
+	}
 	for i := range candidates {
-		if !candidates[i].passedOver {
-			continue
-		}
-		slot := s.warming.NextSend(now, candidates[i].upstream.ID).Sub(now)
-		if first || slot < delay {
-			delay = slot
-			first = false
+		if candidates[i].passedOver {
+			delay = min(delay, s.warming.NextSend(now, candidates[i].upstream.ID).Sub(now))
 		}
 	}
 	return delay
