--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -23,6 +23,19 @@
 	unavailable atomic.Bool
 }
 
+// watchingStores returns a function that lists the indexes of the stores that are watched.
+func watchingStores(stores []*countingStore) func() []int {
+	return func() []int {
+		var out []int
+		for i, s := range stores {
+			if s.openWatches.Load() > 0 {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+}
+
 func (s *countingStore) ReadRouting(ctx context.Context) (route.Definition, uint64, error) {
 	if s.unavailable.Load() {
 		return route.Definition{}, 0, errStoreUnavailable
@@ -85,15 +98,7 @@
 		counted[i] = &countingStore{Store: store}
 		return counted[i]
 	}, func(o *gateway.Options) { o.MaxPeerStoreAge = time.Second })
-	watching := func() []int {
-		var out []int
-		for i, s := range counted {
-			if s.openWatches.Load() > 0 {
-				out = append(out, i)
-			}
-		}
-		return out
-	}
+	watching := watchingStores(counted)
 	g.Eventually(watching, eventuallyTimeout).Should(HaveLen(3))
 
 	versions := func() []int64 {
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -22,14 +21,8 @@
 // there, and against a domain that stays unused after its evacuation.
 func TestEvacuatedDomainGetsNoNewWork(t *testing.T) {
 	g := NewWithT(t)
-	received, release := make(chan struct{}), make(chan struct{})
-	evacuated := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) {
-		if r.URL.Path == "/unsafe/" {
-			close(received)
-			<-release
-		}
-		respond(c, r, 200, "done")
-	})
+	respondWhenReleased, received, release := holdingUnsafe()
+	evacuated := startServer(t, "i-1", "plain", respondWhenReleased)
 	evacuated.Domain = "d2"
 	store := storeOf(definition(1), evacuated)
 	core, logs := observer.New(zap.InfoLevel)
@@ -218,15 +211,7 @@
 		follow(o)
 		o.MaxPeerStoreAge = time.Second
 	})
-	watching := func() []int {
-		var out []int
-		for i, s := range counted {
-			if s.openWatches.Load() > 0 {
-				out = append(out, i)
-			}
-		}
-		return out
-	}
+	watching := watchingStores(counted)
 	var aggregators []int
 	g.Eventually(func() []int {
 		aggregators = watching()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -130,14 +130,8 @@
 // that is shutting down has to keep serving requests that finish in time.
 func TestStoppingGatewayKeepsServingUntilAnotherOneDoes(t *testing.T) {
 	g := NewWithT(t)
-	received, release := make(chan struct{}), make(chan struct{})
-	s := startServer(t, "i-1", "plain", func(_ *server, c net.Conn, r *http.Request) {
-		if r.URL.Path == "/unsafe/" {
-			close(received)
-			<-release
-		}
-		respond(c, r, 200, "done")
-	})
+	respondWhenReleased, received, release := holdingUnsafe()
+	s := startServer(t, "i-1", "plain", respondWhenReleased)
 	configuration := definition(1)
 	for i := range configuration.Routes {
 		if configuration.Routes[i].Name == "keyed" {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -190,17 +190,18 @@
 		var n int
 		n, err = x.Read(buf)
 		part = buf[:n]
-		if errors.Is(err, io.EOF) && n == 0 {
+		switch {
+		case errors.Is(err, io.EOF) && n == 0:
 			g.recordOutcome(j, id, outlier.Success)
 			return result{kind: complete, status: resp.status}
-		}
-		if err != nil && !errors.Is(err, io.EOF) && longestWrite >= slowWriteTime {
+		case err == nil || errors.Is(err, io.EOF):
+			// There is a part to relay.
+		case longestWrite >= slowWriteTime:
 			// The upstream could not send meanwhile and may have cut off the response.
 			j.service.cancelAttempt(id)
 			j.response.unread = true
 			return result{kind: callerGone, status: resp.status, err: err}
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		default:
 			return g.classifyBroken(ctx, j, id, x, err)
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,12 +18,11 @@
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
-// serve sends a request to upstreams until it has a final response.
+// serve selects the service of a request and has the request answered.
 func (g *Gateway) serve(ctx context.Context, j *job) {
 	ctx, span := telemetry.StartSpan(ctx, "gateway.request", attribute.String("request", j.in.ID))
 	defer span.End()
-	id, ok := j.route.SelectService(j.in.ID)
-	if ok {
+	if id, ok := j.route.SelectService(j.in.ID); ok {
 		j.service = g.service(id)
 	}
 	if j.service == nil {
@@ -36,6 +35,12 @@
 		return
 	}
 	j.service.recordRequest()
+	g.sendUntilFinal(ctx, j)
+}
+
+// sendUntilFinal sends a request to one upstream after the other until it has a final
+// response.
+func (g *Gateway) sendUntilFinal(ctx context.Context, j *job) {
 	var last result
 	for {
 		if refused := g.suspects.refusal(j); refused != nil {
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -284,6 +284,20 @@
 // respondDone responds to each request with status 200 and the body done.
 func respondDone(_ *server, c net.Conn, r *http.Request) { respond(c, r, 200, "done") }
 
+// holdingUnsafe returns a handler that responds like respondDone, but to the unsafe route only
+// once release is closed. It closes received when that request has arrived.
+func holdingUnsafe() (handle func(*server, net.Conn, *http.Request), received, release chan struct{}) {
+	received, release = make(chan struct{}), make(chan struct{})
+	handle = func(s *server, c net.Conn, r *http.Request) {
+		if r.URL.Path == "/unsafe/" {
+			close(received)
+			<-release
+		}
+		respondDone(s, c, r)
+	}
+	return handle, received, release
+}
+
 // startGatewayWith starts a ready gateway in front of upstreams.
 func startGatewayWith(t *testing.T, servers ...*server) *node {
 	t.Helper()
