--- a/admission/factor_pool.go
+++ b/admission/factor_pool.go
@@ -27,8 +27,8 @@
 	// refreshedAt is the time at which the factors were last pooled.
 	refreshedAt time.Time
 	// mean is the mean logarithm of the engines' pooled factors, smoothed over refreshes.
-	// Factors are used relative to it, so that they and the rate can't drift apart in
-	// opposite directions.
+	// Factors are used relative to it. Otherwise an error common to all factors and the
+	// inverse error of the rate would cancel out in each prediction and could grow.
 	mean float64
 	// weighted is set if the placement weights of the engines differ.
 	weighted bool
--- a/admission/fleet_simulation_test.go
+++ b/admission/fleet_simulation_test.go
@@ -217,7 +217,7 @@
 	}
 }
 
-// view returns what a router believes of an engine.
+// view returns a router's estimates of an engine.
 func (sim *fleetSimulation) view(router, engine int) admission.UpstreamView {
 	return sim.routers[router].scheduler.View(sim.now).Upstreams[sim.list[engine].ID]
 }
--- a/admission/home_load_test.go
+++ b/admission/home_load_test.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// tally counts the requests of one kind and what became of them.
+// tally counts the requests of one kind and their outcomes.
 type tally struct{ sent, admitted, late, outside int }
 
 func (c *tally) add(sim *simulation, d admission.Decision) {
--- a/admission/service_time_test.go
+++ b/admission/service_time_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against an upstream that gets no requests any more because of long ones: a single
-// one does not count, and the estimate returns to the service's mean by itself.
+// one does not count, and the estimate returns to the service's mean without new observations.
 func TestLongRequestsDoNotMarkAnUpstreamAsSlowForGood(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -1,4 +1,4 @@
-// Package evacuation holds the evacuated failure domains, to which nothing new may be
+// Package evacuation holds the evacuated failure domains, to which no new work may be
 // sent. The platform's store holds the authoritative set; processes compare their copies
 // by the store's revision. It addresses the load scenario of a failure domain that is
 // evacuated during a burst, at every process and also during an outage of the store.
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -19,7 +19,7 @@
 	wire *peerpb.Evacuations
 	// begunAt is when this router learned of each evacuation in force.
 	begunAt map[fleet.FailureDomainID]time.Time
-	// waitingSince is since when this router has waited for the first set.
+	// waitingSince is the time from which this router has waited for the first set.
 	waitingSince time.Time
 }
 
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -227,7 +227,7 @@
 	store.evacuate("d1", false)
 	began := time.Now()
 	g.Eventually(evacuated, evacuateWithin).Should(HaveEach(ConsistOf(fleet.FailureDomainID("d1"))))
-	t.Logf("in force at all after %s", time.Since(began))
+	t.Logf("in force at all gateways after %s", time.Since(began))
 	for _, i := range aggregators {
 		faulty[i].unavailable.Store(true)
 	}
@@ -235,5 +235,5 @@
 	store.evacuate("d1", true)
 	began = time.Now()
 	g.Eventually(evacuated, evacuateWithin).Should(HaveEach(ConsistOf(fleet.FailureDomainID("d2"))))
-	t.Logf("in force at all after %s without the watch at the aggregators", time.Since(began))
+	t.Logf("in force at all gateways after %s without the watch at the aggregators", time.Since(began))
 }
--- a/gateway/slow_load_test.go
+++ b/gateway/slow_load_test.go
@@ -101,8 +101,8 @@
 }
 
 // TestSlowCallersDoNotDelayHealthyOnes is the scenario of 64 slow callers on one gateway,
-// whose engines go on sending: the time to the first event of healthy callers is within 10% of that without them, and
-// the memory held is within its bound.
+// whose engines go on sending: the time to the first event of healthy callers is within 10%
+// of that without them, and the memory held is within its bound.
 func TestSlowCallersDoNotDelayHealthyOnes(t *testing.T) {
 	g := NewWithT(t)
 	const prefill = 100 * time.Millisecond
--- a/warmup/fleet.go
+++ b/warmup/fleet.go
@@ -78,7 +78,7 @@
 	return xxhash.Sum64(pair[:])
 }
 
-// firstSlot returns the time before which this router sends nothing to cold upstreams. An
+// firstSlot returns the earliest time at which this router may send to a cold upstream. An
 // earlier process of the same router may have sent until just before the list of routers
 // became known, so at least one interval has to pass.
 func (f *Fleet) firstSlot(interval time.Duration) time.Time {
--- a/warmup/members.go
+++ b/warmup/members.go
@@ -14,7 +14,7 @@
 	Self   fleet.NodeID
 	Domain fleet.FailureDomainID
 	// TTL is how long a router that is neither registered nor connected remains a
-	// member: it may be cut off and still reach the upstreams.
+	// member: it may be partitioned from the others and still reach the upstreams.
 	TTL time.Duration
 	// Settle is how long this router, once it knows the registered routers, waits at
 	// most before it sends to cold upstreams. Meanwhile the other routers learn of it and
