gateway: show refusals when TestAllCallersSlowAtOnce times out

It failed once in a run with the race detector at a load of 21 (16 of 64 attempts ended after 10 s), and the output did not show what became of the others.

--- a/gateway/slow_load_test.go
+++ b/gateway/slow_load_test.go
@@ -144,7 +144,10 @@
 	for range slowCallerCount {
 		callers = append(callers, dialSlowCaller(t, n, "/stream/120", ""))
 	}
-	g.Eventually(func() int { return logs.FilterMessage("attempt ended").Len() }, eventuallyTimeout).Should(Equal(slowCallerCount))
+	progress := func() string {
+		return fmt.Sprint("requests sent: ", logs.FilterMessage("request sent").Len(), ", refused: ", logs.FilterMessage("request refused").All())
+	}
+	g.Eventually(func() int { return logs.FilterMessage("attempt ended").Len() }, eventuallyTimeout).Should(Equal(slowCallerCount), progress)
 	whole, broken := 0, 0
 	for _, caller := range callers {
 		body, err := caller.readAll()
