--- a/gateway/slow_load_test.go
+++ b/gateway/slow_load_test.go
@@ -101,8 +101,8 @@
 }
 
 // TestSlowCallersDoNotDelayHealthyOnes is the scenario of 64 slow callers on one gateway,
-// whose engines go on sending: the time to the first event of healthy callers is within 10% of that without them, and
-// the memory held is within its bound.
+// whose engines go on sending: the time to the first event of healthy callers is within 10%
+// of that without them, and the memory held is within its bound.
 func TestSlowCallersDoNotDelayHealthyOnes(t *testing.T) {
 	g := NewWithT(t)
 	const prefill = 100 * time.Millisecond
@@ -144,7 +144,10 @@
 	for range slowCallerCount {
 		callers = append(callers, dialSlowCaller(t, n, "/stream/120", ""))
 	}
-	g.Eventually(func() int { return logs.FilterMessage("attempt ended").Len() }, eventuallyTimeout).Should(Equal(slowCallerCount))
+	progress := func() string {
+		return fmt.Sprint("requests sent: ", logs.FilterMessage("request sent").Len(), ", refused: ", logs.FilterMessage("request refused").All())
+	}
+	g.Eventually(func() int { return logs.FilterMessage("attempt ended").Len() }, eventuallyTimeout).Should(Equal(slowCallerCount), progress)
 	whole, broken := 0, 0
 	for _, caller := range callers {
 		body, err := caller.readAll()
