gateway: name the requests and prompt parts that a crash broke off

The logs of the incident don't distinguish blame on whole requests from crashes that are not recognized: no line names the prompt parts of a broken attempt or the requests that an upstream's crash broke off. 'attempt ended' with the result 'broken' has the digest and the shared prompt parts, 'upstream crashed' the digests, and gateway_upstream_crashes counts crashes by service. No decision changes.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -26,6 +26,8 @@
 	// answer; zero if it sent none.
 	Deadline time.Duration
 	Prompt   placement.Prompt
+	// PartNames are the names of the parts of Prompt as the caller sent them, for logs.
+	PartNames []string
 	// OutputTokens is the expected length of the answer in tokens.
 	OutputTokens int
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,8 @@
 	// coldPassedOverCounts counts the times by service that an otherwise acceptable
 	// upstream was passed over because it is cold.
 	coldPassedOverCounts = expvar.NewMap("gateway_cold_passed_over")
+	// crashCounts counts the upstreams that were found to be failing by service.
+	crashCounts = expvar.NewMap("gateway_upstream_crashes")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -355,9 +355,13 @@
 }
 
 func (g *Gateway) logResult(j *job, d admission.Decision, r result) {
-	g.log.Info("attempt ended", zap.String("request", j.in.ID), zap.String("upstream", string(d.Upstream.ID)),
+	fields := []zap.Field{zap.String("request", j.in.ID), zap.String("upstream", string(d.Upstream.ID)),
 		zap.Stringer("result", r.kind), zap.Int("status", r.status), zap.Duration("first", r.firstEvent),
-		zap.Duration("elapsed", time.Since(j.arrived)), zap.Error(r.err))
+		zap.Duration("elapsed", time.Since(j.arrived)), zap.Error(r.err)}
+	if r.kind == broken {
+		fields = append(fields, zap.String("digest", j.digest()), zap.Strings("prompt_parts", j.sharedPartNames()))
+	}
+	g.log.Info("attempt ended", fields...)
 }
 
 // routerCount returns the number of connected routers, including this one.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -83,6 +83,7 @@
 
 // recordCrash records that an upstream was found to be failing.
 func (s *suspects) recordCrash(u registry.Upstream) {
+	crashCounts.Add(string(u.Service), 1)
 	s.mu.Lock()
 	digests := s.correlator.RecordCrash(time.Now(), crashID(u))
 	s.mu.Unlock()
@@ -90,6 +91,7 @@
 }
 
 func (s *suspects) addCrash(u registry.Upstream, digests []string) {
+	s.log.Warn("upstream crashed", zap.String("service", string(u.Service)), zap.String("crash", crashID(u)), zap.Strings("digests", digests))
 	expires := s.NewExpiry()
 	found := make([]quarantine.Suspect, 0, len(digests))
 	for _, digest := range digests {
@@ -148,3 +150,9 @@
 	}
 	return strconv.FormatUint(h.Sum64(), 16)
 }
+
+// sharedPartNames returns the names of the parts of the prompt that other requests may
+// share.
+func (j *job) sharedPartNames() []string {
+	return j.in.PartNames[:max(len(j.in.PartNames)-1, 0)]
+}
