--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -3,13 +3,19 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"fulmarspindle.example/fulmarspindle/exchange"
+	"fulmarspindle.example/fulmarspindle/placement"
 )
 
+// partsHeader lists the parts of a prompt by name.
+const partsHeader = "Parts"
+
 // readyPath is the path of the health check in tests.
 const readyPath = "/ready"
 
@@ -35,6 +41,12 @@
 		}
 		in.Deadline = time.Duration(ms) * time.Millisecond
 	}
+	if parts := r.Header.Get(partsHeader); parts != "" {
+		in.PartNames = strings.Split(parts, ",")
+		for _, name := range in.PartNames {
+			in.Prompt = append(in.Prompt, placement.Part{ID: xxhash.Sum64String(name), Tokens: 100})
+		}
+	}
 	for _, name := range []string{"Key", "Team", "Upstream-Id", "Time-Left", "Connection", "Content-Length", "Transfer-Encoding"} {
 		in.Header.Del(name)
 	}
