gateway: blame the prompt part that crashes upstreams

Cause: crashes were attributed to whole requests only. The requests differed in all but that part, so none reached three crashes, except those that their callers sent again. The class: blame at a coarser unit than the cause.

Requests with a blamed part are refused, those that await a response are canceled.

--- a/gateway/crashing_parts_test.go
+++ b/gateway/crashing_parts_test.go
@@ -87,3 +87,91 @@
 		g.Expect(sendPrompt(n, fmt.Sprint("refused-", i), "system", "bad")).To(Equal(http.StatusServiceUnavailable))
 	}
 }
+
+// blamePart sends requests with the part "bad" until a gateway refuses it.
+func blamePart(t *testing.T, n *node) {
+	t.Helper()
+	i := 0
+	NewWithT(t).Eventually(func() int {
+		i++
+		return sendPrompt(n, fmt.Sprint("blame-", i), "system", "bad")
+	}, eventuallyTimeout).Should(Equal(http.StatusServiceUnavailable))
+}
+
+// Guards against a gateway that starts after the verdict, or lost its sessions meanwhile,
+// sending requests with the part.
+func TestGatewayThatStartsLaterKnowsTheBlamedPart(t *testing.T) {
+	g := NewWithT(t)
+	e := startCrashingEngines(t, 12)
+	first := startGateway(t, "g1", e.store, nil)
+	awaitReady(t, first)
+	blamePart(t, first)
+	received := e.received.Load()
+	later := startGateway(t, "g2", e.store, func(o *gateway.Options) { o.Policy.Seeds = []string{first.peer} })
+	awaitReady(t, later)
+	g.Eventually(func() int { return len(later.State().BlamedParts) }, eventuallyTimeout).Should(Equal(1))
+	g.Expect(later.State().BlamedParts[0].Part).To(Equal("bad"))
+	g.Expect(sendPrompt(later, "later", "system", "bad")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(sendPrompt(later, "sound", "system", "good")).To(Equal(http.StatusOK))
+	g.Expect(e.received.Load()).To(Equal(received))
+}
+
+// Guards against requests that wait at an upstream when the verdict falls crashing it.
+func TestWaitingRequestWithABlamedPartIsCanceled(t *testing.T) {
+	g := NewWithT(t)
+	e := startCrashingEngines(t, 12)
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	holding := startServer(t, "holding", "engines", func(_ *server, c net.Conn, r *http.Request) {
+		if r.Header.Get("Request-Id") != "held" {
+			streamHead(c, r)
+			chunk(c, events(1, 3))
+			lastChunk(c)
+			return
+		}
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1)) // Returns when the gateway closes the connection.
+		close(closed)
+	})
+	n := startGatewayWith(t, holding)
+	status := make(chan int, 1)
+	go func() { status <- sendPrompt(n, "held", "system", "bad") }()
+	<-arrived
+	store := e.store
+	other := startGateway(t, "g2", store, func(o *gateway.Options) { o.Policy.Seeds = []string{n.peer} })
+	awaitReady(t, other)
+	g.Eventually(func() int { return len(n.State().Routers) }, eventuallyTimeout).Should(Equal(1))
+	blamePart(t, other)
+	g.Eventually(closed, eventuallyTimeout).Should(BeClosed())
+	g.Eventually(status, eventuallyTimeout).Should(Receive(Equal(http.StatusBadGateway)))
+}
+
+// Guards against a part that was blamed wrongly, for crashes with another cause, being
+// refused until the evidence expires: one request is tried, and its answer clears the part.
+func TestPartThatIsBlamedWronglyIsCleared(t *testing.T) {
+	g := NewWithT(t)
+	store := newMemoryStore()
+	store.configure(definition(1))
+	for i := range 6 {
+		s := startServer(t, fmt.Sprint("i-", i), "engines", func(s *server, c net.Conn, r *http.Request) {
+			streamHead(c, r)
+			if strings.HasPrefix(r.Header.Get("Request-Id"), "crash") {
+				s.crash()
+				return
+			}
+			chunk(c, events(1, 3))
+			lastChunk(c)
+		})
+		store.register(s.Upstream, false)
+	}
+	n := startGateway(t, "g1", store, nil)
+	awaitReady(t, n)
+	for i := range 3 {
+		sendPrompt(n, fmt.Sprint("crash-", i), "system", "wrong")
+		g.Eventually(func() int { return sendPrompt(n, fmt.Sprint("sound-", i), "system", "good") }, eventuallyTimeout).
+			Should(Equal(http.StatusOK))
+	}
+	g.Eventually(func() int { return len(n.State().BlamedParts) }, eventuallyTimeout).Should(Equal(1))
+	g.Expect(sendPrompt(n, "refused", "system", "wrong")).To(Equal(http.StatusServiceUnavailable))
+	g.Eventually(func() int { return sendPrompt(n, "trial", "system", "wrong") }, eventuallyTimeout).Should(Equal(http.StatusOK))
+	g.Expect(n.State().BlamedParts).To(BeEmpty())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,7 +101,7 @@
 	g.readiness = newReadiness(g)
 	g.peers = newPeers(g)
 	g.cacheLists = newCacheLists(g)
-	g.suspects = newSuspects(g.peers.sessions, g.log)
+	g.suspects = newSuspects(g)
 	return g
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,10 @@
 	coldPassedOverCounts = expvar.NewMap("gateway_cold_passed_over")
 	// crashCounts counts the upstreams that were found to be failing by service.
 	crashCounts = expvar.NewMap("gateway_upstream_crashes")
+	// blamedParts is the number of prompt parts that are blamed for crashes, and
+	// partTrialCounts counts their trials by service.
+	blamedParts     = expvar.NewInt("gateway_blamed_prompt_parts")
+	partTrialCounts = expvar.NewMap("gateway_prompt_part_trials")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -253,6 +253,7 @@
 	p.addAddresses(p.gateway.background, map[fleet.NodeID]string{s.ID(): s.Address()})
 	p.fullReportDue.Store(true)
 	p.gateway.suspects.SendAll(s)
+	p.gateway.suspects.parts.sendAll(s)
 }
 
 // SessionDown implements peer.Handler.
@@ -290,6 +291,10 @@
 		}})
 	case *peerpb.Envelope_Suspects:
 		p.gateway.suspects.applyUpdate(s.ID(), b.Suspects)
+	case *peerpb.Envelope_Crashes:
+		p.gateway.suspects.parts.applyUpdate(s, b.Crashes)
+	case *peerpb.Envelope_PartTrial:
+		p.gateway.suspects.parts.applyTrial(b.PartTrial)
 	case *peerpb.Envelope_RegistryUpdate:
 		p.gateway.applyPeerRegistry(s.ID(), b.RegistryUpdate)
 	}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,6 +57,15 @@
 	// of retries taken from the budget.
 	reached int
 	retries int
+	// sentAt is when the last attempt was begun, and answerBegun is set once its response
+	// has. closeDelimited is set if only the end of the connection marks the end of the
+	// response.
+	sentAt         time.Time
+	answerBegun    atomic.Bool
+	closeDelimited bool
+	// trial is set if the request is sent although a part of its prompt is blamed for
+	// crashes.
+	trial bool
 	// charged is set once an attempt was charged to the team's account.
 	charged  bool
 	position streamPosition
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,6 +101,7 @@
 func (g *Gateway) relay(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	status, header := x.Response.StatusCode, x.Response.Header
 	g.markReportedCold(j, status, header)
+	j.closeDelimited = x.CloseDelimited()
 	switch g.options.Dialect.ClassifyResponse(status, header) {
 	case exchange.NotRun:
 		// Drains the body so that the connection can be reused.
@@ -236,6 +237,7 @@
 			if res.firstEvent == 0 {
 				res.firstEvent = now.Sub(j.arrived)
 				j.service.recordFirstEvent(id)
+				j.answerBegun.Store(true)
 			} else {
 				eventGap.record(now.Sub(lastEvent))
 			}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,11 @@
 			g.concludeNotAdmitted(j, last, decision)
 			return
 		}
+		if refused := g.suspects.parts.claimTrial(j); refused != nil {
+			j.service.cancelAttempt(j.attemptID())
+			g.concludeRefused(j, last, refused)
+			return
+		}
 		if j.needsRetryBudget() && !g.takeRetry(j, last) {
 			j.service.cancelAttempt(j.attemptID())
 			g.conclude(ctx, j, last)
@@ -224,18 +229,37 @@
 		return result{kind: callerLeftEarly, err: context.Cause(ctx)}
 	}
 	markRequestDecided(ctx)
-	sent := time.Now()
+	sendCtx, untrack := g.suspects.parts.track(ctx, j)
+	defer untrack()
+	j.sentAt = time.Now()
+	j.answerBegun.Store(false)
 	message := g.upstreamMessage(j, d)
-	message.ShouldSend = func() bool { return !callerDisconnected(ctx) && !g.isEvacuated(d.Upstream.Domain) }
-	x, err := g.pool(d.Upstream).Do(ctx, message)
+	message.ShouldSend = func() bool {
+		return !callerDisconnected(ctx) && !g.isEvacuated(d.Upstream.Domain) && !g.suspects.parts.blocks(j)
+	}
+	x, err := g.pool(d.Upstream).Do(sendCtx, message)
 	if errors.Is(err, upstream.ErrWithdrawn) {
 		return g.classifyWithdrawn(ctx, j, id, err)
 	}
+	if err != nil && errors.Is(context.Cause(sendCtx), errPartBlamed) {
+		return g.classifyBlamed(j, id, err)
+	}
 	if err != nil {
-		return g.classifyError(ctx, j, id, sent, err)
+		return g.classifyError(ctx, j, id, err)
 	}
 	defer x.Close()
-	return g.relay(ctx, j, id, x)
+	return g.relay(sendCtx, j, id, x)
+}
+
+// classifyBlamed returns the result of an attempt that was canceled because a part of the
+// prompt was blamed for crashes meanwhile.
+func (g *Gateway) classifyBlamed(j *job, id string, err error) result {
+	j.service.cancelAttempt(id)
+	kind := broken
+	if errors.Is(err, upstream.ErrNotSent) {
+		kind = notSent
+	}
+	return result{kind: kind, err: errPartBlamed}
 }
 
 func (g *Gateway) upstreamMessage(j *job, d admission.Decision) *upstream.Request {
@@ -264,9 +288,9 @@
 }
 
 // classifyError returns the result of an attempt that got no response.
-func (g *Gateway) classifyError(ctx context.Context, j *job, id string, sent time.Time, err error) result {
+func (g *Gateway) classifyError(ctx context.Context, j *job, id string, err error) result {
 	if ctx.Err() != nil {
-		g.endCancelled(j, id, sent)
+		g.endCancelled(j, id)
 		kind := broken
 		if errors.Is(err, upstream.ErrNotSent) {
 			kind = notSent
@@ -288,8 +312,8 @@
 // endCancelled ends an attempt that was canceled by the caller or the timeout. An
 // upstream that has been silent for long counts as failing, since a hanging upstream
 // may keep its registration and pass its health checks.
-func (g *Gateway) endCancelled(j *job, id string, sent time.Time) {
-	if time.Since(sent) >= hangObjectiveFactor*j.objective() {
+func (g *Gateway) endCancelled(j *job, id string) {
+	if time.Since(j.sentAt) >= hangObjectiveFactor*j.objective() {
 		g.recordOutcome(j, id, outlier.Broken)
 		return
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -44,6 +44,9 @@
 	// Retries is the usage of each service's retry budget.
 	Retries  map[fleet.ServiceID]retry.Usage `json:"retries"`
 	Suspects []Suspect                       `json:"suspects"`
+	// BlamedParts are the prompt parts whose requests are refused because they crash
+	// upstreams.
+	BlamedParts []BlamedPart `json:"blamed_parts"`
 	// HomeRegions is nil if no route and no team has home regions.
 	HomeRegions *HomeRegions `json:"home_regions,omitempty"`
 	// Evacuations is nil if evacuations of failure domains are not in use.
@@ -60,6 +63,18 @@
 	ExpiresMs int64    `json:"expires_ms"`
 }
 
+// BlamedPart is a prompt part that is blamed for crashes of upstreams.
+type BlamedPart struct {
+	// Part is the name of the part as callers send it.
+	Part    string          `json:"part"`
+	ID      uint64          `json:"id"`
+	Service fleet.ServiceID `json:"service"`
+	// Crashes are the crashed upstreams, each with its start time.
+	Crashes []string `json:"crashes"`
+	// TrialMs is the time until one request with the part may be sent as a trial.
+	TrialMs int64 `json:"trial_ms"`
+}
+
 // UpstreamEntry is a registration known to a gateway.
 type UpstreamEntry struct {
 	ID       fleet.UpstreamID `json:"id"`
@@ -77,7 +92,7 @@
 		ID: g.options.ID, Ready: g.Ready(), Draining: g.draining.Load(),
 		Configuration: int64(g.generation()), Services: make(map[fleet.ServiceID]admission.View),
 		Retries:  make(map[fleet.ServiceID]retry.Usage),
-		Suspects: g.suspects.view(now), BufferedBytes: g.bufferedBytes.Load(),
+		Suspects: g.suspects.view(now), BlamedParts: g.suspects.parts.view(now), BufferedBytes: g.bufferedBytes.Load(),
 		HomeRegions: homeRegionsView(g.table.Load()),
 		SlowCallers: g.slowCallers.view(),
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -30,20 +30,34 @@
 	*node.Suspects
 	log *zap.Logger
 
+	// parts attributes crashes to prompt parts.
+	parts *crashParts
+
 	mu         sync.Mutex
-	correlator *quarantine.CrashCorrelator
+	correlator *quarantine.CrashCorrelator[brokenRequest]
+}
+
+// brokenRequest is a request whose response broke off.
+type brokenRequest struct {
+	digest string
+	parts  []quarantine.SuspectPart
 }
 
-func newSuspects(sessions *node.Sessions, log *zap.Logger) *suspects {
+func newSuspects(g *Gateway) *suspects {
 	return &suspects{
-		Suspects:   node.NewSuspects(sessions, quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
-		log:        log,
-		correlator: quarantine.NewCrashCorrelator(),
+		Suspects:   node.NewSuspects(g.peers.sessions, quarantine.Options{RefusedCrashes: refusedCrashes, TTL: suspectTTL}),
+		log:        g.log,
+		parts:      newCrashParts(g),
+		correlator: quarantine.NewCrashCorrelator[brokenRequest](),
 	}
 }
 
-// refusal returns the refusal of a request that has crashed too many upstreams, or nil.
+// refusal returns the refusal of a request that has crashed too many upstreams, or of which
+// a part of the prompt has; nil if there is no reason to refuse it.
 func (s *suspects) refusal(j *job) *refusal {
+	if refused := s.parts.refusal(j); refused != nil {
+		return refused
+	}
 	if s.Empty() {
 		return nil
 	}
@@ -58,8 +72,13 @@
 }
 
 // recordOutcome correlates the outcome of an attempt with crashes. A success removes
-// the request from the suspects.
+// the request from the suspects and clears the parts of its prompt, unless only the end of
+// the connection marks the end of the response: a crash may look the same.
 func (s *suspects) recordOutcome(j *job, outcome outlier.Outcome) {
+	if outcome == outlier.Success && !j.closeDelimited {
+		s.parts.recordAnswer(j)
+		s.parts.recordAlive(j.upstream, j.sentAt)
+	}
 	switch outcome {
 	case outlier.Success:
 		if !s.Empty() {
@@ -72,12 +91,12 @@
 }
 
 func (s *suspects) recordBroken(j *job) {
-	digest := j.digest()
+	request := brokenRequest{digest: j.digest(), parts: j.suspectParts()}
 	s.mu.Lock()
-	crashed := s.correlator.RecordBroken(time.Now(), crashID(j.upstream), digest)
+	crashed := s.correlator.RecordBroken(time.Now(), crashID(j.upstream), request)
 	s.mu.Unlock()
 	if crashed {
-		s.addCrash(j.upstream, []string{digest})
+		s.addCrash(j.upstream, []brokenRequest{request})
 	}
 }
 
@@ -85,19 +104,22 @@
 func (s *suspects) recordCrash(u registry.Upstream) {
 	crashCounts.Add(string(u.Service), 1)
 	s.mu.Lock()
-	digests := s.correlator.RecordCrash(time.Now(), crashID(u))
+	requests := s.correlator.RecordCrash(time.Now(), crashID(u))
 	s.mu.Unlock()
-	s.addCrash(u, digests)
+	s.addCrash(u, requests)
 }
 
-func (s *suspects) addCrash(u registry.Upstream, digests []string) {
-	s.log.Warn("upstream crashed", zap.String("service", string(u.Service)), zap.String("crash", crashID(u)), zap.Strings("digests", digests))
+func (s *suspects) addCrash(u registry.Upstream, requests []brokenRequest) {
 	expires := s.NewExpiry()
-	found := make([]quarantine.Suspect, 0, len(digests))
-	for _, digest := range digests {
-		found = append(found, quarantine.Suspect{Digest: digest, Service: u.Service, CrashIDs: []string{crashID(u)}, Expires: expires})
+	digests := make([]string, 0, len(requests))
+	found := make([]quarantine.Suspect, 0, len(requests))
+	for _, r := range requests {
+		digests = append(digests, r.digest)
+		found = append(found, quarantine.Suspect{Digest: r.digest, Service: u.Service, CrashIDs: []string{crashID(u)}, Expires: expires})
 	}
+	s.log.Warn("upstream crashed", zap.String("service", string(u.Service)), zap.String("crash", crashID(u)), zap.Strings("digests", digests))
 	s.add(found, "own")
+	s.parts.addCrash(u, requests)
 }
 
 // crashID identifies a crash of an upstream by its ID and start time, which changes
--- a/placement/preference.go
+++ b/placement/preference.go
@@ -10,6 +10,11 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
+// RendezvousScore returns the score of a candidate for a key in rendezvous hashing.
+func RendezvousScore(key uint64, candidate string) uint64 {
+	return chainHash(key, xxhash.Sum64String(candidate))
+}
+
 // PreferredEngines returns the engines in order of preference for a key. The order is
 // that of rendezvous hashing: all routers compute the same one, and adding or removing
 // an engine reassigns only the keys of that engine.
@@ -20,7 +25,7 @@
 	}
 	scores := make([]scored, len(engines))
 	for i, id := range engines {
-		scores[i] = scored{id: id, score: chainHash(key, xxhash.Sum64String(string(id)))}
+		scores[i] = scored{id: id, score: RendezvousScore(key, string(id))}
 	}
 	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	out := make([]fleet.UpstreamID, len(scores))
--- a/quarantine/correlator.go
+++ b/quarantine/correlator.go
@@ -10,61 +10,61 @@
 	maxBrokenResponses = 4096
 )
 
-// CrashCorrelator finds the requests that were running when an upstream crashed. Since
+// CrashCorrelator finds the requests R that were running when an upstream crashed. Since
 // upstreams may also lose single responses without a crash, a broken response counts
 // only if its upstream is found to be failing within correlationWindow of it.
-type CrashCorrelator struct {
-	broken []brokenResponse
+type CrashCorrelator[R any] struct {
+	broken []brokenResponse[R]
 	// crashedAt holds the time at which each crash was detected, by crash ID.
 	crashedAt map[string]time.Time
 }
 
 // brokenResponse records a response that ended before it was complete.
-type brokenResponse struct {
+type brokenResponse[R any] struct {
 	crashID string
-	digest  string
+	request R
 	at      time.Time
 }
 
 // NewCrashCorrelator returns an empty CrashCorrelator.
-func NewCrashCorrelator() *CrashCorrelator {
-	return &CrashCorrelator{crashedAt: make(map[string]time.Time)}
+func NewCrashCorrelator[R any]() *CrashCorrelator[R] {
+	return &CrashCorrelator[R]{crashedAt: make(map[string]time.Time)}
 }
 
 // RecordBroken records the broken response of a request at an upstream whose crash, if
 // it crashed, has the ID crashID. It reports whether that crash was detected within
 // the last correlationWindow.
-func (c *CrashCorrelator) RecordBroken(now time.Time, crashID, digest string) bool {
+func (c *CrashCorrelator[R]) RecordBroken(now time.Time, crashID string, request R) bool {
 	c.expire(now)
 	if _, crashed := c.crashedAt[crashID]; crashed {
 		return true
 	}
 	if len(c.broken) < maxBrokenResponses {
-		c.broken = append(c.broken, brokenResponse{crashID: crashID, digest: digest, at: now})
+		c.broken = append(c.broken, brokenResponse[R]{crashID: crashID, request: request, at: now})
 	}
 	return false
 }
 
-// RecordCrash records that an upstream was found to be failing. It returns the digests
-// of the requests whose responses from it broke within the last correlationWindow.
-func (c *CrashCorrelator) RecordCrash(now time.Time, crashID string) []string {
+// RecordCrash records that an upstream was found to be failing. It returns the requests
+// whose responses from it broke within the last correlationWindow.
+func (c *CrashCorrelator[R]) RecordCrash(now time.Time, crashID string) []R {
 	c.expire(now)
 	c.crashedAt[crashID] = now
-	var digests []string
+	var requests []R
 	kept := c.broken[:0]
 	for _, b := range c.broken {
 		if b.crashID == crashID {
-			digests = append(digests, b.digest)
+			requests = append(requests, b.request)
 			continue
 		}
 		kept = append(kept, b)
 	}
 	c.broken = kept
-	return digests
+	return requests
 }
 
 // expire removes records older than correlationWindow.
-func (c *CrashCorrelator) expire(now time.Time) {
+func (c *CrashCorrelator[R]) expire(now time.Time) {
 	expired := 0
 	for expired < len(c.broken) && now.Sub(c.broken[expired].at) > correlationWindow {
 		expired++
--- a/quarantine/correlator_test.go
+++ b/quarantine/correlator_test.go
@@ -12,7 +12,7 @@
 
 	t.Run("responses broken shortly before and after the crash is detected count", func(t *testing.T) {
 		g := NewWithT(t)
-		c := NewCrashCorrelator()
+		c := NewCrashCorrelator[string]()
 		g.Expect(c.RecordBroken(at(0), "u1", "a")).To(BeFalse())
 		g.Expect(c.RecordBroken(at(1), "u2", "other")).To(BeFalse())
 		g.Expect(c.RecordBroken(at(2), "u1", "b")).To(BeFalse())
@@ -22,19 +22,19 @@
 	})
 	t.Run("a response broken long before a crash does not count", func(t *testing.T) {
 		g := NewWithT(t)
-		c := NewCrashCorrelator()
+		c := NewCrashCorrelator[string]()
 		c.RecordBroken(at(0), "u1", "a")
 		g.Expect(c.RecordCrash(at(2001), "u1")).To(BeEmpty())
 	})
 	t.Run("a response broken long after a crash does not count", func(t *testing.T) {
 		g := NewWithT(t)
-		c := NewCrashCorrelator()
+		c := NewCrashCorrelator[string]()
 		c.RecordCrash(at(0), "u1")
 		g.Expect(c.RecordBroken(at(2001), "u1", "a")).To(BeFalse())
 	})
 	t.Run("the number of remembered responses is bounded", func(t *testing.T) {
 		g := NewWithT(t)
-		c := NewCrashCorrelator()
+		c := NewCrashCorrelator[string]()
 		for range maxBrokenResponses + 10 {
 			c.RecordBroken(at(0), "u1", "a")
 		}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -194,6 +194,12 @@
 	}
 }
 
+// CloseDelimited reports whether the end of the connection marks the end of the response
+// body, so that a response that was cut off may look complete.
+func (x *Exchange) CloseDelimited() bool {
+	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+}
+
 // Close returns the connection to the pool if the request was written, the response
 // read to its end and no further bytes received; otherwise it closes the connection.
 func (x *Exchange) Close() {
