gateway: an empty stream that ends with its connection is broken off

Callers got an empty, complete stream when an upstream crashed before its first event and had announced neither a length nor chunks: the end of the connection was taken for the end of the stream. Such a stream now counts as broken, so it is retried where the route allows it, and the upstream is checked.

--- a/gateway/crashing_parts_test.go
+++ b/gateway/crashing_parts_test.go
@@ -175,3 +175,48 @@
 	g.Eventually(func() int { return sendPrompt(n, "trial", "system", "wrong") }, eventuallyTimeout).Should(Equal(http.StatusOK))
 	g.Expect(n.State().BlamedParts).To(BeEmpty())
 }
+
+// closeDelimitedHead writes the headers of an event stream that ends with its connection.
+func closeDelimitedHead(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSigned-By: seal\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Request-Id"))
+}
+
+// Guards against a stream without length and chunks being taken for complete when its upstream
+// crashed: before the first event or within one. Where only the end of the connection marks
+// the end, a crash between two events can't be told apart.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     string
+		attempts int
+	}{
+		"no event":        {body: "", attempts: 2},
+		"within an event": {body: events(1, 2) + "id: 3\nda", attempts: 2},
+		"whole events":    {body: events(1, 3), attempts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var attempts atomic.Int32
+			handle := func(_ *server, conn net.Conn, r *http.Request) {
+				if attempts.Add(1) == 1 {
+					closeDelimitedHead(conn, r)
+					fmt.Fprint(conn, c.body)
+					conn.Close()
+					return
+				}
+				from := 1
+				if r.Header.Get("Last-Event-Id") != "" {
+					from = 3
+				}
+				streamHead(conn, r)
+				chunk(conn, events(from, 3))
+				lastChunk(conn)
+			}
+			n := startGatewayWith(t, startServer(t, "i-1", "engines", handle), startServer(t, "i-2", "engines", handle))
+			resp, body, err := send(n, "POST", "/resumable/", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			g.Expect(body).To(Equal(events(1, 3)))
+			g.Expect(int(attempts.Load())).To(Equal(c.attempts))
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -253,6 +253,10 @@
 		if errors.Is(err, io.EOF) && len(splitter.Pending()) > 0 {
 			err = eris.New("stream ended within an event")
 		}
+		if errors.Is(err, io.EOF) && j.closeDelimited && res.firstEvent == 0 {
+			// An upstream that crashed before its first event looks the same.
+			err = eris.New("connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) {
 			return g.finishStream(j, id, x, res)
 		}
