gateway: keep blamed prompt parts in the store

A kill of all gateways lost every verdict on prompt parts, so that a part crashed three more upstreams before it was refused again.

A gateway whose evidence leads to a verdict writes it to the store once, who clears the part removes it, and each gateway reads the list once at its start.

--- a/gateway/crash_parts.go
+++ b/gateway/crash_parts.go
@@ -24,6 +24,12 @@
 	partTrialDelay = 4 * time.Second
 )
 
+// Sources of evidence other than the ID of a router.
+const (
+	sourceOwn   = "own"
+	sourceStore = "store"
+)
+
 // errPartBlamed is the cancellation cause of an attempt whose prompt has a part that was
 // blamed for crashes meanwhile.
 var errPartBlamed = eris.New("gateway: a part of the prompt crashes upstreams")
@@ -208,7 +214,7 @@
 	merged := c.list.Merge(time.Now(), found)
 	found.Parts = append(found.Parts, merged.Cleared.Parts...)
 	c.broadcastCrashes(found)
-	c.logChanges("own")
+	c.logChanges(sourceOwn)
 }
 
 // distinctParts returns each suspect part of some requests once.
@@ -237,7 +243,7 @@
 	defer c.mu.Unlock()
 	if cleared := c.list.RecordAnswer(time.Now(), shared); len(cleared) > 0 {
 		c.broadcastCrashes(cleared...)
-		c.logChanges("own")
+		c.logChanges(sourceOwn)
 	}
 }
 
@@ -251,7 +257,7 @@
 	}
 	c.log.Info("crash refuted", zap.String("crash", crashID(u)))
 	c.broadcastCrashes(quarantine.Crash{ID: crashID(u), Service: u.Service, At: time.Now(), Refuted: true})
-	c.logChanges("own")
+	c.logChanges(sourceOwn)
 }
 
 // logChanges logs which parts are blamed from now on or no longer, and cancels the attempts
@@ -267,13 +273,20 @@
 		}
 		c.log.Warn("prompt part blamed", append(blameFields(b), zap.String("source", source))...)
 		c.cancelWaiting(b.Part)
-		if source != "own" {
+		switch source {
+		case sourceOwn:
+			go c.save(c.gateway.background, b)
+		case sourceStore:
+		default:
 			c.broadcastCrashes(c.list.Evidence(now, b.Part)...)
 		}
 	}
 	for id, b := range c.blamed {
 		if _, still := current[id]; !still {
 			c.log.Info("prompt part cleared", append(blameFields(b), zap.String("source", source))...)
+			if source == sourceOwn {
+				go c.remove(c.gateway.background, id)
+			}
 		}
 	}
 	c.blamed = current
--- a/gateway/crashing_parts_test.go
+++ b/gateway/crashing_parts_test.go
@@ -116,6 +116,28 @@
 	g.Expect(e.received.Load()).To(Equal(received))
 }
 
+// Guards against a kill of all gateways letting the part crash upstreams again.
+func TestBlamedPartOutlivesAllGateways(t *testing.T) {
+	g := NewWithT(t)
+	e := startCrashingEngines(t, 12)
+	first := startGateway(t, "g1", e.store, nil)
+	awaitReady(t, first)
+	blamePart(t, first)
+	stored := func() int {
+		parts, _ := e.store.ListBlamedParts(t.Context())
+		return len(parts)
+	}
+	g.Eventually(stored, eventuallyTimeout).Should(Equal(1))
+	first.stop()
+	<-first.done
+	received := e.received.Load()
+	second := startGateway(t, "g1", e.store, nil)
+	awaitReady(t, second)
+	g.Eventually(func() int { return len(second.State().BlamedParts) }, eventuallyTimeout).Should(Equal(1))
+	g.Expect(sendPrompt(second, "after", "system", "bad")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(e.received.Load()).To(Equal(received))
+}
+
 // Guards against requests that wait at an upstream when the verdict falls crashing it.
 func TestWaitingRequestWithABlamedPartIsCanceled(t *testing.T) {
 	g := NewWithT(t)
@@ -174,6 +196,10 @@
 	g.Expect(sendPrompt(n, "refused", "system", "wrong")).To(Equal(http.StatusServiceUnavailable))
 	g.Eventually(func() int { return sendPrompt(n, "trial", "system", "wrong") }, eventuallyTimeout).Should(Equal(http.StatusOK))
 	g.Expect(n.State().BlamedParts).To(BeEmpty())
+	g.Eventually(func() int {
+		parts, _ := store.ListBlamedParts(t.Context())
+		return len(parts)
+	}, eventuallyTimeout).Should(BeZero())
 }
 
 // closeDelimitedHead writes the headers of an event stream that ends with its connection.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,7 @@
 		go g.followEvacuations(g.background)
 		time.AfterFunc(g.options.EvacuateWithin, g.refreshServices)
 	}
+	go g.suspects.parts.load(g.background)
 	go g.peers.followMembers(g.background)
 	go g.peers.sendReports(g.background)
 	go func() {
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -9,6 +9,7 @@
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/placement"
+	"fulmarspindle.example/fulmarspindle/quarantine"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 )
@@ -51,4 +52,9 @@
 	// RegisterRouter publishes this router's registration for the other routers.
 	RegisterRouter(ctx context.Context, id fleet.NodeID, r registry.Router) error
 	ListRouters(ctx context.Context) (map[fleet.NodeID]registry.Router, error)
+	// SaveBlamedPart stores a prompt part that is blamed for crashes, so that it is known
+	// after all routers have ended.
+	SaveBlamedPart(ctx context.Context, b quarantine.Blame) error
+	RemoveBlamedPart(ctx context.Context, id quarantine.PartID) error
+	ListBlamedParts(ctx context.Context) (map[quarantine.PartID]quarantine.StoredBlame, error)
 }
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,7 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/quarantine"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
 	"fulmarspindle.example/fulmarspindle/route"
@@ -39,10 +41,11 @@
 	// watchTimeout ends a watch without a change; zero means no timeout.
 	watchTimeout time.Duration
 	routers      map[fleet.NodeID]registry.Router
+	blamedParts  map[quarantine.PartID]quarantine.StoredBlame
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{changed: make(chan struct{}), routers: map[fleet.NodeID]registry.Router{}}
+	return &memoryStore{changed: make(chan struct{}), routers: map[fleet.NodeID]registry.Router{}, blamedParts: map[quarantine.PartID]quarantine.StoredBlame{}}
 }
 
 // recordChange advances the revision and wakes the watches. The caller holds mu.
@@ -157,6 +160,26 @@
 	return out, nil
 }
 
+func (s *memoryStore) SaveBlamedPart(_ context.Context, b quarantine.Blame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blamedParts[b.Part] = quarantine.StoredBlame{Blame: b}
+	return nil
+}
+
+func (s *memoryStore) RemoveBlamedPart(_ context.Context, id quarantine.PartID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.blamedParts, id)
+	return nil
+}
+
+func (s *memoryStore) ListBlamedParts(context.Context) (map[quarantine.PartID]quarantine.StoredBlame, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.blamedParts), nil
+}
+
 // unavailableStore fails every call.
 type unavailableStore struct{}
 
@@ -327,3 +350,15 @@
 	got, err := io.ReadAll(resp.Body)
 	return resp, string(got), err
 }
+
+func (unavailableStore) SaveBlamedPart(context.Context, quarantine.Blame) error {
+	return errStoreUnavailable
+}
+
+func (unavailableStore) RemoveBlamedPart(context.Context, quarantine.PartID) error {
+	return errStoreUnavailable
+}
+
+func (unavailableStore) ListBlamedParts(context.Context) (map[quarantine.PartID]quarantine.StoredBlame, error) {
+	return nil, errStoreUnavailable
+}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -6,6 +6,21 @@
 	"time"
 )
 
+// StoredBlame is a verdict that was stored outside the process.
+type StoredBlame struct {
+	Blame
+	// Age is the time since it was stored.
+	Age time.Duration
+}
+
+// Restore adds the crashes behind a stored verdict as evidence against its part.
+func (l *PartList) Restore(now time.Time, b Blame) {
+	for _, id := range b.Crashes {
+		part := SuspectPart{ID: b.Part, Name: b.Name, Waiting: true}
+		l.Merge(now, Crash{ID: id, Service: b.Service, At: now, Parts: []SuspectPart{part}})
+	}
+}
+
 // current returns the blamed parts.
 func (l *PartList) current() map[PartID]Blame {
 	if l.blamed == nil {
