soak: prompt parts that crash engines

A further random fault: requests with one part, which no two have otherwise alike, crash each engine that begins them; the engine returns as another instance. Checked: no more than three arrive over 4 s after the fifth crash from gateways that were not disrupted for 4 s.

--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/e2e/harness"
@@ -43,6 +44,8 @@
 	servers []*server
 	// evacuating is the set of the failure domains that a fault evacuates.
 	evacuating sync.Map
+	// crashError is the first error of the return of a server that crashed.
+	crashError atomic.Pointer[error]
 
 	options    Options
 	cancelLoad context.CancelFunc
@@ -106,6 +109,7 @@
 		s.address = fmt.Sprintf("%s:%d", host, upstreamPort+i)
 		s.failureDomain = harness.FailureDomain(i % max(env.options.FailureDomains, 1))
 		s.recorder, s.rules = env.Recorder, env.Rules
+		s.crash = func() { go env.recoverFromCrash(s) }
 		if err := s.serve(); err != nil {
 			return err
 		}
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -25,17 +25,19 @@
 	// run injects the fault and reverts it. Faults that last are reverted after the
 	// given duration; the others ignore it.
 	run func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error
+	// disrupts is set if the gateway can't be expected to keep rules with a time bound.
+	disrupts bool
 }
 
 var faultKinds = []faultKind{
 	{"kill", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
 		g.Kill()
 		return env.restart(ctx, g)
-	}},
+	}, true},
 	{"stop", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
 		g.Terminate()
 		return env.restart(ctx, g)
-	}},
+	}, true},
 	{"pause", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
 		p := g.Process
 		defer env.Rules.beginGap(g.SourceAddress())()
@@ -43,30 +45,30 @@
 		sleep(ctx, duration)
 		p.Resume()
 		return nil
-	}},
+	}, true},
 	{"short of processor", func(ctx context.Context, _ *Environment, g *harness.Gateway, duration time.Duration) error {
 		ctx, cancel := context.WithTimeout(ctx, duration)
 		defer cancel()
 		g.Throttle(ctx, 0.2, 100*time.Millisecond)
 		return nil
-	}},
+	}, true},
 	{"reload settings", func(_ context.Context, _ *Environment, g *harness.Gateway, _ time.Duration) error {
 		return syscall.Kill(g.PID(), syscall.SIGHUP)
-	}},
+	}, false},
 	{"cut", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
 		env.Isolate(g)
 		sleep(ctx, duration)
 		return env.Heal()
-	}},
+	}, true},
 	{"silence", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
 		g.Link.Freeze()
 		sleep(ctx, duration)
 		return env.Heal()
-	}},
+	}, true},
 	{"reset", func(_ context.Context, _ *Environment, g *harness.Gateway, _ time.Duration) error {
 		g.Link.Reset()
 		return nil
-	}},
+	}, true},
 	{"platform outage", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		defer env.Rules.beginGap(env.sourceAddresses()...)()
 		if err := env.Platform.Set(ctx, map[string]any{"outage": true}); err != nil {
@@ -74,13 +76,13 @@
 		}
 		sleep(ctx, duration)
 		return env.Platform.Set(context.WithoutCancel(ctx), map[string]any{"outage": false})
-	}},
+	}, false},
 	{"endless response headers", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		env.PlainServers[0].endlessHeaders.Store(true)
 		sleep(ctx, duration)
 		env.PlainServers[0].endlessHeaders.Store(false)
 		return nil
-	}},
+	}, false},
 	{"failing upstreams", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		for _, p := range env.PlainServers {
 			p.failurePermille.Store(700)
@@ -90,13 +92,20 @@
 			p.failurePermille.Store(0)
 		}
 		return nil
-	}},
+	}, false},
 	{"evacuation", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
 		return env.evacuateFor(ctx, g.FailureDomain(), env.options.EvacuateWithin+duration/2)
-	}},
+	}, false},
+	{"crashing prompt part", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		env.sendCrashPart(ctx, uint64(duration), duration)
+		if err := env.crashError.Load(); err != nil {
+			return *err
+		}
+		return nil
+	}, false},
 	{"cold return", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		return env.returnCold(ctx, env.servers[int(duration)%len(env.servers)], duration/4)
-	}},
+	}, false},
 }
 
 // restart starts a gateway again once its process has exited. The caller holds the
@@ -135,6 +144,9 @@
 		go func() {
 			gatewayLocks[g] <- struct{}{}
 			defer func() { <-gatewayLocks[g] }()
+			if kind.disrupts {
+				defer env.Rules.beginDisruption(g.SourceAddress())()
+			}
 			results <- kind.run(context.WithoutCancel(ctx), env, g, duration)
 		}()
 	}
--- a/e2e/soak/rules.go
+++ b/e2e/soak/rules.go
@@ -28,7 +28,11 @@
 	evacuations map[string]time.Time
 	// gaps lists for each gateway, in order of begin, when it may have missed an
 	// evacuation.
-	gaps      map[string][]*gap
+	gaps map[string][]*gap
+	// disruptions lists for each gateway when it was disrupted in any way.
+	disruptions map[string][]*gap
+	// parts are the prompt parts that crash upstreams.
+	parts     map[string]*partCrashes
 	violation string
 }
 
--- a/e2e/soak/rules_test.go
+++ b/e2e/soak/rules_test.go
@@ -69,3 +69,36 @@
 		NewWithT(t).Expect(rules.Violation() != "").To(Equal(broken), "%d", coldArrivals)
 	}
 }
+
+// Guards against a check that passes requests with a part that crashes upstreams, or counts
+// those that come in time or from a disrupted gateway.
+func TestArrivalsWithACrashingPart(t *testing.T) {
+	late := stableWindow + time.Second
+	for _, c := range []struct {
+		name     string
+		crashes  int
+		after    time.Duration
+		arrivals int
+		gap      *gap
+		broken   bool
+	}{
+		{"three are allowed", 5, late, 3, nil, false},
+		{"four are not", 5, late, 4, nil, true},
+		{"four crashes", 4, late, 4, nil, false},
+		{"within the stable window", 5, stableWindow - time.Second, 4, nil, false},
+		{"from a gateway in a disruption", 5, late, 4, &gap{}, false},
+		{"from a gateway after a disruption long ago", 5, 2 * late, 4, &gap{end: time.Now()}, true},
+	} {
+		rules := newTestRules()
+		for range c.crashes {
+			rules.recordCrash("crash-1")
+		}
+		if c.gap != nil {
+			rules.disruptions = map[string][]*gap{"g": {c.gap}}
+		}
+		for range c.arrivals {
+			rules.checkPart(Arrival{Gateway: "g", ReceivedAt: time.Now().Add(c.after)}, "crash-1")
+		}
+		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), c.name)
+	}
+}
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -46,6 +46,8 @@
 	// failurePermille is the share of requests, in thousandths, that fail after
 	// they have run.
 	failurePermille atomic.Int64
+	// crash ends the server, which returns as a new instance later.
+	crash func()
 	// endlessHeaders is set while responses send headers without end.
 	endlessHeaders atomic.Bool
 	http           *http.Server
@@ -200,9 +202,17 @@
 		return
 	}
 	a := e.recordArrival(r)
+	if part := crashPart(r.Header.Get(headerPromptPrefix)); part != "" {
+		e.rules.checkPart(*a, part)
+	}
 	if !e.prefill(r, a) {
 		return
 	}
+	if part := crashPart(r.Header.Get(headerPromptPrefix)); part != "" {
+		e.rules.recordCrash(part)
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	e.setResponseHeaders(w, r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, output := tokenCounts(r.Header)
--- a/e2e/soak/upstream_faults.go
+++ b/e2e/soak/upstream_faults.go
@@ -46,6 +46,16 @@
 	return duringOutages(ctx, func() error { return env.register(ctx, s, coldStart) })
 }
 
+// crashDowntime is how long a server that crashed is down.
+const crashDowntime = time.Second
+
+// recoverFromCrash ends a server that has crashed and lets it return.
+func (env *Environment) recoverFromCrash(s *server) {
+	if err := env.returnCold(context.Background(), s, crashDowntime); err != nil {
+		env.crashError.CompareAndSwap(nil, &err)
+	}
+}
+
 const (
 	// writeRetryInterval is the interval at which a failed write to the platform is tried
 	// again.
--- a/e2e/soak/workload.go
+++ b/e2e/soak/workload.go
@@ -54,6 +54,8 @@
 	OutputTokens int
 	// SharedPrefixes is the number of distinct shared parts.
 	SharedPrefixes int
+	// CrashPart is a further shared part that crashes engines; empty for none.
+	CrashPart string
 }
 
 // cost returns the cost of a request: an output token counts as two prompt tokens.
@@ -144,7 +146,11 @@
 	if w.UniqueTokens > 0 {
 		req.Header.Set("Model", "m")
 		req.Header.Set(headerTokenCounts, fmt.Sprintf("%d,%d", w.SharedTokens+w.UniqueTokens, w.OutputTokens))
-		req.Header.Set(headerPromptPrefix, fmt.Sprintf("%s%d:%d,%s:%d", w.Team, prompt, w.SharedTokens, attemptID, w.UniqueTokens))
+		shared := fmt.Sprintf("%s%d:%d", w.Team, prompt, w.SharedTokens)
+		if w.CrashPart != "" {
+			shared += fmt.Sprintf(",%s:%d", w.CrashPart, crashPartTokens)
+		}
+		req.Header.Set(headerPromptPrefix, fmt.Sprintf("%s,%s:%d", shared, attemptID, w.UniqueTokens))
 	}
 	return req, nil
 }
