gateway: log the limits that upstreams name

No line said what an upstream names in its answers, so the logs could not distinguish a limit that nobody reads from one that each gateway keeps by itself, or from requests that were sent before. 'limit of an upstream' tells each change that a gateway hears. No decision changes.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -45,6 +45,15 @@
 	CopyFrom string
 }
 
+// RequestLimit is a limit on requests that an upstream names in its responses.
+type RequestLimit struct {
+	// Named is set if the response names a limit.
+	Named bool
+	// Rate is the number of requests per second that the upstream takes from all routers
+	// together.
+	Rate float64
+}
+
 // Outcome is the result of a request as read from the head of the response.
 type Outcome int
 
--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -13,6 +13,9 @@
 	"fulmarspindle.example/fulmarspindle/placement"
 )
 
+// limitHeader names the limit of an upstream.
+const limitHeader = "Limit"
+
 // partsHeader lists the parts of a prompt by name.
 const partsHeader = "Parts"
 
@@ -85,6 +88,18 @@
 
 func (plainDialect) ColdRemaining(http.Header) time.Duration { return 0 }
 
+func (plainDialect) RequestLimit(h http.Header) (exchange.RequestLimit, error) {
+	value := h.Get(limitHeader)
+	if value == "" {
+		return exchange.RequestLimit{}, nil
+	}
+	rate, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return exchange.RequestLimit{}, eris.Wrap(errHeader, err.Error())
+	}
+	return exchange.RequestLimit{Named: true, Rate: rate}, nil
+}
+
 func (plainDialect) ResponseHeader(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del("Connection")
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -28,6 +28,9 @@
 	// ColdRemaining returns how much longer the upstream is cold according to its
 	// response; zero if the response does not say.
 	ColdRemaining(header http.Header) time.Duration
+	// RequestLimit returns the limit that the upstream names in its response. The error
+	// reports a malformed one.
+	RequestLimit(header http.Header) (exchange.RequestLimit, error)
 	// ResponseHeader returns the response headers that are relayed to the caller.
 	ResponseHeader(header http.Header) http.Header
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,6 +101,7 @@
 func (g *Gateway) relay(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	status, header := x.Response.StatusCode, x.Response.Header
 	g.markReportedCold(j, status, header)
+	g.observeLimit(j, status, header)
 	j.closeDelimited = x.CloseDelimited()
 	switch g.options.Dialect.ClassifyResponse(status, header) {
 	case exchange.NotRun:
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/admission"
+	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/registry"
@@ -29,6 +30,8 @@
 	mu        sync.Mutex
 	scheduler *admission.Scheduler
 	budget    *retry.Budget
+	// limits holds the limits that upstreams name.
+	limits map[fleet.UpstreamID]exchange.RequestLimit
 }
 
 // report returns this router's load; full selects all of it, not only changes.
@@ -78,6 +81,7 @@
 		reportNow:   reportNow,
 		scheduler:   admission.NewScheduler(policy.Admission, capacity),
 		budget:      retry.NewBudget(policy.Retry, started),
+		limits:      make(map[fleet.UpstreamID]exchange.RequestLimit),
 	}
 }
 
