gateway: give each session its own envelope of a crash update

With three gateways two sessions completed the same envelope at the same time (a data race; the generation of one could be written with another session's).

--- a/gateway/crash_parts.go
+++ b/gateway/crash_parts.go
@@ -114,7 +114,9 @@
 	j.trial = true
 	for _, b := range blames {
 		c.list.BeginTrial(time.Now(), b.Part)
-		c.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_PartTrial{PartTrial: &peerpb.PartTrial{Id: uint64(b.Part)}}})
+		c.gateway.peers.broadcast(func() *peerpb.Envelope {
+			return &peerpb.Envelope{Body: &peerpb.Envelope_PartTrial{PartTrial: &peerpb.PartTrial{Id: uint64(b.Part)}}}
+		})
 		partTrialCounts.Add(string(b.Service), 1)
 		c.log.Info("trial of a blamed prompt part", append(blameFields(b), zap.String("request", j.in.ID))...)
 	}
@@ -353,12 +355,6 @@
 
 func (c *crashParts) broadcastCrashes(list ...quarantine.Crash) {
 	if len(list) > 0 {
-		c.broadcast(crashEnvelope(time.Now(), list))
-	}
-}
-
-func (c *crashParts) broadcast(e *peerpb.Envelope) {
-	for _, s := range c.gateway.peers.sessions.ByRole(peerpb.Role_ROLE_ROUTER) {
-		s.Send(e)
+		c.gateway.peers.broadcast(func() *peerpb.Envelope { return crashEnvelope(time.Now(), list) })
 	}
 }
--- a/gateway/crashing_parts_test.go
+++ b/gateway/crashing_parts_test.go
@@ -58,16 +58,6 @@
 	return resp.StatusCode
 }
 
-// startPair starts two connected gateways in front of engines.
-func startPair(t *testing.T, store *memoryStore) []*node {
-	t.Helper()
-	first := startGateway(t, "g1", store, nil)
-	second := startGateway(t, "g2", store, func(o *gateway.Options) { o.Policy.Seeds = []string{first.peer} })
-	awaitReady(t, first, second)
-	NewWithT(t).Eventually(func() int { return len(first.State().Routers) }, eventuallyTimeout).Should(Equal(1))
-	return []*node{first, second}
-}
-
 // Guards against requests that have one prompt part and nothing else in common crashing one
 // upstream after the other, because only whole requests are blamed, and against sound
 // requests with the other parts being refused with them.
@@ -75,9 +65,9 @@
 	g := NewWithT(t)
 	const engines = 24
 	e := startCrashingEngines(t, engines)
-	nodes := startPair(t, e.store)
+	nodes := startConnected(t, 3, e.store)
 	for i := range engines {
-		n := nodes[i%2]
+		n := nodes[i%len(nodes)]
 		sendPrompt(n, fmt.Sprint("bad-", i), "system", "bad")
 		g.Expect(e.received.Load()).To(BeNumerically("<=", crashesUntilBlamed+maxSentAfterwards))
 		g.Eventually(func() int { return sendPrompt(n, fmt.Sprint("sound-", i), "system", "good") }, eventuallyTimeout).
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -148,6 +148,14 @@
 	p.warmupMembers.SetTTL(ttl)
 }
 
+// broadcast sends a message to all connected routers. Each session gets an envelope of its
+// own, because it completes the envelope when it writes it.
+func (p *peers) broadcast(newEnvelope func() *peerpb.Envelope) {
+	for _, s := range p.sessions.ByRole(peerpb.Role_ROLE_ROUTER) {
+		s.Send(newEnvelope())
+	}
+}
+
 // connectedCount returns the number of connected routers.
 func (p *peers) connectedCount() int { return len(p.sessions.ByRole(peerpb.Role_ROLE_ROUTER)) }
 
