warmup: keep the limits that upstreams name, over all gateways

Cause: nobody read the limit. Had each gateway kept it by itself, the sum of five would still be up to five times as much. The class: what one upstream asks of all gateways, kept by none or by each alone; the cold limit is the other one, and its mechanism now serves both: senders by rendezvous hashing, each with a pace, in warmup.Tracker (docs/design/019). Changes are told to all gateways at once. Prompts are placed as if limited engines were not there.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -33,9 +33,10 @@
 	// cacheMiss is set if the engine would have to prefill shared parts that another
 	// engine has cached or is the preferred one to cache.
 	cacheMiss bool
-	// passedOver is set if the candidate is acceptable but for the limit on requests to
-	// cold upstreams.
+	// passedOver is set if the candidate is acceptable but for a limit on requests to it,
+	// because it is cold or names one. overLimit is set in the latter case.
 	passedOver bool
+	overLimit  bool
 	// ranked is set if candidates are tried in placement order instead of by cost.
 	ranked bool
 }
@@ -69,12 +70,12 @@
 		mostEjected: s.mostEjected(now),
 	}
 	if best := s.best(r, candidates, b); best != nil {
-		return best, Decision{PassedOver: countPassedOver(candidates)}
+		return best, Decision{PassedOver: countCold(candidates), OverLimit: countOverLimit(candidates)}
 	}
 	fallback := s.cheapest(candidates, b)
 	refused := Decision{
 		Reason: Overloaded, RetryAfter: s.refusalDelay(now, candidates, s.retryAfter(fallback, limit)), Predicted: fallback.predicted,
-		PassedOver: countPassedOver(candidates), SpeedFactor: fallback.upstream.factor,
+		PassedOver: countCold(candidates), OverLimit: countOverLimit(candidates), SpeedFactor: fallback.upstream.factor,
 	}
 	b.limit = s.waitLimit(r, 0)
 	if limit < b.limit && !fallback.passedOver && s.onTime(r, fallback, b) {
@@ -103,7 +104,7 @@
 	if c.cacheMiss && (b.busy || s.queueTime(c) > b.limit/cacheMissWaitDivisor) {
 		return false
 	}
-	return !c.full && s.onTime(r, c, b) && s.withinColdLimit(b, c)
+	return !c.full && s.onTime(r, c, b) && s.withinLimits(b, c)
 }
 
 // cheapest returns the cheapest candidate, of those that may accept the request later if
--- a/admission/eligible.go
+++ b/admission/eligible.go
@@ -7,11 +7,12 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
-// usable returns the eligible upstreams that are not ejected. If all of them are ejected,
-// it returns the ejected ones, because the outcomes then say nothing about which upstream
-// to prefer.
+// usable returns the eligible upstreams that are not ejected and are open to this router. If
+// there are none, it returns those that name limits and leave their requests to other
+// routers, or else the ejected ones, because the outcomes then say nothing about which
+// upstream to prefer.
 func (s *Scheduler) usable(now time.Time, r Request) []fleet.UpstreamID {
-	var healthy, ejected []fleet.UpstreamID
+	var healthy, closed, ejected []fleet.UpstreamID
 	for _, id := range s.ids {
 		u := s.upstreams[id]
 		if !s.eligible(u, r) {
@@ -21,11 +22,18 @@
 			ejected = append(ejected, id)
 			continue
 		}
+		if s.closedToRouter(id) {
+			closed = append(closed, id)
+			continue
+		}
 		healthy = append(healthy, id)
 	}
-	if len(healthy) == 0 {
+	if len(healthy) == 0 && len(closed) == 0 {
 		return ejected
 	}
+	if len(healthy) == 0 {
+		return closed
+	}
 	return healthy
 }
 
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -136,6 +136,9 @@
 	// PassedOver is the number of cold upstreams that were acceptable, but to which this
 	// router may not send now.
 	PassedOver int
+	// OverLimit is the number of upstreams that were acceptable, but name a limit that does
+	// not let this router send to them now.
+	OverLimit int
 }
 
 // Scheduler decides on the admission of requests to one service at one router.
@@ -282,7 +285,7 @@
 	return Decision{
 		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
 		Predicted: best.predicted, Prefill: best.prefill, SpeedFactor: best.upstream.factor, ShareRatio: ratio,
-		Cold: s.cold(now, best.upstream.ID), PassedOver: refused.PassedOver,
+		Cold: s.cold(now, best.upstream.ID), PassedOver: refused.PassedOver, OverLimit: refused.OverLimit,
 	}
 }
 
--- a/admission/view.go
+++ b/admission/view.go
@@ -33,6 +33,8 @@
 	Evacuated bool `json:"evacuated"`
 	// Cold is nil if the upstream is not cold.
 	Cold *ColdView `json:"cold,omitempty"`
+	// Limit is nil if the upstream names no limit.
+	Limit *LimitView `json:"limit,omitempty"`
 	// SpeedFactor is an engine's prefill rate relative to PrefillRate, and
 	// SpeedObservations the number of recent observations behind it. Both are zero for
 	// plain upstreams.
@@ -77,6 +79,7 @@
 			FailureRate:   u.detector.FailureRate(),
 			Evacuated:     u.evacuated,
 			Cold:          s.coldView(now, id),
+			Limit:         s.limitView(id),
 		}
 		s.viewSpeed(now, &upstreamView, u)
 		view.Upstreams[id] = upstreamView
--- a/admission/warming.go
+++ b/admission/warming.go
@@ -74,8 +74,7 @@
 }
 
 func (s *Scheduler) markCold(now time.Time, u *upstream, until time.Time, cause warmup.Cause) {
-	incarnation := warmup.Upstream{ID: u.ID, Region: s.options.Regions[u.Domain], StartedUnixMs: u.StartedUnixMs}
-	s.warming.MarkCold(now, incarnation, until, cause)
+	s.warming.MarkCold(now, s.incarnation(u.Upstream), until, cause)
 }
 
 // mostEjected reports whether most upstreams count as cold only because this router has
@@ -85,11 +84,12 @@
 	return 2*s.warming.Count(now, warmup.Ejected, registered) > len(s.ids)
 }
 
-// withinColdLimit reports whether the limit on requests to cold upstreams allows this router
-// to send to a candidate now: it is not cold, or this router is one of its senders and has a
+// withinLimits reports whether the limits on requests to a candidate allow this router to send
+// to it now: it is not cold and names no limit, or this router is one of its senders and has a
 // slot. It records the result in the candidate.
-func (s *Scheduler) withinColdLimit(b bounds, c *candidate) bool {
-	c.passedOver = !s.warming.MaySend(b.now, c.upstream.ID) && !s.wronglyEjected(b, c)
+func (s *Scheduler) withinLimits(b bounds, c *candidate) bool {
+	c.overLimit = !s.warming.WithinLimit(b.now, c.upstream.ID)
+	c.passedOver = c.overLimit || !s.warming.MaySend(b.now, c.upstream.ID) && !s.wronglyEjected(b, c)
 	return !c.passedOver
 }
 
@@ -106,16 +106,29 @@
 	return cold
 }
 
-func countPassedOver(candidates []candidate) int {
+func countCandidates(candidates []candidate, matches func(c *candidate) bool) int {
 	count := 0
 	for i := range candidates {
-		if candidates[i].passedOver {
+		if matches(&candidates[i]) {
 			count++
 		}
 	}
 	return count
 }
 
+func countPassedOver(candidates []candidate) int {
+	return countCandidates(candidates, func(c *candidate) bool { return c.passedOver })
+}
+
+func countOverLimit(candidates []candidate) int {
+	return countCandidates(candidates, func(c *candidate) bool { return c.overLimit })
+}
+
+// countCold returns the number of candidates that were passed over because they are cold.
+func countCold(candidates []candidate) int {
+	return countPassedOver(candidates) - countOverLimit(candidates)
+}
+
 // refusalDelay returns the time until a refused request is predicted to be admitted: until
 // the next slot of a candidate that was passed over, or until the cheapest other candidate
 // is on time, given as untilOnTime, whichever is sooner.
@@ -126,7 +139,9 @@
 	}
 	for i := range candidates {
 		if candidates[i].passedOver {
-			delay = min(delay, s.warming.NextSend(now, candidates[i].upstream.ID).Sub(now))
+			id := candidates[i].upstream.ID
+			untilSlot := max(s.warming.NextSend(now, id).Sub(now), s.warming.NextWithinLimit(now, id).Sub(now))
+			delay = min(delay, untilSlot)
 		}
 	}
 	return delay
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -106,12 +106,12 @@
 	}
 }
 
-// coldFields returns log fields for decisions in which cold upstreams took part.
+// coldFields returns log fields for decisions in which cold or limited upstreams took part.
 func coldFields(d *admission.Decision) []zap.Field {
-	if !d.Cold && d.PassedOver == 0 {
+	if !d.Cold && d.PassedOver == 0 && d.OverLimit == 0 {
 		return nil
 	}
-	return []zap.Field{zap.Bool("cold", d.Cold), zap.Int("cold_passed_over", d.PassedOver)}
+	return []zap.Field{zap.Bool("cold", d.Cold), zap.Int("cold_passed_over", d.PassedOver), zap.Int("over_limit", d.OverLimit)}
 }
 
 // coldRemainingToWire encodes a cold time in milliseconds, rounded up.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -100,3 +102,57 @@
 	g.Expect(sendAll(requests, nodes...)).To(Equal(requests))
 	g.Expect(limited.count() - before).To(BeNumerically("<=", allowedInWindow))
 }
+
+// Guards against a limit that outlives its end or a malformed value that lifts it.
+func TestLimitEndsWhenItIsNamedNoMore(t *testing.T) {
+	g := NewWithT(t)
+	const rate = "20"
+	var value atomic.Value
+	value.Store(rate)
+	limited := startLimited(t, "i-limited", func() string { return value.Load().(string) })
+	nodes := startConnected(t, 2, storeOf(definition(1), limited))
+	limits := func() []float64 {
+		var rates []float64
+		for _, n := range nodes {
+			if l := n.State().Services["plain"].Upstreams["i-limited"].Limit; l != nil {
+				rates = append(rates, l.Rate)
+			}
+		}
+		return rates
+	}
+	sendAndList := func() []float64 {
+		sendAll(1, nodes...)
+		return limits()
+	}
+	g.Eventually(sendAndList, eventuallyTimeout).Should(Equal([]float64{20, 20}), "both gateways, of which one has heard it")
+	value.Store("many")
+	before := limited.count()
+	g.Eventually(func() int {
+		sendAll(1, nodes...)
+		return limited.count() - before
+	}, eventuallyTimeout).Should(BeNumerically(">=", 3))
+	g.Expect(limits()).To(Equal([]float64{20, 20}))
+	value.Store("")
+	g.Eventually(sendAndList, eventuallyTimeout).Should(BeEmpty())
+}
+
+// Guards against a request that only a limited upstream could take being held or refused
+// without telling when the next one is taken.
+func TestRequestsOverALimitAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	limited := startLimited(t, "i-limited", func() string { return namedLimit })
+	n := startGatewayWith(t, limited)
+	hearLimit(t, n)
+	before := limited.count()
+	for range 10 {
+		sent := time.Now()
+		resp, _, err := send(n, "POST", "/safe/", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(seconds).To(And(BeNumerically(">", 0), BeNumerically("<=", 2)), "one request in two seconds")
+	}
+	g.Expect(limited.count() - before).To(BeNumerically("<=", allowedInWindow))
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,11 @@
 	// coldPassedOverCounts counts the times by service that an otherwise acceptable
 	// upstream was passed over because it is cold.
 	coldPassedOverCounts = expvar.NewMap("gateway_cold_passed_over")
+	// limitCounts counts the changes of limits that upstreams name, and overLimitCounts the
+	// times that an otherwise acceptable upstream was passed over because of one, both by
+	// service.
+	limitCounts     = expvar.NewMap("gateway_upstream_limit_changes")
+	overLimitCounts = expvar.NewMap("gateway_limit_passed_over")
 	// crashCounts counts the upstreams that were found to be failing by service.
 	crashCounts = expvar.NewMap("gateway_upstream_crashes")
 	// blamedParts is the number of prompt parts that are blamed for crashes, and
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -262,6 +262,7 @@
 	p.fullReportDue.Store(true)
 	p.gateway.suspects.SendAll(s)
 	p.gateway.suspects.parts.sendAll(s)
+	p.gateway.sendLimits(s)
 }
 
 // SessionDown implements peer.Handler.
@@ -301,6 +302,8 @@
 		p.gateway.suspects.applyUpdate(s.ID(), b.Suspects)
 	case *peerpb.Envelope_Crashes:
 		p.gateway.suspects.parts.applyUpdate(s, b.Crashes)
+	case *peerpb.Envelope_Limits:
+		p.gateway.applyLimits(s.ID(), b.Limits)
 	case *peerpb.Envelope_PartTrial:
 		p.gateway.suspects.parts.applyTrial(b.PartTrial)
 	case *peerpb.Envelope_RegistryUpdate:
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/admission"
-	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/registry"
@@ -30,8 +29,6 @@
 	mu        sync.Mutex
 	scheduler *admission.Scheduler
 	budget    *retry.Budget
-	// limits holds the limits that upstreams name.
-	limits map[fleet.UpstreamID]exchange.RequestLimit
 }
 
 // report returns this router's load; full selects all of it, not only changes.
@@ -81,7 +78,6 @@
 		reportNow:   reportNow,
 		scheduler:   admission.NewScheduler(policy.Admission, capacity),
 		budget:      retry.NewBudget(policy.Retry, started),
-		limits:      make(map[fleet.UpstreamID]exchange.RequestLimit),
 	}
 }
 
@@ -121,6 +117,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduler.SetUpstreams(list)
+	s.scheduler.RegisterLimited(time.Now())
 	s.markRegisteredCold()
 }
 
@@ -153,6 +150,7 @@
 	s.loadChanged.Store(true)
 	d := s.scheduler.Admit(time.Now(), r)
 	s.countCold(d)
+	s.countOverLimit(d)
 	if s.scheduler.ReportUrgent() {
 		notify(s.reportNow)
 	}
--- a/warmup/fleet.go
+++ b/warmup/fleet.go
@@ -38,13 +38,27 @@
 
 // isSender reports whether this router is one of the senders of an upstream in a region.
 func (f *Fleet) isSender(upstream fleet.UpstreamID, region fleet.RegionID, senders int) bool {
+	return f.isSenderAmong(f.candidates(region, 1), upstream, senders)
+}
+
+// candidates returns the routers of a region, or all if there are fewer than a number of
+// them.
+func (f *Fleet) candidates(region fleet.RegionID, atLeast int) []router {
+	if f == nil {
+		return nil
+	}
+	if candidates := f.byRegion[region]; region != "" && len(candidates) >= atLeast {
+		return candidates
+	}
+	return f.routers
+}
+
+// isSenderAmong reports whether this router is one of the senders of an upstream that are
+// chosen from candidates.
+func (f *Fleet) isSenderAmong(candidates []router, upstream fleet.UpstreamID, senders int) bool {
 	if f == nil || f.knownAt.IsZero() {
 		return false
 	}
-	candidates := f.byRegion[region]
-	if region == "" || len(candidates) == 0 {
-		candidates = f.routers
-	}
 	key := xxhash.Sum64String(string(upstream))
 	own := router{id: f.self, hash: xxhash.Sum64String(string(f.self))}
 	preceding := 0
--- a/warmup/plan.go
+++ b/warmup/plan.go
@@ -1,11 +1,11 @@
-// Package warmup decides which router may send a request to a cold upstream, and when.
-// An upstream that has just started tolerates few requests per second from all routers
-// together. A few routers, the senders, are chosen for each cold upstream by rendezvous
-// hashing, and each of them spaces its sends, so that the limit holds without messages
-// between routers. The package has no I/O and no clock. It addresses three load
-// scenarios: a whole failure domain that returns under full load, a release that
-// replaces engines one after the other, and routers that disagree on which routers
-// exist.
+// Package warmup decides which router may send a request to an upstream that takes few
+// requests per second from all routers together, and when: to a cold one, which has just
+// started, and to one that names such a limit in its responses. A few routers, the senders,
+// are chosen for each such upstream by rendezvous hashing, and each of them spaces its sends,
+// so that the limit holds without messages between routers. The package has no I/O and no
+// clock. It addresses four load scenarios: a whole failure domain that returns under full
+// load, a release that replaces engines one after the other, upstreams in need that name
+// limits under load, and routers that disagree on which routers exist.
 package warmup
 
 import (
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -41,14 +41,16 @@
 	Sender bool
 }
 
-// Tracker tracks the cold upstreams of one service at one router and paces the requests
-// that this router sends to them. Invariant: while an upstream is cold, two sends of this
-// router to it are at least one interval of the plan apart.
+// Tracker tracks the cold upstreams of one service at one router, and those that name a
+// limit, and paces the requests that this router sends to them. Invariant: while an upstream is
+// cold or limited, two sends of this router to it are at least one interval of the plan apart.
 type Tracker struct {
 	limits  Limits
 	plan    Plan
 	fleet   *Fleet
 	periods map[fleet.UpstreamID]*period
+	// limited holds the limits that upstreams name.
+	limited map[fleet.UpstreamID]*limited
 	// begun lists the periods that TakeBegun has not returned yet.
 	begun []Period
 }
@@ -64,7 +66,10 @@
 
 // NewTracker returns a tracker without cold upstreams.
 func NewTracker(limits Limits) *Tracker {
-	return &Tracker{limits: limits, plan: NewPlan(limits), periods: make(map[fleet.UpstreamID]*period)}
+	return &Tracker{
+		limits: limits, plan: NewPlan(limits), periods: make(map[fleet.UpstreamID]*period),
+		limited: make(map[fleet.UpstreamID]*limited),
+	}
 }
 
 // SetLimits replaces the limits. Cold periods that have begun keep their end.
@@ -78,6 +83,9 @@
 func (t *Tracker) SetFleet(f *Fleet) {
 	t.fleet = f
 	t.chooseSenders()
+	for _, l := range t.limited {
+		t.planLimit(l)
+	}
 }
 
 func (t *Tracker) chooseSenders() {
@@ -173,8 +181,11 @@
 }
 
 // RecordSend takes this router's slot for a request to an upstream, if the upstream is
-// cold.
+// cold or names a limit.
 func (t *Tracker) RecordSend(now time.Time, id fleet.UpstreamID) {
+	if l := t.activeLimit(id); l != nil {
+		l.lastSend = now
+	}
 	if p := t.active(now, id); p != nil {
 		p.lastSend = now
 	}
