--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,9 @@
 	maxFaultDuration = 6 * time.Second
 )
 
+// namedLimits are the limits in requests per second that servers name.
+var namedLimits = []float64{0, 0.4, 1.2, 3.4, 12}
+
 // faultKind is a kind of fault.
 type faultKind struct {
 	name string
@@ -103,11 +107,39 @@
 		}
 		return nil
 	}, false},
+	{"named limit", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		s := env.servers[int(duration)%len(env.servers)]
+		env.limitFor(ctx, s, namedLimits[int(duration/time.Millisecond)%len(namedLimits)], duration)
+		return nil
+	}, false},
 	{"cold return", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		return env.returnCold(ctx, env.servers[int(duration)%len(env.servers)], duration/4)
 	}, false},
 }
 
+// InjectUpstreamFaults lets servers name limits and sends requests with a part that crashes
+// engines, drawn from a seed, while no gateway is disrupted: gateways that were disrupted a
+// short time ago are not bound by the rules on these.
+func (env *Environment) InjectUpstreamFaults(ctx context.Context, seed uint64) error {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var faults sync.WaitGroup
+	for _, servers := range [][]*server{env.servers[:len(env.PlainServers)], env.servers[len(env.PlainServers):]} {
+		s := servers[random.IntN(len(servers))]
+		rate := namedLimits[random.IntN(len(namedLimits))]
+		faults.Go(func() { env.limitFor(ctx, s, rate, upstreamFaultDuration) })
+	}
+	faults.Go(func() { env.sendCrashPart(ctx, seed, upstreamFaultDuration) })
+	faults.Wait()
+	if err := env.crashError.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// upstreamFaultDuration is how long the faults of InjectUpstreamFaults go on after
+// stableWindow.
+const upstreamFaultDuration = 6 * time.Second
+
 // restart starts a gateway again once its process has exited. The caller holds the
 // gateway's lock, so that no other fault hits it meanwhile.
 func (env *Environment) restart(ctx context.Context, g *harness.Gateway) error {
--- a/e2e/soak/random_test.go
+++ b/e2e/soak/random_test.go
@@ -81,6 +81,9 @@
 			ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 			faults, err := env.InjectFaults(ctx, seed)
 			cancel()
+			if err == nil {
+				err = env.InjectUpstreamFaults(context.Background(), seed)
+			}
 			env.StopLoad()
 			description := fmt.Sprintf("seed %d\n%s", seed, faults)
 			env.saveLogs(seed, description)
--- a/e2e/soak/rules_test.go
+++ b/e2e/soak/rules_test.go
@@ -102,3 +102,38 @@
 		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), c.name)
 	}
 }
+
+// Guards against a check that passes one request too many at an upstream that names a limit, or
+// counts requests that came early, from a gateway that has not heard of it, or after its end.
+func TestArrivalsAtALimitedUpstream(t *testing.T) {
+	const allowed = 17 // 2 * 1.5 * 4 + 5
+	for _, c := range []struct {
+		name     string
+		heard    bool
+		after    time.Duration
+		arrivals int
+		ended    bool
+		broken   bool
+	}{
+		{"as many as allowed", true, stableWindow, allowed, false, false},
+		{"one more", true, stableWindow, allowed + 1, false, true},
+		{"within the stable window", true, stableWindow / 2, allowed + 1, false, false},
+		{"from a gateway that has not heard", false, stableWindow, allowed + 1, false, false},
+		{"after the end", true, stableWindow, allowed + 1, true, false},
+	} {
+		rules := newTestRules()
+		var l namedLimit
+		l.begin(2)
+		l.header("other")
+		if c.heard {
+			NewWithT(t).Expect(l.header("g")).To(Equal("2"))
+		}
+		if c.ended {
+			l.end()
+		}
+		for range c.arrivals {
+			rules.checkLimit(Arrival{Gateway: "g", ReceivedAt: time.Now().Add(c.after)}, &l)
+		}
+		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), c.name)
+	}
+}
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -26,6 +26,7 @@
 	headerPromptPrefix = "Prompt-Prefix"
 	headerTokenCounts  = "Token-Counts"
 	headerLastEventID  = "Last-Event-Id"
+	headerLimit        = "Server-Limit"
 )
 
 // server is the common part of all upstreams.
@@ -39,6 +40,9 @@
 	recorder      *Recorder
 	rules         *Rules
 	cold          standin.ColdMeter
+	// limit is what the server names in its responses; limiting is held while it does.
+	limit    namedLimit
+	limiting sync.Mutex
 	// restarting is held while the server returns as a new instance.
 	restarting sync.Mutex
 	// restarts is the number of instances before this one.
@@ -103,6 +107,7 @@
 	}
 	_, coldArrivals := s.cold.Receive(a.ReceivedAt)
 	s.rules.check(a, s.failureDomain, coldArrivals)
+	s.rules.checkLimit(a, &s.limit)
 	return s.recorder.addArrival(a)
 }
 
@@ -111,6 +116,9 @@
 func (s *server) setResponseHeaders(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerAttemptID, r.Header.Get(headerAttemptID))
 	w.Header().Set(headerServerSeal, s.id())
+	if value := s.limit.header(gatewayOf(r.Header.Get(headerAttemptID))); value != "" {
+		w.Header().Set(headerLimit, value)
+	}
 }
 
 // shouldFail decides at random whether a request fails.
--- a/e2e/soak/upstream_faults.go
+++ b/e2e/soak/upstream_faults.go
@@ -39,6 +39,7 @@
 		e.clearCache()
 	}
 	s.restarts.Add(1)
+	s.limit.end()
 	s.cold.Start(time.Now(), coldStart)
 	if err := s.serve(); err != nil {
 		return err
