admission: teams over their share leave slots of limited upstreams to others

Cause: teams over their share are held back by the queue that they may wait in, and limited engines have hardly any queue; their few slots went to who asked most often. A request now leaves a slot to others for as many intervals as its team is over its share, and takes it then, so nothing stays unused.

TestTeamsShareTheRequestsThatLimitedEnginesTake failed before (100 of 150 wanted).

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -52,6 +52,8 @@
 	now time.Time
 	// fastest is the highest speed factor of the candidates.
 	fastest float64
+	// holdback is for how long the request leaves slots of limited upstreams to other teams.
+	holdback float64
 	// mostEjected is set if most upstreams count as cold because they were ejected.
 	mostEjected bool
 }
@@ -67,14 +69,14 @@
 	limit := s.waitLimit(r, ratio)
 	b := bounds{
 		limit: limit, busy: s.meanQueueTime(now, usable) > limit/busyWaitDivisor, now: now, fastest: fastestFactor(candidates),
-		mostEjected: s.mostEjected(now),
+		mostEjected: s.mostEjected(now), holdback: limitHoldback(ratio),
 	}
 	if best := s.best(r, candidates, b); best != nil {
 		return best, Decision{PassedOver: countCold(candidates), OverLimit: countOverLimit(candidates)}
 	}
 	fallback := s.cheapest(candidates, b)
 	refused := Decision{
-		Reason: Overloaded, RetryAfter: s.refusalDelay(now, candidates, s.retryAfter(fallback, limit)), Predicted: fallback.predicted,
+		Reason: Overloaded, RetryAfter: s.refusalDelay(b, candidates, s.retryAfter(fallback, limit)), Predicted: fallback.predicted,
 		PassedOver: countCold(candidates), OverLimit: countOverLimit(candidates), SpeedFactor: fallback.upstream.factor,
 	}
 	b.limit = s.waitLimit(r, 0)
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -61,6 +61,17 @@
 	return limited
 }
 
+// limitHoldback returns for how many intervals a request of a team with a share ratio leaves a
+// slot of a limited upstream to other teams. The prefill queues of such engines are short, so
+// the waiting limits, which hold teams to their shares elsewhere, hardly differ there.
+func limitHoldback(ratio float64) float64 {
+	return min(max(ratio-1, 0), maxLimitHoldback)
+}
+
+// maxLimitHoldback bounds the time that a slot stays unused for teams that have nothing to
+// send.
+const maxLimitHoldback = 4
+
 // closedToRouter reports whether an upstream names a limit and this router is none of its
 // senders.
 func (s *Scheduler) closedToRouter(id fleet.UpstreamID) bool {
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -75,3 +75,37 @@
 	seconds := sim.now.Sub(start).Seconds()
 	sim.Expect(float64(admitted)).To(BeNumerically("~", engines*(limit*seconds+1), engines))
 }
+
+// Guards against a team that asks for many times its share taking most of the requests that
+// limited engines accept, as they are too few for queues to tell the teams apart, and against
+// requests that nobody else wants being kept from it.
+func TestTeamsShareTheRequestsThatLimitedEnginesTake(t *testing.T) {
+	const engines, limit = 4, 5.0
+	run := func(quiet bool) map[fleet.TeamID]int {
+		sim := newLimitedSimulation(t, engineCapacity(), engines, engines, limit)
+		served := map[fleet.TeamID]int{}
+		send := func(team fleet.TeamID) {
+			if d, _ := sim.send(team, short(sim.requests)); d.Admitted {
+				served[team]++
+			}
+		}
+		for i := range 4000 {
+			sim.advance(5 * time.Millisecond)
+			send("hot") // 200 a second, twenty are taken.
+			if !quiet && i%20 == 0 {
+				send("small-1") // Ten a second each.
+				send("small-2")
+			}
+		}
+		return served
+	}
+	const seconds = 20
+	g := NewWithT(t)
+	served := run(false)
+	for _, small := range []fleet.TeamID{"small-1", "small-2"} {
+		// All three are owed the same; a quarter is left for the lag of the usage window.
+		g.Expect(float64(served[small])).To(BeNumerically(">=", 0.75*float64(served["hot"])), "%v", served)
+	}
+	g.Expect(served["hot"]+served["small-1"]+served["small-2"]).To(BeNumerically(">=", 0.9*engines*limit*seconds), "%v", served)
+	g.Expect(run(true)["hot"]).To(BeNumerically(">=", 0.9*engines*limit*seconds))
+}
--- a/admission/warming.go
+++ b/admission/warming.go
@@ -88,7 +88,7 @@
 // to it now: it is not cold and names no limit, or this router is one of its senders and has a
 // slot. It records the result in the candidate.
 func (s *Scheduler) withinLimits(b bounds, c *candidate) bool {
-	c.overLimit = !s.warming.WithinLimit(b.now, c.upstream.ID)
+	c.overLimit = !s.warming.WithinLimit(b.now, c.upstream.ID, b.holdback)
 	c.passedOver = c.overLimit || !s.warming.MaySend(b.now, c.upstream.ID) && !s.wronglyEjected(b, c)
 	return !c.passedOver
 }
@@ -132,7 +132,7 @@
 // refusalDelay returns the time until a refused request is predicted to be admitted: until
 // the next slot of a candidate that was passed over, or until the cheapest other candidate
 // is on time, given as untilOnTime, whichever is sooner.
-func (s *Scheduler) refusalDelay(now time.Time, candidates []candidate, untilOnTime time.Duration) time.Duration {
+func (s *Scheduler) refusalDelay(b bounds, candidates []candidate, untilOnTime time.Duration) time.Duration {
 	delay := untilOnTime
 	if countPassedOver(candidates) == len(candidates) {
 		delay = math.MaxInt64 // There is no other candidate.
@@ -140,7 +140,7 @@
 	for i := range candidates {
 		if candidates[i].passedOver {
 			id := candidates[i].upstream.ID
-			untilSlot := max(s.warming.NextSend(now, id).Sub(now), s.warming.NextWithinLimit(now, id).Sub(now))
+			untilSlot := max(s.warming.NextSend(b.now, id).Sub(b.now), s.warming.NextWithinLimit(b.now, id, b.holdback).Sub(b.now))
 			delay = min(delay, untilSlot)
 		}
 	}
--- a/warmup/limit.go
+++ b/warmup/limit.go
@@ -160,10 +160,15 @@
 }
 
 // WithinLimit reports whether the limit that an upstream names lets this router send a request
-// to it now.
-func (t *Tracker) WithinLimit(now time.Time, id fleet.UpstreamID) bool {
+// to it now. holdback is for how many of the router's intervals the request leaves each slot
+// to others; if none of them takes it, it is the request's.
+func (t *Tracker) WithinLimit(now time.Time, id fleet.UpstreamID, holdback float64) bool {
 	l := t.activeLimit(id)
-	return l == nil || l.sender && !now.Before(t.nextLimitSlot(l))
+	return l == nil || l.sender && !now.Before(t.nextLimitSlot(l).Add(l.held(holdback)))
+}
+
+func (l *limited) held(holdback float64) time.Duration {
+	return time.Duration(holdback * float64(l.interval))
 }
 
 // nextLimitSlot returns the earliest time of a sender's next send.
@@ -175,9 +180,10 @@
 	return next
 }
 
-// NextWithinLimit returns the earliest time at which the limit lets a request be sent: this
-// router's next slot or, if it is no sender, when the next one of all senders is expected.
-func (t *Tracker) NextWithinLimit(now time.Time, id fleet.UpstreamID) time.Time {
+// NextWithinLimit returns the earliest time at which the limit lets a request with a holdback
+// be sent: this router's next slot or, if it is no sender, when the next one of all senders is
+// expected.
+func (t *Tracker) NextWithinLimit(now time.Time, id fleet.UpstreamID, holdback float64) time.Time {
 	l := t.activeLimit(id)
 	switch {
 	case l == nil:
@@ -185,7 +191,7 @@
 	case !l.sender:
 		return now.Add(seconds(1 / max(l.Rate, minNamedRate)))
 	}
-	if next := t.nextLimitSlot(l); next.After(now) {
+	if next := t.nextLimitSlot(l).Add(l.held(holdback)); next.After(now) {
 		return next
 	}
 	return now
--- a/warmup/limit_test.go
+++ b/warmup/limit_test.go
@@ -84,7 +84,7 @@
 			g.tracker.MergeLimit(at, g.told)
 			g.toldAt = never
 		}
-		if !g.tracker.WithinLimit(at, engine.ID) {
+		if !g.tracker.WithinLimit(at, engine.ID, 0) {
 			continue
 		}
 		g.tracker.RecordSend(at, engine.ID)
@@ -181,7 +181,7 @@
 	ended, changed := tracker.ObserveLimit(at(4), at(3), engine, nil)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(rate()).To(Equal(-1.0))
-	g.Expect(tracker.WithinLimit(at(4), engine.ID)).To(BeTrue())
+	g.Expect(tracker.WithinLimit(at(4), engine.ID, 0)).To(BeTrue())
 	g.Expect(tracker.MergeLimit(at(4), ended)).To(BeFalse())
 	concurrent := ended
 	concurrent.Ended, concurrent.Rate = false, 1
@@ -211,13 +211,16 @@
 		tracker.MergeLimit(start, warmup.NamedLimit{Upstream: engine, Rate: 2, Version: 1})
 		_, sender, _ := tracker.Limit(engine.ID)
 		if !sender {
-			g.Expect(tracker.NextWithinLimit(start, engine.ID)).To(Equal(start.Add(500 * time.Millisecond)))
+			g.Expect(tracker.NextWithinLimit(start, engine.ID, 0)).To(Equal(start.Add(500 * time.Millisecond)))
 			continue
 		}
 		senders++
-		g.Expect(tracker.NextWithinLimit(start, engine.ID)).To(Equal(start))
+		g.Expect(tracker.NextWithinLimit(start, engine.ID, 0)).To(Equal(start))
 		tracker.RecordSend(start, engine.ID)
-		g.Expect(tracker.NextWithinLimit(start, engine.ID)).To(Equal(start.Add(1500 * time.Millisecond)))
+		g.Expect(tracker.NextWithinLimit(start, engine.ID, 0)).To(Equal(start.Add(1500 * time.Millisecond)))
+		g.Expect(tracker.NextWithinLimit(start, engine.ID, 0.5)).To(Equal(start.Add(2250 * time.Millisecond)))
+		g.Expect(tracker.WithinLimit(start.Add(2249*time.Millisecond), engine.ID, 0.5)).To(BeFalse())
+		g.Expect(tracker.WithinLimit(start.Add(2250*time.Millisecond), engine.ID, 0.5)).To(BeTrue())
 	}
 	g.Expect(senders).To(Equal(3))
 }
