--- a/review/lab/config.go
+++ b/review/lab/config.go
@@ -72,3 +72,19 @@
 		"coldRemainingMs": 0, "stage": "unified", "models": []any{}, "sequence": 1, "born": srv.Born,
 	})
 }
+
+// BendSchedule is the route of streams of crookneck-bend that may be resumed.
+func BendSchedule(service string) Route {
+	return Route{
+		Name: "r-bend", Host: Host, PathPrefix: "/lohu930/", Kind: "streaming", TimeoutMs: 8000, TargetMs: 600, GapMs: 300, Priority: 1,
+		Service: service, MaxAttempts: 2, StickySessions: true, ResumeStreams: true,
+	}
+}
+
+// ClearanceCheck is the route of streams of crookneck-bend that may not be repeated.
+func ClearanceCheck(service string) Route {
+	return Route{
+		Name: "r-check", Host: Host, PathPrefix: "/pufi791/", Kind: "streaming", TimeoutMs: 5000, TargetMs: 600, GapMs: 300, Priority: 1,
+		Service: service, MaxAttempts: 1, StickySessions: true,
+	}
+}
--- a/review/lab/run.go
+++ b/review/lab/run.go
@@ -161,3 +161,6 @@
 	}
 	return false
 }
+
+// PID returns the process's identifier.
+func (p *Process) PID() string { return fmt.Sprint(p.cmd.Process.Pid) }
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -29,6 +29,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
+	crashed  bool
 }
 
 // ServerConn is a connection at a server.
@@ -74,14 +75,20 @@
 	}()
 }
 
-// Crash ends the server at once: it closes its port and all its connections.
-func (s *Server) Crash() {
-	s.listener.Close()
+// Crash ends the server at once: it closes its port and all its connections. It returns
+// false if the server has crashed already.
+func (s *Server) Crash() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.crashed {
+		return false
+	}
+	s.crashed = true
+	s.listener.Close()
 	for conn := range s.conns {
 		conn.Close()
 	}
+	return true
 }
 
 func (s *Server) state() string {
