--- a/review/5/main.go
+++ b/review/5/main.go
@@ -99,8 +99,9 @@
 			leaver = s
 		}
 		s.Handle = func(c *lab.ServerConn, r *http.Request, _ []byte) bool {
-			if id := r.Header.Get("Attempt-Id"); zone == leavingZone && id != "" {
-				l.Logf("%s reaches %s", id, c.Server.ID)
+			id := r.Header.Get("Attempt-Id")
+			l.Logf("%s reaches %s", id, c.Server.ID)
+			if zone == leavingZone && id != "" {
 				rec.reached(id)
 			}
 			time.Sleep(workTime)
--- a/review/lab/run.go
+++ b/review/lab/run.go
@@ -38,17 +38,18 @@
 }
 
 // Main runs a script and ends the process with its exit code: 1 if the rule was broken, 0
-// if it held, 2 if the script could not run. The arguments are the repository and the
-// folder of the case; TROUBLE=0 in the environment leaves the disruption out.
+// if it held, 2 if the script could not run. The arguments are the repository, the folder of
+// the case, and 0 to leave the disruption out; the case's run.sh takes the last one from
+// TROUBLE in the environment.
 func Main(script func(l *Lab) (broken bool, err error)) {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: case REPOSITORY FOLDER")
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: case REPOSITORY FOLDER TROUBLE")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2], script))
+	os.Exit(run(os.Args[1], os.Args[2], os.Args[3] != "0", script))
 }
 
-func run(root, folder string, script func(l *Lab) (bool, error)) int {
+func run(root, folder string, trouble bool, script func(l *Lab) (bool, error)) int {
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -61,7 +62,7 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(temp)
-	l := &Lab{Root: root, Temp: temp, Trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: record}
+	l := &Lab{Root: root, Temp: temp, Trouble: trouble, started: time.Now(), record: record}
 	defer l.killAll()
 	l.Logf("started, trouble=%v", l.Trouble)
 	type result struct {
@@ -161,6 +162,3 @@
 	}
 	return false
 }
-
-// PID returns the process's identifier.
-func (p *Process) PID() string { return fmt.Sprint(p.cmd.Process.Pid) }
