review: ports of the gateways from outside the range of outgoing connections

One run of case 5 of 35 that played side by side could not run, as a gateway was not ready. Its log was not kept; a port taken between its choice and the gateway's start would explain it. The last lines of the logs are now recorded when a script can't run.

--- a/review/lab/gateway.go
+++ b/review/lab/gateway.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -51,14 +53,34 @@
 	return g, nil
 }
 
+// Ports of the gateways lie below those that the kernel gives to outgoing connections, which
+// could take one between its choice and the gateway's start.
+const (
+	firstPort = 10000
+	portCount = 20000
+	portTries = 100
+)
+
+// usedPorts holds the ports that were chosen in this run.
+var usedPorts = map[int]bool{}
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		port := firstPort + rand.IntN(portCount)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if usedPorts[port] {
+			continue
+		}
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		usedPorts[port] = true
+		return address, nil
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // StartGateway starts a gateway with the command and the template of the deploy file, and
--- a/review/lab/run.go
+++ b/review/lab/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -82,6 +83,7 @@
 	}
 	switch {
 	case r.err != nil:
+		l.logProcesses()
 		l.Reportf("NOT RUN: %v", r.err)
 		return exitNotRun
 	case r.broken:
@@ -92,6 +94,19 @@
 	return exitHeld
 }
 
+// logProcesses writes the last line of each process's log to the record.
+func (l *Lab) logProcesses() {
+	logs, _ := filepath.Glob(filepath.Join(l.Temp, "*.log")) // The pattern is well-formed.
+	for _, path := range logs {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+		l.Logf("last line of %s: %s", filepath.Base(path), lines[len(lines)-1])
+	}
+}
+
 // Logf writes a line to the record.
 func (l *Lab) Logf(format string, args ...any) {
 	l.mu.Lock()
