gateway, eventstream: log what was found in upstreams' streams

'attempt ended' now has the events, the last id, blocks that are no event, the earlier requests of the connection and how the body was delimited; 'unsound stream' names the bytes of the first such block. Nothing is decided by it yet.

--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -74,6 +74,20 @@
 	return end
 }
 
+// lineEnd returns the length of the first line and the offset behind its end, which is a
+// line feed, a carriage return or both. The offset is -1 if the line is incomplete.
+func lineEnd(b []byte) (length, end int) {
+	length = bytes.IndexAny(b, "\r\n")
+	switch {
+	case length < 0:
+		return len(b), -1
+	case b[length] == '\r' && length+1 < len(b) && b[length+1] == '\n':
+		return length, length + 2
+	default:
+		return length, length + 1
+	}
+}
+
 func parseID(raw []byte) (int64, bool) {
 	for line := range bytes.Lines(raw) {
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/placement"
 )
@@ -100,6 +101,10 @@
 	return exchange.RequestLimit{Named: true, Rate: rate}, nil
 }
 
+func (plainDialect) StreamContract() eventstream.Contract {
+	return eventstream.Contract{Numbered: true, NumericField: "weights"}
+}
+
 func (plainDialect) ResponseHeader(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del("Connection")
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/evacuation"
+	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/placement"
@@ -31,6 +32,8 @@
 	// RequestLimit returns the limit that the upstream names in its response. The error
 	// reports a malformed one.
 	RequestLimit(header http.Header) (exchange.RequestLimit, error)
+	// StreamContract returns what the events of upstreams' streams look like.
+	StreamContract() eventstream.Contract
 	// ResponseHeader returns the response headers that are relayed to the caller.
 	ResponseHeader(header http.Header) http.Header
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -43,6 +43,9 @@
 	// partTrialCounts counts their trials by service.
 	blamedParts     = expvar.NewInt("gateway_blamed_prompt_parts")
 	partTrialCounts = expvar.NewMap("gateway_prompt_part_trials")
+	// unsoundStreamCounts counts the streams in which something other than the upstream's
+	// events was found, by service.
+	unsoundStreamCounts = expvar.NewMap("gateway_unsound_streams")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,7 +56,9 @@
 	// firstEvent is the time from the request's arrival to the first byte or event of
 	// the response.
 	firstEvent time.Duration
-	err        error
+	// stream describes the events of a stream; nil for other responses.
+	stream *streamTrace
+	err    error
 }
 
 func (r result) mayHaveRun() bool {
@@ -228,8 +230,9 @@
 func (g *Gateway) relayStream(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	g.queueUnsent(ctx, j)
 	var splitter eventstream.Splitter
+	trace := g.newStreamTrace(j, x)
 	lastEvent := time.Time{}
-	res := result{kind: complete, status: http.StatusOK}
+	res := result{kind: complete, status: http.StatusOK, stream: trace}
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := x.Read(buf)
@@ -244,11 +247,13 @@
 			}
 			lastEvent = now
 			if splitErr := splitter.Write(buf[:n]); splitErr != nil {
-				return g.classifyBroken(ctx, j, id, x, splitErr)
+				brokenResult := g.classifyBroken(ctx, j, id, x, splitErr)
+				brokenResult.stream = trace
+				return brokenResult
 			}
-			if writeErr := g.relayEvents(j, x, &splitter); writeErr != nil {
+			if writeErr := g.relayEvents(j, x, &splitter, trace); writeErr != nil {
 				j.service.cancelAttempt(id)
-				return result{kind: callerGone, err: writeErr, firstEvent: res.firstEvent}
+				return result{kind: callerGone, err: writeErr, firstEvent: res.firstEvent, stream: trace}
 			}
 		}
 		if errors.Is(err, io.EOF) && len(splitter.Pending()) > 0 {
@@ -263,7 +268,7 @@
 		}
 		if err != nil {
 			brokenResult := g.classifyBroken(ctx, j, id, x, err)
-			brokenResult.firstEvent = res.firstEvent
+			brokenResult.firstEvent, brokenResult.stream = res.firstEvent, trace
 			return brokenResult
 		}
 	}
@@ -278,13 +283,16 @@
 }
 
 // relayEvents writes the complete events that the caller does not have yet.
-func (g *Gateway) relayEvents(j *job, x *upstream.Exchange, splitter *eventstream.Splitter) error {
+func (g *Gateway) relayEvents(j *job, x *upstream.Exchange, splitter *eventstream.Splitter, trace *streamTrace) error {
 	wrote := false
 	for {
 		event, ok := splitter.Next()
 		if !ok {
 			break
 		}
+		if err := trace.observe(event); err != nil {
+			g.logUnsoundStream(j, trace, event, err)
+		}
 		if event.HasID && j.position.started && event.ID <= j.position.lastID {
 			continue
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -385,7 +385,7 @@
 	if r.kind == broken {
 		fields = append(fields, zap.String("digest", j.digest()), zap.Strings("prompt_parts", j.sharedPartNames()))
 	}
-	g.log.Info("attempt ended", fields...)
+	g.log.Info("attempt ended", append(fields, r.stream.logFields()...)...)
 }
 
 // routerCount returns the number of connected routers, including this one.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -39,6 +39,8 @@
 	reuseDeadline time.Time
 	// bytesWritten counts the bytes written of the current request.
 	bytesWritten int64
+	// requests is the number of requests that were sent before the current one.
+	requests int
 }
 
 // Write implements io.Writer and counts the written bytes.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -200,6 +200,10 @@
 	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
 }
 
+// EarlierRequests returns the number of requests that the connection carried before this
+// one.
+func (x *Exchange) EarlierRequests() int { return x.conn.requests }
+
 // Close returns the connection to the pool if the request was written, the response
 // read to its end and no further bytes received; otherwise it closes the connection.
 func (x *Exchange) Close() {
@@ -213,6 +217,7 @@
 		x.pool.discard(x.conn)
 		return
 	}
+	x.conn.requests++
 	x.pool.put(x.conn)
 }
 
