eventstream: lines end with LF, CR or both, and empty lines may repeat

Callers lost sound streams: one whose lines end with a carriage return alone had no event that ended and was broken off, as was one with an odd number of empty lines at its end ('stream ended within an event'). Cause: the splitter searched for two fixed separators.

The splitter now reads line by line, each byte once, also when a carriage return and its line feed come in different reads.

--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -1,9 +1,9 @@
-// Package eventstream splits the bytes of a text/event-stream response into events.
+// Package eventstream splits the bytes of a text/event-stream response into events and
+// checks that they are events. The format is that of WHATWG HTML, section 9.2.
 package eventstream
 
 import (
 	"bytes"
-	"strconv"
 
 	"github.com/rotisserie/eris"
 )
@@ -14,7 +14,8 @@
 // ErrTooLong reports an event over MaxEventBytes.
 var ErrTooLong = eris.New("eventstream: event too long")
 
-// Event is one complete event.
+// Event is a complete block of a stream: an event, or lines that dispatch none, such as
+// comments.
 type Event struct {
 	// Raw holds the event's bytes, including the empty line that ends it. It is
 	// valid until the next call to the splitter.
@@ -23,13 +24,23 @@
 	ID int64
 	// HasID reports whether the event has a numeric id field.
 	HasID bool
+
+	fields fields
 }
 
 // Splitter buffers the bytes of a stream and returns complete events.
 type Splitter struct {
 	buf []byte
-	// consumed is the number of bytes of buf that were returned as events.
+	// consumed is the number of bytes of buf that were returned as events, and scanned the
+	// number of those whose lines are in fields.
 	consumed int
+	scanned  int
+	fields   fields
+	// begun is set once the first line was read.
+	begun bool
+	// afterReturn is set if the buffer ended with a carriage return: a line feed that
+	// follows belongs to the same line end.
+	afterReturn bool
 }
 
 // Write appends bytes of the stream. It returns ErrTooLong, and drops p, if the
@@ -37,6 +48,7 @@
 func (s *Splitter) Write(p []byte) error {
 	if s.consumed > 0 {
 		s.buf = append(s.buf[:0], s.buf[s.consumed:]...)
+		s.scanned -= s.consumed
 		s.consumed = 0
 	}
 	if len(s.buf)+len(p) > MaxEventBytes {
@@ -48,54 +60,80 @@
 
 // Next returns the next complete event and reports whether there is one.
 func (s *Splitter) Next() (Event, bool) {
-	rest := s.buf[s.consumed:]
-	end := eventEnd(rest)
-	if end < 0 {
-		return Event{}, false
+	if s.skipLineFeed() && s.scanned == s.consumed+1 {
+		return s.take(), true
+	}
+	for {
+		line, end := s.nextLine()
+		if end < 0 {
+			return Event{}, false
+		}
+		s.scanned += end
+		if len(line) == 0 {
+			return s.take(), true
+		}
+		s.fields.add(line)
 	}
-	s.consumed += end
-	event := Event{Raw: rest[:end]}
-	event.ID, event.HasID = parseID(event.Raw)
-	return event, true
 }
 
-// Pending returns the buffered bytes that follow the last returned event.
-func (s *Splitter) Pending() []byte { return s.buf[s.consumed:] }
+// skipLineFeed completes a line end of which only the carriage return was buffered before,
+// and reports whether its line feed followed.
+func (s *Splitter) skipLineFeed() bool {
+	if !s.afterReturn || s.scanned == len(s.buf) {
+		return false
+	}
+	s.afterReturn = false
+	if s.buf[s.scanned] != '\n' {
+		return false
+	}
+	s.scanned++
+	return true
+}
 
-// eventEnd returns the length of the first event, including its empty line, or -1 if
-// it is incomplete.
-func eventEnd(b []byte) int {
-	end := -1
-	for _, separator := range [...]string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(b, []byte(separator)); i >= 0 && (end < 0 || i+len(separator) < end) {
-			end = i + len(separator)
-		}
+// nextLine returns the next line without its end, and the offset behind that end from
+// scanned; a negative offset if the line is incomplete.
+func (s *Splitter) nextLine() (line []byte, end int) {
+	rest := s.buf[s.scanned:]
+	length, end := lineEnd(rest)
+	if end < 0 {
+		return nil, end
 	}
-	return end
+	s.afterReturn = end == len(rest) && rest[end-1] == '\r'
+	line = rest[:length]
+	if !s.begun {
+		line = bytes.TrimPrefix(line, byteOrderMark)
+		s.begun = true
+	}
+	return line, end
+}
+
+// take returns the scanned bytes as an event.
+func (s *Splitter) take() Event {
+	event := Event{Raw: s.buf[s.consumed:s.scanned], ID: s.fields.id, HasID: s.fields.hasID, fields: s.fields}
+	s.consumed = s.scanned
+	s.fields = fields{}
+	return event
 }
 
+// Pending returns the buffered bytes that follow the last returned event.
+func (s *Splitter) Pending() []byte { return s.buf[s.consumed:] }
+
 // lineEnd returns the length of the first line and the offset behind its end, which is a
 // line feed, a carriage return or both. The offset is -1 if the line is incomplete.
 func lineEnd(b []byte) (length, end int) {
-	length = bytes.IndexAny(b, "\r\n")
+	length = bytes.IndexByte(b, '\n')
+	if length >= 0 {
+		b = b[:length+1]
+	}
+	if feed := bytes.IndexByte(b, '\r'); feed >= 0 {
+		length = feed
+	}
 	switch {
 	case length < 0:
-		return len(b), -1
+		return 0, -1
 	case b[length] == '\r' && length+1 < len(b) && b[length+1] == '\n':
 		return length, length + 2
 	default:
 		return length, length + 1
 	}
 }
-
-func parseID(raw []byte) (int64, bool) {
-	for line := range bytes.Lines(raw) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
--- a/eventstream/splitter_test.go
+++ b/eventstream/splitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -90,3 +91,35 @@
 		}
 	})
 }
+
+// TestLineEnds guards against events that end early or never because of how their lines end,
+// for any split into reads.
+func TestLineEnds(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n", "CR": "\r", "CRLF": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			stream := strings.ReplaceAll("id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n", "\n", end)
+			for size := 1; size <= len(stream); size++ {
+				g := NewWithT(t)
+				var s eventstream.Splitter
+				checker := eventstream.NewChecker(eventstream.Contract{Numbered: true})
+				var raw []byte
+				var ids []int64
+				for rest := []byte(stream); len(rest) > 0; {
+					n := min(size, len(rest))
+					g.Expect(s.Write(rest[:n])).To(Succeed())
+					rest = rest[n:]
+					for event, ok := s.Next(); ok; event, ok = s.Next() {
+						g.Expect(checker.Check(event)).To(Succeed(), "reads of %d bytes", size)
+						raw = append(raw, event.Raw...)
+						if event.HasID {
+							ids = append(ids, event.ID)
+						}
+					}
+				}
+				g.Expect(string(raw)).To(Equal(stream))
+				g.Expect(ids).To(Equal([]int64{1, 2}))
+				g.Expect(s.Pending()).To(BeEmpty())
+			}
+		})
+	}
+}
