--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -115,6 +115,10 @@
 	return event
 }
 
+// TrimByteOrderMark returns the bytes of an event without the mark that may begin a stream,
+// for a stream that continues another one.
+func TrimByteOrderMark(raw []byte) []byte { return bytes.TrimPrefix(raw, byteOrderMark) }
+
 // Pending returns the buffered bytes that follow the last returned event.
 func (s *Splitter) Pending() []byte { return s.buf[s.consumed:] }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,7 +11,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/upstream"
@@ -225,94 +224,6 @@
 	return result{kind: broken, status: x.Response.StatusCode, err: err}
 }
 
-// relayStream relays each event as soon as it is complete. On a retry the caller
-// already has the headers and some events.
-func (g *Gateway) relayStream(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
-	g.queueUnsent(ctx, j)
-	var splitter eventstream.Splitter
-	trace := g.newStreamTrace(j, x)
-	lastEvent := time.Time{}
-	res := result{kind: complete, status: http.StatusOK, stream: trace}
-	buf := make([]byte, relayBufferBytes)
-	for {
-		n, err := x.Read(buf)
-		if n > 0 {
-			now := time.Now()
-			if res.firstEvent == 0 {
-				res.firstEvent = now.Sub(j.arrived)
-				j.service.recordFirstEvent(id)
-				j.answerBegun.Store(true)
-			} else {
-				eventGap.record(now.Sub(lastEvent))
-			}
-			lastEvent = now
-			if splitErr := splitter.Write(buf[:n]); splitErr != nil {
-				brokenResult := g.classifyBroken(ctx, j, id, x, splitErr)
-				brokenResult.stream = trace
-				return brokenResult
-			}
-			if writeErr := g.relayEvents(j, x, &splitter, trace); writeErr != nil {
-				j.service.cancelAttempt(id)
-				return result{kind: callerGone, err: writeErr, firstEvent: res.firstEvent, stream: trace}
-			}
-		}
-		if errors.Is(err, io.EOF) && len(splitter.Pending()) > 0 {
-			err = eris.New("stream ended within an event")
-		}
-		if errors.Is(err, io.EOF) && j.closeDelimited && res.firstEvent == 0 {
-			// An upstream that crashed before its first event looks the same.
-			err = eris.New("connection ended before the first event")
-		}
-		if errors.Is(err, io.EOF) {
-			return g.finishStream(j, id, x, res)
-		}
-		if err != nil {
-			brokenResult := g.classifyBroken(ctx, j, id, x, err)
-			brokenResult.firstEvent, brokenResult.stream = res.firstEvent, trace
-			return brokenResult
-		}
-	}
-}
-
-func (g *Gateway) finishStream(j *job, id string, x *upstream.Exchange, res result) result {
-	g.recordOutcome(j, id, outlier.Success)
-	if !j.response.started {
-		j.response.writeHead(x.Response.StatusCode, g.options.Dialect.ResponseHeader(x.Response.Header))
-	}
-	return res
-}
-
-// relayEvents writes the complete events that the caller does not have yet.
-func (g *Gateway) relayEvents(j *job, x *upstream.Exchange, splitter *eventstream.Splitter, trace *streamTrace) error {
-	wrote := false
-	for {
-		event, ok := splitter.Next()
-		if !ok {
-			break
-		}
-		if err := trace.observe(event); err != nil {
-			g.logUnsoundStream(j, trace, event, err)
-		}
-		if event.HasID && j.position.started && event.ID <= j.position.lastID {
-			continue
-		}
-		if !j.response.started {
-			j.response.writeHead(x.Response.StatusCode, g.options.Dialect.ResponseHeader(x.Response.Header))
-		}
-		if _, err := j.response.w.Write(event.Raw); err != nil {
-			return err
-		}
-		wrote = true
-		if event.HasID {
-			j.position = streamPosition{lastID: event.ID, started: true}
-		}
-	}
-	if !wrote {
-		return nil
-	}
-	return j.response.control.Flush()
-}
-
 // resumeAfter returns the ID of the last event relayed to the caller; empty if there is
 // none.
 func (j *job) resumeAfter() string {
--- a/gateway/unsound_stream_test.go
+++ b/gateway/unsound_stream_test.go
@@ -21,7 +21,8 @@
 	"data without an id":       "data: x\n\n",
 	"id without data":          "id: 7\n\n",
 	"id that is not a number":  "id: x\ndata: x\n\n",
-	"id that came before":      "id: 1\ndata: x\n\nid: 1\ndata: y\n\n",
+	"two ids":                  "id: 7\nid: 8\ndata: x\n\n",
+	"id that came before":      "id: 1\ndata: d1\n\n",
 	"head of a response":       "HTTP/1.1 503 Service Unavailable\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n",
 	"error as JSON":            `{"error":{"code":"x"}}` + "\n\n",
 	"event name without data":  "event: error\n\n",
@@ -29,6 +30,12 @@
 	"field of another dialect": "weights: two\nid: 9\ndata: x\n\n",
 }
 
+// skipPlace reports whether inserted bytes can't be told from a sound event at a place: before
+// the first event no id has come before.
+func skipPlace(name string, insertBefore int) bool {
+	return name == "id that came before" && insertBefore == 1
+}
+
 // streamPlaces names where bytes are inserted: before the event with this id of three.
 var streamPlaces = map[string]int{"before the first event": 1, "in the middle": 2, "after the last event": 4}
 
@@ -37,18 +44,23 @@
 func TestBytesThatAreNoEventDoNotReachCallers(t *testing.T) {
 	for name, inserted := range insertedBytes {
 		for place, insertBefore := range streamPlaces {
+			if skipPlace(name, insertBefore) {
+				continue
+			}
 			for _, chunked := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s, %s, chunked %t", name, place, chunked), func(t *testing.T) {
 					g := NewWithT(t)
 					faulty := startServer(t, "e1", "engines", streamOf(1, 3, insertBefore, inserted, chunked))
 					n := startGatewayWith(t, faulty)
 					resp, body, err := send(n, http.MethodPost, "/stream/", "prompt")
-					g.Expect(events(1, 3)).To(HavePrefix(body), "only whole events of the upstream")
-					if resp != nil && resp.StatusCode == http.StatusBadGateway {
-						g.Expect(insertBefore).To(Equal(1), "a refusal is possible only before the first event")
+					if insertBefore == 1 {
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), "nothing of the stream was relayed yet")
 						return
 					}
 					g.Expect(err).To(HaveOccurred(), "the stream must not look whole")
+					g.Expect(events(1, 3)).To(HavePrefix(body), "only whole events of the upstream")
+					g.Expect(body).To(Equal(events(1, insertBefore-1)), "all events before the inserted bytes")
 				})
 			}
 		}
@@ -60,6 +72,9 @@
 func TestResumedStreamHasNoBytesOfAFaultyUpstream(t *testing.T) {
 	for name, inserted := range insertedBytes {
 		for place, insertBefore := range streamPlaces {
+			if skipPlace(name, insertBefore) {
+				continue
+			}
 			t.Run(name+", "+place, func(t *testing.T) {
 				g := NewWithT(t)
 				var served atomic.Int64
