gateway, outlier: a corrupt response is no crash of its upstream

Callers would be refused as 'quarantined' for a minute: an upstream that inserts bytes into streams was ejected for its broken responses, and each ejection counts as a crash that blames the requests which it broke off. It also dropped what the engine has cached and took it for cold.

Cause: Broken stood for two faults, a connection that ended and bytes that are wrong. Corrupt responses have an outcome of their own, which ejects like Broken (consecutive ones), blames no request or prompt part, starts no check of the upstream's port, and keeps its cache.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/upstream"
@@ -111,7 +112,7 @@
 		j.service.cancelAttempt(id)
 		return result{kind: refusedByUpstream, status: status}
 	case exchange.Invalid:
-		g.recordOutcome(j, id, outlier.Broken)
+		g.recordOutcome(j, id, outlier.Corrupt)
 		return result{kind: broken, status: status, err: eris.New("response is not from the upstream")}
 	case exchange.Failed:
 		return g.relayFailure(ctx, j, id, x)
@@ -216,9 +217,12 @@
 
 // classifyBroken returns the result of a response that broke off.
 func (g *Gateway) classifyBroken(ctx context.Context, j *job, id string, x *upstream.Exchange, err error) result {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		j.service.cancelAttempt(id)
-	} else {
+	case errors.Is(err, eventstream.ErrUnsound), errors.Is(err, eventstream.ErrTooLong):
+		g.recordOutcome(j, id, outlier.Corrupt)
+	default:
 		g.recordOutcome(j, id, outlier.Broken)
 	}
 	return result{kind: broken, status: x.Response.StatusCode, err: err}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -326,6 +326,8 @@
 	ejected := j.service.endAttempt(id, outcome)
 	g.suspects.recordOutcome(j, outcome)
 	switch {
+	case ejected && outcome == outlier.Corrupt:
+		g.logEjection(j.upstream, j.in.ID, "corrupt", nil)
 	case ejected:
 		g.recordEjection(j.upstream, j.in.ID, "outcome", nil)
 	case outcome == outlier.Broken:
@@ -336,6 +338,10 @@
 // recordEjection logs an ejection that a request caused and records the crash.
 func (g *Gateway) recordEjection(u registry.Upstream, request, cause string, err error) {
 	g.suspects.recordCrash(u)
+	g.logEjection(u, request, cause, err)
+}
+
+func (g *Gateway) logEjection(u registry.Upstream, request, cause string, err error) {
 	g.log.Warn("upstream ejected", zap.String("request", request), zap.String("service", string(u.Service)),
 		zap.String("upstream", string(u.ID)), zap.String("cause", cause), zap.Error(err))
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -86,7 +86,7 @@
 		}
 	case outlier.Broken:
 		s.recordBroken(j)
-	case outlier.Failure, outlier.Unreachable:
+	case outlier.Failure, outlier.Unreachable, outlier.Corrupt:
 	}
 }
 
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -19,6 +19,9 @@
 	Broken
 	// Unreachable is a connection that could not be established.
 	Unreachable
+	// Corrupt is a response with bytes that are not the upstream's. Unlike Broken it is no
+	// sign of a crash: the upstream runs and keeps what it has cached.
+	Corrupt
 )
 
 // Options configure a Detector.
@@ -27,8 +30,8 @@
 	// consecutive ejection, up to MaxEjection.
 	BaseEjection time.Duration
 	MaxEjection  time.Duration
-	// ConsecutiveBroken is the number of broken connections, with no complete
-	// response in between, that ejects an upstream. Connections that break at
+	// ConsecutiveBroken is the number of broken connections or corrupt responses, with no
+	// complete response in between, that ejects an upstream. Connections that break at
 	// the same time count as one: the fault may be in the network path rather
 	// than in the upstream.
 	ConsecutiveBroken int
@@ -70,7 +73,7 @@
 			d.consecutiveEjections = 0
 		}
 		return false
-	case Broken:
+	case Broken, Corrupt:
 		if now.Sub(d.lastBrokenAt) < brokenCoalesceWindow {
 			return false
 		}
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -75,3 +75,16 @@
 	g.Expect(d.Ejected(start)).To(BeFalse())
 	g.Expect(d.FailureRate()).To(BeNumerically(">", 0.99))
 }
+
+// TestConsecutiveCorruptResponsesEject guards against an upstream that stays in use although
+// its responses hold bytes that are not its own.
+func TestConsecutiveCorruptResponsesEject(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	d := outlier.NewDetector(outlier.Options{BaseEjection: time.Second, MaxEjection: time.Minute, ConsecutiveBroken: 2, Smoothing: 0.1})
+	g.Expect(d.Observe(now, now, outlier.Corrupt)).To(BeFalse())
+	now = now.Add(time.Second)
+	g.Expect(d.Observe(now, now, outlier.Corrupt)).To(BeTrue())
+	g.Expect(d.Ejected(now)).To(BeTrue())
+	g.Expect(d.FailureRate()).To(BeNumerically(">", 0.1))
+}
