--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -35,10 +35,12 @@
 
 var faultKinds = []faultKind{
 	{"kill", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
+		env.exits.expect(g.Process)
 		g.Kill()
 		return env.restart(ctx, g)
 	}, true},
 	{"stop", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
+		env.exits.expect(g.Process)
 		g.Terminate()
 		return env.restart(ctx, g)
 	}, true},
@@ -112,6 +114,10 @@
 		env.limitFor(ctx, s, namedLimits[int(duration/time.Millisecond)%len(namedLimits)], duration)
 		return nil
 	}, false},
+	{"bytes inserted into streams", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		env.Engines[int(duration)%len(env.Engines)].insertBytes(ctx, duration)
+		return nil
+	}, false},
 	{"cold return", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		return env.returnCold(ctx, env.servers[int(duration)%len(env.servers)], duration/4)
 	}, false},
@@ -146,7 +152,11 @@
 	if err := g.Wait(ctx); ctx.Err() != nil {
 		return err
 	}
-	return env.Start(g)
+	if err := env.Start(g); err != nil {
+		return err
+	}
+	env.watchExits(g)
+	return nil
 }
 
 // InjectFaults injects faults drawn from a seed until ctx ends or a rule is broken, and
