quarantine: part names in messages are text

Gateways lost the sessions to each other, and lost them again after each reconnect for up to an hour, once an upstream crashed on a prompt part whose name was not valid UTF-8, or had more than 64 bytes and a character across the 64th. Callers choose the names. The evidence reached no other gateway, and nor did loads or evacuations.

The name was copied into a message between gateways as it came, or cut within a character. Such a message can't be encoded, which closes the session, and a new session begins with the same evidence.

Names are now cut at a character and invalid bytes replaced, where a name is taken from a request and where it is merged.

--- a/gateway/crash_parts.go
+++ b/gateway/crash_parts.go
@@ -79,7 +79,7 @@
 	for i, part := range j.sharedParts() {
 		suspect := quarantine.SuspectPart{ID: quarantine.PartID(part.ID), Parent: parent, Waiting: !j.answerBegun.Load()}
 		if i < len(j.in.PartNames) {
-			suspect.Name = j.in.PartNames[i]
+			suspect.Name = quarantine.TrimPartName(j.in.PartNames[i])
 		}
 		out = append(out, suspect)
 		parent = suspect.ID
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -62,7 +62,7 @@
 		if len(record.parts) >= maxCrashParts {
 			return false
 		}
-		part.Name = part.Name[:min(len(part.Name), MaxPartName)]
+		part.Name = TrimPartName(part.Name)
 		record.parts[part.ID] = &part
 		if !part.Cleared && !record.refuted {
 			l.counts[part.ID]++
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
@@ -39,6 +41,20 @@
 	Refuted bool
 }
 
+// TrimPartName returns a part's name as text of at most MaxPartName bytes. Names come from
+// callers, and messages between processes carry valid UTF-8 only.
+func TrimPartName(name string) string {
+	name = strings.ToValidUTF8(name, "\uFFFD")
+	if len(name) <= MaxPartName {
+		return name
+	}
+	end := MaxPartName
+	for !utf8.RuneStart(name[end]) {
+		end--
+	}
+	return name[:end]
+}
+
 // PartOptions configure a PartList.
 type PartOptions struct {
 	// BlamedCrashes is the number of crashes from which on a part is blamed.
