peer: leave out of messages what can't be true

One corrupted process changed what all others did: a usage that is no number made the shares of all teams, and the state that operators read, no number; work of 4,294,967,295 tokens at an upstream kept all requests off it; an infinite or vanishing rate replaced the estimated speed of engines; lengths of prompt parts were matched with other parts; invented addresses were dialled for good; a virtual time that is no number stayed one.

Messages were decoded and passed to their handlers as they came.

A session now checks each message where it is decoded, drops the entries whose values can't be true and passes on the rest. It counts them by kind and logs each kind once a session.

--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
@@ -84,6 +85,8 @@
 		regionPair:    regionPair(fleet.RegionID(local.Hello.GetRegion()), fleet.RegionID(remote.GetRegion())),
 		queue:         newSendQueue(),
 		done:          make(chan struct{}),
+		log:           zap.NewNop(),
+		loggedUnsound: make(map[string]bool),
 	}
 	return s, nil
 }
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -22,6 +22,9 @@
 	dataSentBytes       = expvar.NewMap("peer_data_sent_bytes")
 )
 
+// unsoundParts counts the parts of received messages that were left out, by kind.
+var unsoundParts = expvar.NewMap("peer_unsound_parts")
+
 // regionPair returns the part of a counter key that names the regions of a session.
 func regionPair(from, to fleet.RegionID) string {
 	return string(from) + "/" + string(to)
--- a/peer/network.go
+++ b/peer/network.go
@@ -97,6 +97,7 @@
 		n.log.Warn("refused a peer", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
 		return
 	}
+	s.log = n.log
 	cause := s.run(ctx, n.handler)
 	n.logClosed(s, cause)
 }
@@ -164,6 +165,7 @@
 		n.log.Warn("handshake failed", zap.String("address", t.Address), zap.Error(err))
 		return err
 	}
+	s.log = n.log
 	cause := s.run(ctx, n.handler)
 	n.logClosed(s, cause)
 	return cause
--- a/peer/session.go
+++ b/peer/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
@@ -82,6 +83,10 @@
 	liveness         livenessMonitor
 	// rtt is the last measured round-trip time in nanoseconds.
 	rtt atomic.Int64
+	log *zap.Logger
+	// loggedUnsound holds the kinds of unsound parts that were logged. It is used by
+	// readLoop only.
+	loggedUnsound map[string]bool
 }
 
 // ID returns the peer's identifier.
@@ -180,7 +185,7 @@
 	s.monitorPeer(0)
 	h.SessionUp(s)
 	// The envelope of the hello contains the peer's configuration generation.
-	h.Message(s, s.helloEnvelope)
+	s.deliver(h, s.helloEnvelope)
 	var wg sync.WaitGroup
 	wg.Go(s.writeLoop)
 	wg.Go(func() { s.acceptLoop(h) })
@@ -198,10 +203,22 @@
 			return
 		}
 		s.receivedMessages.Add(1)
-		h.Message(s, env)
+		s.deliver(h, env)
 	}
 }
 
+// deliver passes what is sound of a message to the handler.
+func (s *Session) deliver(h Handler, env *peerpb.Envelope) {
+	for kind, count := range check(time.Now(), env) {
+		unsoundParts.Add(kind, int64(count))
+		if !s.loggedUnsound[kind] {
+			s.loggedUnsound[kind] = true
+			s.log.Warn("unsound part of a message left out", zap.String("peer", string(s.ID())), zap.String("kind", kind), zap.Int("count", count))
+		}
+	}
+	h.Message(s, env)
+}
+
 func (s *Session) writeLoop() {
 	idle := time.NewTimer(heartbeatInterval)
 	defer idle.Stop()
