peer: check the values of a hello

A corrupted gateway became the aggregator of its failure domain with an infinite processor time, and one that is no number made gateways elect different aggregators, as no order holds for it. Names of any length became keys of counters and members of each gateway's lists, and the address was dialled whatever it was.

The handshake checked only the version and that there is an id and a role.

Unknown roles and names over 1 KiB are now refused; processor time and address that can't be true count as not reported.

--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -13,6 +13,9 @@
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
 
+// maxProcessors is the most processor time of a process, in cores.
+const maxProcessors = 1 << 16
+
 // dialHandshake performs the handshake on a dialed connection and returns the
 // session. An empty expectedID accepts any peer.
 func dialHandshake(conn net.Conn, local *Local, expectedID fleet.NodeID) (*Session, error) {
@@ -72,6 +75,7 @@
 	if err := checkHello(remote, local, expectedID); err != nil {
 		return nil, err
 	}
+	clearUnsound(remote)
 	if err := control.SetDeadline(time.Time{}); err != nil {
 		return nil, eris.Wrap(ErrHandshake, err.Error())
 	}
@@ -118,6 +122,12 @@
 	if remote.GetId() == "" || remote.GetRole() == peerpb.Role_ROLE_UNSPECIFIED {
 		return eris.Wrap(ErrHandshake, "hello has no id or no role")
 	}
+	if remote.GetRole() > peerpb.Role_ROLE_SIDECAR || remote.GetRole() < 0 {
+		return eris.Wrapf(ErrHandshake, "unknown role %d", remote.GetRole())
+	}
+	if max(len(remote.GetId()), len(remote.GetRegion()), len(remote.GetFailureDomain())) > maxNameBytes {
+		return eris.Wrapf(ErrHandshake, "a name is longer than %d bytes", maxNameBytes)
+	}
 	if remote.GetId() == local.Hello.GetId() {
 		return eris.Wrap(ErrHandshake, "peer has the same id as this process")
 	}
@@ -126,3 +136,14 @@
 	}
 	return nil
 }
+
+// clearUnsound removes the values of a hello that can't be true. Its sender is then taken for
+// one that doesn't report them.
+func clearUnsound(remote *peerpb.Hello) {
+	if !(remote.Processors >= 0 && remote.Processors <= maxProcessors) {
+		remote.Processors = 0
+	}
+	if remote.PeerAddress != "" && !isAddress(remote.PeerAddress) {
+		remote.PeerAddress = ""
+	}
+}
