upstream: nothing that arrives before a request is its response

Callers could be told "not run" for a request that an upstream was running: bytes that arrived on a connection between the check of the pool and the sending were read as the response to the request that was sent after them. A refusal bears no id, so it was accepted.

The cause is the order: the pool checked that a connection is idle when it took it, and ShouldSend, dialing and the start of the goroutine that writes a large request came after that. New connections were not checked at all.

The check now comes last before the first byte is written, also in the goroutine of a large request, and the response is read only from then on. A kept connection that fails it is replaced; a new one that fails it is ErrNotSent, as nothing was sent on it. What remains are bytes that arrive between two system calls or are on their way at that moment.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -97,26 +97,51 @@
 
 // isIdle reports whether the upstream has neither closed the connection nor sent
 // unsolicited bytes on it.
-func (c *conn) isIdle() bool {
-	if c.hasUnreadBytes() {
-		return false
-	}
+func (c *conn) isIdle() bool { return !c.hasUnreadBytes() && c.peekSocket() == socketEmpty }
+
+// hasPendingBytes reports whether bytes have arrived that are not part of a response that
+// was read.
+func (c *conn) hasPendingBytes() bool { return c.hasUnreadBytes() || c.peekSocket() == socketReadable }
+
+// socketState says what the next read of a socket would return.
+type socketState int
+
+const (
+	// socketEmpty means that a read would wait.
+	socketEmpty socketState = iota
+	// socketReadable means that a read would return bytes.
+	socketReadable
+	// socketEnded means that a read would return the end of the connection or an error.
+	socketEnded
+)
+
+// peekSocket returns the state of the socket. A connection without a socket counts as
+// empty.
+func (c *conn) peekSocket() socketState {
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return socketEmpty
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return socketEnded
 	}
-	idle := false
+	state := socketEnded
 	err = raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(peekErr, unix.EAGAIN)
+		n, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(peekErr, unix.EAGAIN):
+			state = socketEmpty
+		case peekErr == nil && n > 0:
+			state = socketReadable
+		}
 		return true
 	})
-	return err == nil && idle
+	if err != nil {
+		return socketEnded
+	}
+	return state
 }
 
 // responseReuseDeadline returns the time until which a response allows its
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -14,6 +14,9 @@
 	// ErrInterrupted reports a call that failed after the upstream may have
 	// received it.
 	ErrInterrupted = eris.New("upstream: answer broken off")
+	// errUnsolicited reports a connection that was closed or on which bytes arrived before
+	// the request was sent.
+	errUnsolicited = eris.New("upstream: connection not idle before the request")
 	// ErrIdle reports an upstream that sent no data within the idle timeout.
 	ErrIdle = eris.New("upstream: idle timeout")
 )
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -59,14 +59,10 @@
 // ErrWithdrawn only if no byte of the request was sent, otherwise ErrInterrupted. When
 // ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Exchange, error) {
-	c, err := p.get(ctx)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	if p.isClosed() || r.ShouldSend != nil && !r.ShouldSend() {
-		p.putUnused(c)
-		return nil, ErrWithdrawn
-	}
 	c.bytesWritten = 0
 	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), smallBody: len(r.Body) <= writeBufferSize}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { c.Close() })
@@ -87,22 +83,63 @@
 	return nil, eris.Wrap(ErrInterrupted, err.Error())
 }
 
+// acquire returns a connection for a request. Nothing has arrived on it right before the
+// request is sent: what arrives earlier is no response to it.
+func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
+	for {
+		c, isNew, err := p.get(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if p.isClosed() || r.ShouldSend != nil && !r.ShouldSend() {
+			p.putUnused(c)
+			return nil, ErrWithdrawn
+		}
+		if c.isIdle() {
+			return c, nil
+		}
+		p.discardUnsolicited(c)
+		if isNew {
+			return nil, eris.Wrap(ErrNotSent, errUnsolicited.Error())
+		}
+	}
+}
+
 // send writes the request. A large one is written in a goroutine of its own, because
-// its response may arrive before the upstream has read it. Where CPU time is short that
-// goroutine may start late, so it calls ShouldSend again.
+// its response may arrive before the upstream has read it. send returns once the writing
+// has begun, so that nothing that arrives earlier is read as the response.
 func (x *Exchange) send(r *Request) {
 	if x.smallBody {
 		x.writeDone <- r.write(x.conn)
 		return
 	}
+	begun := make(chan struct{})
 	go func() {
-		if r.ShouldSend != nil && !r.ShouldSend() {
-			x.writeDone <- ErrWithdrawn
+		err := x.checkBeforeLateSend(r)
+		if err != nil {
 			x.conn.Close()
-			return
 		}
-		x.writeDone <- r.write(x.conn)
+		close(begun)
+		if err == nil {
+			err = r.write(x.conn)
+		}
+		x.writeDone <- err
 	}()
+	<-begun
+}
+
+// checkBeforeLateSend repeats the checks before the sending in the goroutine that writes
+// the request, because that may start late where CPU time is short.
+func (x *Exchange) checkBeforeLateSend(r *Request) error {
+	switch {
+	case r.ShouldSend != nil && !r.ShouldSend():
+		return ErrWithdrawn
+	case x.conn.isIdle():
+		return nil
+	case x.conn.hasPendingBytes():
+		countClosed(closedUnsolicited)
+	}
+	return errUnsolicited
 }
 
 // write writes the head and the body.
--- /dev/null
+++ b/upstream/metrics.go
@@ -0,0 +1,20 @@
+package upstream
+
+import "expvar"
+
+// Metrics of the connections of all pools.
+var (
+	// connectionsOpened counts the connections that were established.
+	connectionsOpened = expvar.NewInt("upstream_connections_opened")
+	// connectionsClosed counts the connections that were closed although the upstream would
+	// have kept them, by cause.
+	connectionsClosed = expvar.NewMap("upstream_connections_closed")
+)
+
+// closeCause is why a connection is not kept.
+type closeCause string
+
+// closedUnsolicited means that bytes arrived while no request was waiting.
+const closedUnsolicited closeCause = "unsolicited_bytes"
+
+func countClosed(cause closeCause) { connectionsClosed.Add(string(cause), 1) }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,35 +50,40 @@
 	}
 }
 
-// get returns an idle connection or dials a new one. Its errors are ErrNotSent and
-// ErrWithdrawn.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns an idle connection or dials a new one, and reports whether it is new. Its
+// errors are ErrNotSent and ErrWithdrawn.
+func (p *Pool) get(ctx context.Context) (c *conn, isNew bool, err error) {
 	for {
 		c := p.takeIdle()
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.reuseDeadline) && c.isIdle() {
-			return c, nil
+		if !time.Now().Before(c.reuseDeadline) {
+			p.discard(c)
+			continue
 		}
-		p.discard(c)
+		if c.isIdle() {
+			return c, false, nil
+		}
+		p.discardUnsolicited(c)
 	}
 	if !p.reserve() {
-		return nil, eris.Wrap(ErrNotSent, "connection limit reached")
+		return nil, false, eris.Wrap(ErrNotSent, "connection limit reached")
 	}
-	c, err := dial(ctx, p.address, p.options.DialTimeout, p.options.UserTimeout)
+	c, err = dial(ctx, p.address, p.options.DialTimeout, p.options.UserTimeout)
 	if err != nil {
 		p.release()
-		return nil, err
+		return nil, false, err
 	}
-	return c, nil
+	connectionsOpened.Add(1)
+	return c, true, nil
 }
 
 // Check returns nil if an idle connection to the upstream is still open or the
 // upstream accepts a new one, which is kept in the pool. Its errors are ErrNotSent
 // and ErrWithdrawn.
 func (p *Pool) Check(ctx context.Context) error {
-	c, err := p.get(ctx)
+	c, _, err := p.get(ctx)
 	if err != nil {
 		return err
 	}
@@ -132,6 +137,15 @@
 	p.release()
 }
 
+// discardUnsolicited closes a connection that is not idle. It counts one on which bytes
+// arrived without a request; others were closed by the upstream.
+func (p *Pool) discardUnsolicited(c *conn) {
+	if c.hasPendingBytes() {
+		countClosed(closedUnsolicited)
+	}
+	p.discard(c)
+}
+
 // put returns a connection to the pool for the next request, or closes it if the
 // pool is closed.
 func (p *Pool) put(c *conn) {
