eventstream: the limit of an event does not depend on the reads

Callers could lose a sound stream: an event of 50 KiB whose end shared a read with the beginning of the next one was rejected as too long, since the limit counted all buffered bytes.

Both new tests failed before.

--- a/eventstream/benchmark_test.go
+++ b/eventstream/benchmark_test.go
@@ -42,3 +42,13 @@
 		}
 	}
 }
+
+// BenchmarkLongLineInSmallReads measures a line of nearly MaxEventBytes that arrives in reads of
+// 16 bytes.
+func BenchmarkLongLineInSmallReads(b *testing.B) {
+	stream := []byte("id: 1\ndata: " + strings.Repeat("x", 63<<10) + "\n\n")
+	b.SetBytes(int64(len(stream)))
+	for b.Loop() {
+		splitStream(b, stream, 16)
+	}
+}
--- a/eventstream/checker.go
+++ b/eventstream/checker.go
@@ -34,6 +34,9 @@
 // Check returns ErrUnsound if the block is not an event, comment or reconnection time that
 // may come next in the stream. Blocks have to be passed in order.
 func (c *Checker) Check(e Event) error {
+	if len(e.Raw) > MaxEventBytes {
+		return ErrTooLong
+	}
 	if !utf8.Valid(e.Raw) || bytes.IndexByte(e.Raw, 0) >= 0 {
 		return eris.Wrap(ErrUnsound, "bytes that are not text")
 	}
--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -32,9 +32,11 @@
 type Splitter struct {
 	buf []byte
 	// consumed is the number of bytes of buf that were returned as events, and scanned the
-	// number of those whose lines are in fields.
+	// number of those whose lines are in fields. The bytes between scanned and searched hold
+	// no line end.
 	consumed int
 	scanned  int
+	searched int
 	fields   fields
 	// begun is set once the first line was read.
 	begun bool
@@ -43,15 +45,17 @@
 	afterReturn bool
 }
 
-// Write appends bytes of the stream. It returns ErrTooLong, and drops p, if the
-// buffered bytes would exceed MaxEventBytes.
+// Write appends bytes of the stream, after Next has returned the complete events before
+// them. It returns ErrTooLong, and drops p, if MaxEventBytes of an incomplete event are
+// buffered already.
 func (s *Splitter) Write(p []byte) error {
 	if s.consumed > 0 {
 		s.buf = append(s.buf[:0], s.buf[s.consumed:]...)
 		s.scanned -= s.consumed
+		s.searched -= s.consumed
 		s.consumed = 0
 	}
-	if len(s.buf)+len(p) > MaxEventBytes {
+	if len(s.buf) >= MaxEventBytes {
 		return ErrTooLong
 	}
 	s.buf = append(s.buf, p...)
@@ -93,11 +97,15 @@
 // nextLine returns the next line without its end, and the offset behind that end from
 // scanned; a negative offset if the line is incomplete.
 func (s *Splitter) nextLine() (line []byte, end int) {
+	s.searched = max(s.searched, s.scanned)
 	rest := s.buf[s.scanned:]
-	length, end := lineEnd(rest)
+	before := s.searched - s.scanned
+	length, end := lineEnd(rest[before:])
 	if end < 0 {
+		s.searched = len(s.buf)
 		return nil, end
 	}
+	length, end = length+before, end+before
 	s.afterReturn = end == len(rest) && rest[end-1] == '\r'
 	line = rest[:length]
 	if !s.begun {
--- a/eventstream/splitter_test.go
+++ b/eventstream/splitter_test.go
@@ -123,3 +123,28 @@
 		})
 	}
 }
+
+// TestEventLimitDoesNotDependOnReads guards against a sound event below MaxEventBytes being
+// rejected because the read that ends it holds the beginning of the next one, too.
+func TestEventLimitDoesNotDependOnReads(t *testing.T) {
+	g := NewWithT(t)
+	var s eventstream.Splitter
+	g.Expect(s.Write([]byte("id: 1\ndata: " + strings.Repeat("x", 50<<10)))).To(Succeed())
+	_, complete := s.Next()
+	g.Expect(complete).To(BeFalse())
+	g.Expect(s.Write([]byte("\n\nid: 2\ndata: " + strings.Repeat("x", 15<<10)))).To(Succeed())
+	event, complete := s.Next()
+	g.Expect(complete).To(BeTrue())
+	g.Expect(event.ID).To(BeEquivalentTo(1))
+}
+
+// TestEventsOverTheLimitAreRejectedInOneRead guards against an event over MaxEventBytes that is
+// complete when it is first seen.
+func TestEventsOverTheLimitAreRejectedInOneRead(t *testing.T) {
+	g := NewWithT(t)
+	var s eventstream.Splitter
+	g.Expect(s.Write([]byte("id: 1\ndata: " + strings.Repeat("x", eventstream.MaxEventBytes) + "\n\n"))).To(Succeed())
+	event, complete := s.Next()
+	g.Expect(complete).To(BeTrue())
+	g.Expect(eventstream.NewChecker(eventstream.Contract{}).Check(event)).To(MatchError(eventstream.ErrTooLong))
+}
