gateway: the route decides what a response has to be, not its type

Callers of a streaming route could still get inserted bytes in a stream that looked whole: a response whose Content-Type was missing, repeated, written in capitals or another one, or whose status was 206, was relayed as a body of any kind. On the other hand an event stream on a route that promises no events was checked like one that does, and broken off for what its format allows.

Cause: the checks followed the type that the response happened to name. On a streaming route a success is now an event stream with status 200 or corrupt; on other routes the body of an event stream is passed on as it arrives, unchecked as any other body.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +14,7 @@
 	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -118,14 +119,28 @@
 		return g.relayFailure(ctx, j, id, x)
 	case exchange.Ran:
 	}
-	if isEventStream(header) && status == http.StatusOK {
-		return g.relayStream(ctx, j, id, x)
+	stream := isEventStream(header)
+	switch {
+	case status/100 != 2, j.route.Kind != route.Stream && !stream:
+		return g.relayWhole(ctx, j, id, x)
+	case j.route.Kind != route.Stream:
+		head := &bufferedResponse{status: status, header: g.options.Dialect.ResponseHeader(header)}
+		return g.relayIncrementally(ctx, j, id, x, head)
+	case !stream || status != http.StatusOK:
+		g.recordOutcome(j, id, outlier.Corrupt)
+		return result{kind: broken, status: status, err: eris.New("response is not an event stream")}
 	}
-	return g.relayWhole(ctx, j, id, x)
+	return g.relayStream(ctx, j, id, x)
 }
 
+// isEventStream reports whether a response has the type of event streams and no other.
 func isEventStream(header http.Header) bool {
-	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+	values := header.Values("Content-Type")
+	if len(values) != 1 {
+		return false
+	}
+	mediaType, _, err := mime.ParseMediaType(values[0])
+	return err == nil && mediaType == "text/event-stream"
 }
 
 // relayFailure buffers an error response of the upstream instead of relaying it, since
--- a/gateway/stream_trace.go
+++ b/gateway/stream_trace.go
@@ -6,7 +6,6 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/eventstream"
-	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -27,13 +26,11 @@
 	closeDelimited  bool
 }
 
-// newStreamTrace returns the trace of one response. Only routes of streams promise numbered
-// events.
+// newStreamTrace returns the trace of one response.
 func (g *Gateway) newStreamTrace(j *job, x *upstream.Exchange) *streamTrace {
-	contract := g.options.Dialect.StreamContract()
-	contract.Numbered = contract.Numbered && j.route.Kind == route.Stream
 	return &streamTrace{
-		checker: eventstream.NewChecker(contract), earlierRequests: x.EarlierRequests(), closeDelimited: j.closeDelimited,
+		checker:         eventstream.NewChecker(g.options.Dialect.StreamContract()),
+		earlierRequests: x.EarlierRequests(), closeDelimited: j.closeDelimited,
 	}
 }
 
