gateway: the test of the largest slow response aborts exactly one

Traced: the five responses hold so much that up to three are aborted, and the test took the first log line, whose order is that of goroutines; nor was the first response sure to be the largest when the bound was exceeded.

Now the first response holds more than any other can ever hold when the others begin, without it all fit, and exactly one is aborted: the largest.

--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -223,11 +223,13 @@
 		startServer(t, "i-1", "engines", holdLargeEvents), startServer(t, "p1", "plain", respondDone))
 	held := func() gateway.SlowCallers { return n.State().SlowCallers }
 	largest := dialSlowCaller(t, n, "/stream/250", "")
-	g.Eventually(func() int64 { return held().HeldBytes }, eventuallyTimeout).Should(BeNumerically(">", 100<<10))
-	for _, path := range []string{"/stream/160", "/stream/161", "/stream/162", "/stream/163"} {
+	// None of the other responses can hold as much, and without the largest one all fit.
+	g.Eventually(func() int64 { return held().HeldBytes }, eventuallyTimeout).Should(BeNumerically(">", len(largeEvents(1, 93))))
+	for _, path := range []string{"/stream/90", "/stream/91", "/stream/92", "/stream/93"} {
 		dialSlowCaller(t, n, path, "")
 	}
 	g.Eventually(func() []map[string]any { return brokenOff(logs, "slow_caller") }, eventuallyTimeout).ShouldNot(BeEmpty())
+	g.Consistently(func() []map[string]any { return brokenOff(logs, "slow_caller") }, "100ms").Should(HaveLen(1))
 	line := brokenOff(logs, "slow_caller")[0]
 	g.Expect(line).To(And(HaveKeyWithValue("request", "id-/stream/250"), HaveKeyWithValue("bound", "total")))
 	_, err := largest.readAll()
