gateway: continue a response that has begun only where a stream may be resumed

A large safe response that broke off was sent again for nothing.

Cause: whether to retry was asked of the route's kind alone, not of what the caller has already. A response that has begun is now continued only on a route whose streams may be resumed. TestStreamOfASafeRouteIsNotJoined failed before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -93,13 +93,6 @@
 	_, _ = rw.w.Write(h.body) // A closed connection is detected through the request's context.
 }
 
-// streamPosition is the position up to which a stream was relayed to the caller.
-type streamPosition struct {
-	lastID int64
-	// started is set once an event with an ID was relayed.
-	started bool
-}
-
 // relay relays an upstream's response to the caller.
 func (g *Gateway) relay(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	status, header := x.Response.StatusCode, x.Response.Header
@@ -242,12 +235,3 @@
 	}
 	return result{kind: broken, status: x.Response.StatusCode, err: err}
 }
-
-// resumeAfter returns the ID of the last event relayed to the caller; empty if there is
-// none.
-func (j *job) resumeAfter() string {
-	if !j.position.started {
-		return ""
-	}
-	return strconv.FormatInt(j.position.lastID, 10)
-}
--- a/gateway/relay_stream.go
+++ b/gateway/relay_stream.go
@@ -116,7 +116,7 @@
 			s.gateway.logUnsoundStream(s.job, s.trace, event, unsound)
 			break
 		}
-		if s.callerHas(event) {
+		if event.HasID && s.job.position.includes(event.ID) {
 			continue
 		}
 		if err := s.write(event); err != nil {
@@ -132,11 +132,6 @@
 	return unsound
 }
 
-// callerHas reports whether an earlier attempt has relayed the event.
-func (s *streamRelay) callerHas(event eventstream.Event) bool {
-	return event.HasID && s.job.position.started && event.ID <= s.job.position.lastID
-}
-
 func (s *streamRelay) write(event eventstream.Event) error {
 	raw := event.Raw
 	if s.job.response.started {
@@ -147,7 +142,7 @@
 		return eris.Wrap(errCallerWrite, err.Error())
 	}
 	if event.HasID {
-		s.job.position = streamPosition{lastID: event.ID, started: true}
+		s.job.position.advance(event.ID)
 	}
 	return nil
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -133,7 +133,7 @@
 
 // shouldRetry decides whether an attempt is followed by another one.
 func (g *Gateway) shouldRetry(ctx context.Context, j *job, last result) bool {
-	if ctx.Err() != nil || last.kind == complete || last.kind.callerDisconnected() {
+	if ctx.Err() != nil || last.kind == complete || last.kind.callerDisconnected() || !j.canContinue() {
 		return false
 	}
 	if last.kind == notSent {
