gateway, eventstream: no stream goes on after ids out of order

When ids go back, either that event or the one before it may be inserted, so the position is uncertain and nothing can follow it; the caller sees a break. TestResumedStreamWithMissingEventsDoesNotLookWhole failed before. TestResumedStreamHasNoBytesOfAFaultyUpstream now expects the break for an id that came before: there, too, the event in front may be the inserted one.

--- a/eventstream/checker.go
+++ b/eventstream/checker.go
@@ -2,13 +2,25 @@
 
 import (
 	"bytes"
+	"errors"
 	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 )
 
-// ErrUnsound reports a block of a stream that is not an event of that stream.
-var ErrUnsound = eris.New("eventstream: not an event of the stream")
+var (
+	// ErrUnsound reports a block of a stream that is not an event of that stream.
+	ErrUnsound = eris.New("eventstream: not an event of the stream")
+	// ErrOrder reports an event whose id does not increase. It or an event before it is not
+	// one of the stream.
+	ErrOrder = eris.New("eventstream: ids out of order")
+)
+
+// IsCorrupt reports whether an error of this package, possibly wrapped, states that a stream
+// holds bytes that are not its own.
+func IsCorrupt(err error) bool {
+	return errors.Is(err, ErrUnsound) || errors.Is(err, ErrOrder) || errors.Is(err, ErrTooLong)
+}
 
 // Contract states what the events of a stream look like beyond the rules of the format.
 type Contract struct {
@@ -31,8 +43,8 @@
 // NewChecker returns a checker for the blocks of one response.
 func NewChecker(contract Contract) *Checker { return &Checker{contract: contract} }
 
-// Check returns ErrUnsound if the block is not an event, comment or reconnection time that
-// may come next in the stream. Blocks have to be passed in order.
+// Check returns ErrUnsound, ErrOrder or ErrTooLong if the block is not an event, comment or
+// reconnection time that may come next in the stream. Blocks have to be passed in order.
 func (c *Checker) Check(e Event) error {
 	if len(e.Raw) > MaxEventBytes {
 		return ErrTooLong
@@ -66,7 +78,7 @@
 	case !f.hasID || !f.decimal:
 		return eris.Wrap(ErrUnsound, "id that is not a number")
 	case c.numbered && e.ID <= c.lastID:
-		return eris.Wrapf(ErrUnsound, "id %d after %d", e.ID, c.lastID)
+		return eris.Wrapf(ErrOrder, "id %d after %d", e.ID, c.lastID)
 	}
 	c.lastID, c.numbered = e.ID, true
 	return nil
--- a/gateway/continued_stream_test.go
+++ b/gateway/continued_stream_test.go
@@ -27,3 +27,31 @@
 	_, body, err := send(n, http.MethodGet, "/safe/", "")
 	g.Expect(strings.Count(body, "data: a")).To(BeNumerically("<=", 1), "body %q, error %v", body, err)
 }
+
+// Guards against a stream with missing events that looks whole: an inserted event with an id far
+// ahead moves the position from which the stream is resumed, and a resumed stream may begin
+// behind a gap.
+func TestResumedStreamWithMissingEventsDoesNotLookWhole(t *testing.T) {
+	for name, c := range map[string]struct{ first, second string }{
+		"id far ahead": {first: event(1) + event(900) + event(2), second: ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var served atomic.Int64
+			handle := func(s *server, conn net.Conn, r *http.Request) {
+				head := signedHead + streamType + inChunks + "\r\n"
+				if served.Add(1) == 1 {
+					writeRaw(head+chunkOf(c.first), true)(s, conn, r)
+					return
+				}
+				if c.second != "" {
+					head += chunkOf(c.second)
+				}
+				writeRaw(head+noMore, false)(s, conn, r)
+			}
+			n := startGatewayWith(t, startServer(t, "e1", "engines", handle), startServer(t, "e2", "engines", handle))
+			_, body, err := send(n, http.MethodPost, "/resumable/", "prompt")
+			g.Expect(err).To(HaveOccurred(), "whole at the caller: %q", body)
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -228,7 +228,7 @@
 	switch {
 	case ctx.Err() != nil:
 		j.service.cancelAttempt(id)
-	case errors.Is(err, eventstream.ErrUnsound), errors.Is(err, eventstream.ErrTooLong):
+	case eventstream.IsCorrupt(err):
 		g.recordOutcome(j, id, outlier.Corrupt)
 	default:
 		g.recordOutcome(j, id, outlier.Broken)
--- a/gateway/relay_stream.go
+++ b/gateway/relay_stream.go
@@ -98,6 +98,8 @@
 		j.service.cancelAttempt(s.attempt)
 		return result{kind: callerGone, err: err}
 	default:
+		// Either this event or the one before it may be inserted.
+		j.position.uncertain = j.position.uncertain || errors.Is(err, eventstream.ErrOrder)
 		return g.classifyBroken(ctx, j, s.attempt, s.exchange, err)
 	}
 }
--- a/gateway/stream_position.go
+++ b/gateway/stream_position.go
@@ -11,6 +11,8 @@
 	lastID int64
 	// started is set once the caller has an event with an ID.
 	started bool
+	// uncertain is set if one of the relayed events may not be the upstream's.
+	uncertain bool
 }
 
 // advance moves the position to the event with the given ID.
@@ -34,5 +36,5 @@
 	if !j.response.started {
 		return true
 	}
-	return j.route.Kind == route.Stream && j.route.Resumable
+	return j.route.Kind == route.Stream && j.route.Resumable && !j.position.uncertain
 }
--- a/gateway/unsound_stream_test.go
+++ b/gateway/unsound_stream_test.go
@@ -87,6 +87,12 @@
 				}
 				n := startGatewayWith(t, startServer(t, "e1", "engines", handle), startServer(t, "e2", "engines", handle))
 				resp, body, err := send(n, http.MethodPost, "/resumable/", "prompt")
+				if name == "id that came before" {
+					// The event before it may be the inserted one, so that nothing can follow.
+					g.Expect(err).To(HaveOccurred())
+					g.Expect(events(1, 3)).To(HavePrefix(body))
+					return
+				}
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 				g.Expect(body).To(Equal(events(1, 3)))
