gateway: a resumed stream has to go on where the caller's events end

Where the ids of the relayed events have been 1, 2, 3 and so on, the first new one now has to be the next; other ids may increase in any steps, so they tell nothing. The case 'resumed after a gap' failed before.

--- a/gateway/continued_stream_test.go
+++ b/gateway/continued_stream_test.go
@@ -33,7 +33,8 @@
 // behind a gap.
 func TestResumedStreamWithMissingEventsDoesNotLookWhole(t *testing.T) {
 	for name, c := range map[string]struct{ first, second string }{
-		"id far ahead": {first: event(1) + event(900) + event(2), second: ""},
+		"id far ahead":        {first: event(1) + event(900) + event(2), second: ""},
+		"resumed after a gap": {first: events(1, 2), second: events(5, 6)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -228,7 +228,7 @@
 	switch {
 	case ctx.Err() != nil:
 		j.service.cancelAttempt(id)
-	case eventstream.IsCorrupt(err):
+	case eventstream.IsCorrupt(err), errors.Is(err, errGap):
 		g.recordOutcome(j, id, outlier.Corrupt)
 	default:
 		g.recordOutcome(j, id, outlier.Broken)
--- a/gateway/relay_stream.go
+++ b/gateway/relay_stream.go
@@ -14,6 +14,9 @@
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
+// errGap reports a resumed stream that does not go on where the caller's events end.
+var errGap = eris.New("gateway: events are missing in a resumed stream")
+
 // errCallerWrite reports a write to the caller that failed.
 var errCallerWrite = eris.New("gateway: write to the caller failed")
 
@@ -29,13 +32,17 @@
 	// when bytes were last read.
 	firstEvent time.Duration
 	lastRead   time.Time
+	// continued is set if an earlier attempt relayed events, and written is the number of
+	// events with an ID that this one has relayed.
+	continued bool
+	written   int
 }
 
 // relayStream relays each event as soon as it is complete and found sound. On a retry the
 // caller already has the headers and some events.
 func (g *Gateway) relayStream(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	g.queueUnsent(ctx, j)
-	s := &streamRelay{gateway: g, job: j, attempt: id, exchange: x, trace: g.newStreamTrace(j, x)}
+	s := &streamRelay{gateway: g, job: j, attempt: id, exchange: x, trace: g.newStreamTrace(j, x), continued: j.position.started}
 	err := s.relayUntilEnd()
 	res := s.end(ctx, err)
 	res.firstEvent, res.stream = s.firstEvent, s.trace
@@ -121,6 +128,10 @@
 		if event.HasID && s.job.position.includes(event.ID) {
 			continue
 		}
+		if event.HasID && s.joins() && s.job.position.leavesGap(event.ID) {
+			unsound = eris.Wrapf(errGap, "event %d after %d", event.ID, s.job.position.lastID)
+			break
+		}
 		if err := s.write(event); err != nil {
 			return err
 		}
@@ -134,6 +145,9 @@
 	return unsound
 }
 
+// joins reports whether the next event follows one that an earlier attempt has relayed.
+func (s *streamRelay) joins() bool { return s.continued && s.written == 0 }
+
 func (s *streamRelay) write(event eventstream.Event) error {
 	raw := event.Raw
 	if s.job.response.started {
@@ -144,6 +158,7 @@
 		return eris.Wrap(errCallerWrite, err.Error())
 	}
 	if event.HasID {
+		s.written++
 		s.job.position.advance(event.ID)
 	}
 	return nil
