--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -28,6 +28,9 @@
 	Prompt   placement.Prompt
 	// PartNames are the names of the parts of Prompt as the caller sent them, for logs.
 	PartNames []string
+	// ResumeAfter is the ID of the last event of a stream that the caller has from an earlier
+	// request; zero if it has none.
+	ResumeAfter int64
 	// OutputTokens is the expected length of the answer in tokens.
 	OutputTokens int
 }
--- a/gateway/continued_stream_test.go
+++ b/gateway/continued_stream_test.go
@@ -28,6 +28,16 @@
 	g.Expect(strings.Count(body, "data: a")).To(BeNumerically("<=", 1), "body %q, error %v", body, err)
 }
 
+// Guards against events that the caller has from an earlier request, named in its
+// Last-Event-Id, coming again from an upstream that begins anew.
+func TestEventsBeforeTheCallersPositionAreNotRelayed(t *testing.T) {
+	g := NewWithT(t)
+	n := startGatewayWith(t, startServer(t, "e1", "engines", writeRaw(signedHead+streamType+inChunks+"\r\n"+chunkOf(events(1, 3))+noMore, false)))
+	_, body, err := send(n, http.MethodPost, "/resumable/", "prompt", "Last-Event-Id", "2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal(event(3)))
+}
+
 // Guards against a stream with missing events that looks whole: an inserted event with an id far
 // ahead moves the position from which the stream is resumed, and a resumed stream may begin
 // behind a gap.
--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -45,6 +45,7 @@
 		}
 		in.Deadline = time.Duration(ms) * time.Millisecond
 	}
+	in.ResumeAfter, _ = strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // Zero if it is absent.
 	if parts := r.Header.Get(partsHeader); parts != "" {
 		in.PartNames = strings.Split(parts, ",")
 		for _, name := range in.PartNames {
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -154,6 +154,9 @@
 	}
 	j.team = team
 	j.home = newHomeRegions(table, found.Name, team)
+	if found.Kind == route.Stream && found.Resumable && j.in.ResumeAfter > 0 {
+		j.position.advance(j.in.ResumeAfter)
+	}
 	return nil
 }
 
