--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -46,6 +46,9 @@
 	// unsoundStreamCounts counts the streams in which something other than the upstream's
 	// events was found, by service.
 	unsoundStreamCounts = expvar.NewMap("gateway_unsound_streams")
+	// invalidPeerRegistrations counts the registrations and updates of other routers that
+	// are not valid.
+	invalidPeerRegistrations = expvar.NewInt("gateway_invalid_peer_registrations")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -193,21 +193,42 @@
 	return out
 }
 
+// applyPeerRegistry applies the registrations that another router reported. They are
+// validated like those in the store, which the other router may read by other rules.
 func (g *Gateway) applyPeerRegistry(from fleet.NodeID, m *peerpb.RegistryUpdate) {
+	if m.GetRevision() > registry.MaxRevision {
+		invalidPeerRegistrations.Add(1)
+		g.log.Warn("registrations refused", zap.String("from", string(from)), zap.Uint64("revision", m.GetRevision()))
+		return
+	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registeredAt = now
 	for _, wire := range m.GetRegistrations() {
-		entry := registrationFromWire(wire)
-		if g.registry.Apply(now, entry) {
-			g.logRegistration(entry, string(from))
-		}
+		g.applyPeerRegistration(now, from, wire, m.GetRevision())
 	}
 	g.registry.AdvanceRevision(m.GetRevision())
 	g.updateServices(now)
 }
 
+// applyPeerRegistration applies a registration. latest is the revision of the update that it
+// is part of. The caller holds mu.
+func (g *Gateway) applyPeerRegistration(now time.Time, from fleet.NodeID, wire *peerpb.Registration, latest uint64) {
+	entry, err := registrationFromWire(wire).Checked(latest)
+	if err != nil {
+		invalidPeerRegistrations.Add(1)
+	}
+	if entry.Upstream.ID == "" || !g.registry.Apply(now, entry) {
+		return
+	}
+	if err != nil {
+		g.log.Warn("registration not valid", zap.String("upstream", string(entry.Upstream.ID)), zap.Uint64("revision", entry.Revision),
+			zap.String("from", string(from)), zap.Error(err))
+	}
+	g.logRegistration(entry, string(from))
+}
+
 func registrationToWire(now time.Time, entry registry.Entry) *peerpb.Registration {
 	return &peerpb.Registration{
 		Upstream: string(entry.Upstream.ID), Service: string(entry.Upstream.Service), Address: entry.Upstream.Address,
