upstream: a connection that delivered an answer without an id is closed

A faulty upstream that repeats a refusal late, before its next answer, made the gateway take the copy for the answer to the next request on the connection. That request was running: callers were told "not run" (REFUSED), or the request was sent to a second upstream (TWICE).

Cause: a full upstream's refusal (503 with Not-Run, 421) bears no id, so it was accepted for whichever request waited, and the connection was kept. A copy of an answer with an id is discarded; one without an id can't be told from the next answer.

An answer is now attributed as own, foreign or unmarked. After an unmarked one the connection is closed, so that a copy meets no request.

--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -70,9 +70,14 @@
 	return h
 }
 
-func (plainDialect) MatchesResponse(in exchange.Inbound, _ int, h http.Header) bool {
-	id := h.Get("Request-Id")
-	return id == in.ID || id == "" && h.Get("Signed-By") == ""
+func (plainDialect) AttributeResponse(in exchange.Inbound, _ int, h http.Header) exchange.Attribution {
+	switch id := h.Get("Request-Id"); {
+	case id == in.ID:
+		return exchange.Own
+	case id == "" && h.Get("Signed-By") == "":
+		return exchange.Unmarked
+	}
+	return exchange.Foreign
 }
 
 func (plainDialect) ClassifyResponse(status int, h http.Header) exchange.Outcome {
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -22,8 +22,8 @@
 	ParseRequest(r *http.Request) (exchange.Inbound, error)
 	// RequestHeader returns the headers of a request to an upstream.
 	RequestHeader(in exchange.Inbound, out exchange.Outbound) http.Header
-	// MatchesResponse reports whether a response belongs to a request.
-	MatchesResponse(in exchange.Inbound, status int, header http.Header) bool
+	// AttributeResponse tells from the head of a response whether it belongs to a request.
+	AttributeResponse(in exchange.Inbound, status int, header http.Header) exchange.Attribution
 	// ClassifyResponse derives the outcome from the status and headers of a response.
 	ClassifyResponse(status int, header http.Header) exchange.Outcome
 	// ColdRemaining returns how much longer the upstream is cold according to its
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -106,7 +106,8 @@
 	j.closeDelimited = x.CloseDelimited()
 	switch g.options.Dialect.ClassifyResponse(status, header) {
 	case exchange.NotRun:
-		// Drains the body so that the connection can be reused.
+		// Drains the body so that the connection can be reused, which one whose response
+		// bears no id is not.
 		_, _ = io.Copy(io.Discard, io.LimitReader(x, relayBufferBytes))
 		j.service.cancelAttempt(id)
 		return result{kind: refusedByUpstream, status: status}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -270,8 +270,8 @@
 	return &upstream.Request{
 		Method: j.method, URI: j.in.URI, Host: j.in.Host, Body: j.body,
 		Header: g.options.Dialect.RequestHeader(j.in, out),
-		Matches: func(status int, header http.Header) bool {
-			return g.options.Dialect.MatchesResponse(j.in, status, header)
+		Attribute: func(status int, header http.Header) exchange.Attribution {
+			return g.options.Dialect.AttributeResponse(j.in, status, header)
 		},
 	}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -39,6 +39,9 @@
 	reuseDeadline time.Time
 	// bytesWritten counts the bytes written of the current request.
 	bytesWritten int64
+	// closeCause is why the connection is closed after the current request; empty if it
+	// may be kept.
+	closeCause closeCause
 	// requests is the number of requests that were sent before the current one.
 	requests int
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,19 +10,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-)
 
-const (
-	// maxUnrelatedResponses limits the responses to other requests that are
-	// discarded for one request.
-	maxUnrelatedResponses = 3
-	// maxUnrelatedBodyBytes limits the body of a discarded response.
-	maxUnrelatedBodyBytes = 1 << 20
-	// writeBufferSize holds the head of most requests. A body of at most this size
-	// is written before the response is read.
-	writeBufferSize = 4 << 10
+	"fulmarspindle.example/fulmarspindle/exchange"
 )
 
+// writeBufferSize holds the head of most requests. A body of at most this size is written
+// before the response is read.
+const writeBufferSize = 4 << 10
+
 // Request is a request to an upstream.
 type Request struct {
 	Method string
@@ -31,14 +26,15 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this request.
-	Matches func(status int, header http.Header) bool
+	// Attribute tells from the head of a response whether it belongs to this request.
+	Attribute func(status int, header http.Header) exchange.Attribution
 	// ShouldSend, if set, is called before anything is sent, because dialing may have
 	// taken long. If it returns false, nothing is sent.
 	ShouldSend func() bool
 }
 
-// Exchange is a request whose response head was received. Close must be called.
+// Exchange is a request whose response head was received. Close must be called. The body
+// of a response without an id can't be read.
 type Exchange struct {
 	Response *http.Response
 
@@ -67,7 +63,7 @@
 	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), smallBody: len(r.Body) <= writeBufferSize}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { c.Close() })
 	x.send(r)
-	x.Response, err = readMatchingResponse(c, r) //nolint:bodyclose // Exchange.Close closes the connection or returns it to the pool instead.
+	x.Response, err = readResponse(c, r) //nolint:bodyclose // Exchange.Close closes the connection or returns it to the pool instead.
 	if err == nil {
 		return x, nil
 	}
@@ -167,55 +163,6 @@
 	return buffered.Flush()
 }
 
-// readMatchingResponse reads response heads until one matches the request. Late
-// responses to earlier requests on the connection are discarded.
-func readMatchingResponse(c *conn, r *Request) (*http.Response, error) {
-	unrelated := 0
-	for {
-		resp, err := readFinalResponse(c, r.Method)
-		if err != nil {
-			return nil, err
-		}
-		if r.Matches(resp.StatusCode, resp.Header) {
-			return resp, nil
-		}
-		unrelated++
-		if unrelated > maxUnrelatedResponses || resp.Close || !discardBody(resp) {
-			return nil, eris.New("response does not match the request")
-		}
-	}
-}
-
-// readFinalResponse reads the head of the next response that is not an interim (1xx)
-// one.
-func readFinalResponse(c *conn, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	remaining := maxHeadBytes
-	for range maxInterimResponses + 1 {
-		if err := c.awaitHead(remaining); err != nil {
-			return nil, err
-		}
-		before := len(c.prefetched)
-		resp, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
-			return resp, nil
-		}
-		remaining -= before - len(c.prefetched) - c.reader.Buffered()
-	}
-	return nil, eris.Wrapf(errMalformedHead, "more than %d interim responses", maxInterimResponses)
-}
-
-// discardBody reads the body of an unrelated response and reports whether it ended
-// within maxUnrelatedBodyBytes. The body is not closed, because Close would read it
-// without a limit.
-func discardBody(resp *http.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnrelatedBodyBytes+1))
-	return err == nil && n <= maxUnrelatedBodyBytes
-}
-
 // Read reads the response body. io.EOF means that the body is complete; every other
 // error is ErrInterrupted.
 func (x *Exchange) Read(p []byte) (int, error) {
@@ -242,10 +189,18 @@
 func (x *Exchange) EarlierRequests() int { return x.conn.requests }
 
 // Close returns the connection to the pool if the request was written, the response
-// read to its end and no further bytes received; otherwise it closes the connection.
+// read to its end, no further bytes received, and the next response can be attributed;
+// otherwise it closes the connection.
 func (x *Exchange) Close() {
 	canceled := !x.stopCloseOnCancel()
-	if canceled || !x.bodyRead || !x.requestWritten() || x.conn.hasUnreadBytes() {
+	if canceled || !x.bodyRead || !x.requestWritten() {
+		x.pool.discard(x.conn)
+		return
+	}
+	if x.conn.closeCause != "" && !x.Response.Close {
+		countClosed(x.conn.closeCause)
+	}
+	if x.conn.closeCause != "" || x.conn.hasUnreadBytes() {
 		x.pool.discard(x.conn)
 		return
 	}
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -14,7 +14,11 @@
 // closeCause is why a connection is not kept.
 type closeCause string
 
-// closedUnsolicited means that bytes arrived while no request was waiting.
-const closedUnsolicited closeCause = "unsolicited_bytes"
+const (
+	// closedUnsolicited means that bytes arrived while no request was waiting.
+	closedUnsolicited closeCause = "unsolicited_bytes"
+	// closedUnmarked means that a response bore no id.
+	closedUnmarked closeCause = "unmarked_response"
+)
 
 func countClosed(cause closeCause) { connectionsClosed.Add(string(cause), 1) }
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -52,7 +53,12 @@
 func newRequest(id string) *upstream.Request {
 	return &upstream.Request{
 		Method: http.MethodPost, URI: "/a/b?c=d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Attribute: func(_ int, h http.Header) exchange.Attribution {
+			if h.Get("Id") == id {
+				return exchange.Own
+			}
+			return exchange.Foreign
+		},
 	}
 }
 
