upstream: a refusal without an id among other answers proves nothing

Callers could be told "not run" for a request that was running, or it ran at a second upstream, where a faulty upstream sends more answers than requests: a refusal without an id was accepted as the answer to the waiting request even if an answer to another request came before it, or the answer to the request itself came right behind it.

The rule is now kept in one place, upstream.responseReader. A refusal without an id belongs to the waiting request only if nothing else has arrived since that was sent; all earlier answers on the connection bore ids then, so it is no copy of one. Otherwise the reader goes on while bytes are there: it takes the answer with the request's own id, or ends with an unknown outcome at once. A connection on which an answer was discarded is closed after the request, as its next refusal would prove nothing.

--- a/upstream/attribution.go
+++ b/upstream/attribution.go
@@ -17,35 +17,77 @@
 	maxForeignBodyBytes = 1 << 20
 )
 
-// readResponse reads response heads until one belongs to the request. Late responses to
-// earlier requests on the connection are discarded.
+// responseReader finds the response to one request on a connection.
 //
-// A response without an id belongs to the request that is waiting, as no earlier one on the
-// connection had such a response: the connection is closed after it, because a second copy
-// of it could not be told from a response to the next request.
-func readResponse(c *conn, r *Request) (*http.Response, error) {
-	foreign := 0
+// A response with an id belongs to the request with that id. One without an id, a refusal,
+// belongs to the waiting request if nothing else has arrived since that was sent: all earlier
+// responses on the connection bore ids, so that it is no copy of one of them. Otherwise the
+// upstream sends extra responses, a refusal without an id proves nothing, and the outcome is
+// unknown. In both cases the connection is closed after the request.
+type responseReader struct {
+	conn    *conn
+	request *Request
+	// discarded is the number of responses that were discarded, and refused is set once one
+	// of them was a refusal without an id.
+	discarded int
+	refused   bool
+}
+
+// read reads responses until one belongs to the request.
+func (r *responseReader) read() (*http.Response, error) {
 	for {
-		resp, err := readFinalResponse(c, r.Method)
+		resp, err := readFinalResponse(r.conn, r.request.Method)
 		if err != nil {
 			return nil, err
 		}
-		switch r.Attribute(resp.StatusCode, resp.Header) {
+		switch r.request.Attribute(resp.StatusCode, resp.Header) {
 		case exchange.Own:
 			return resp, nil
 		case exchange.Unmarked:
-			c.closeCause = closedUnmarked
-			resp.Body = http.NoBody
-			return resp, nil
+			if r.accept(resp) {
+				return resp, nil
+			}
 		case exchange.Foreign:
+			if resp.Close || !discardBody(resp) {
+				return nil, errForeign
+			}
 		}
-		foreign++
-		if foreign > maxForeignResponses || resp.Close || !discardBody(resp) {
-			return nil, eris.New("response does not belong to the request")
+		if err := r.discard(); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// accept reports whether a response without an id belongs to the request, and reads its body.
+func (r *responseReader) accept(resp *http.Response) bool {
+	r.refused = true
+	r.conn.closeCause = closedUnmarked
+	// Without a length, or if the body is not complete, all that follows is the body.
+	complete := !isCloseDelimited(resp) && discardBody(resp)
+	resp.Body = http.NoBody
+	return r.discarded == 0 && (!complete || !r.conn.hasPendingBytes())
+}
+
+// discard counts a response that does not belong to the request. It returns an error if the
+// response to the request can't be told from others any more, or there were too many others.
+func (r *responseReader) discard() error {
+	r.discarded++
+	r.conn.closeCause = closedForeign
+	switch {
+	case r.refused && !r.conn.hasPendingBytes():
+		countClosed(closedUnattributed)
+		return errUnattributed
+	case r.discarded > maxForeignResponses:
+		return errForeign
+	}
+	return nil
+}
+
+// isCloseDelimited reports whether the end of the connection marks the end of the body.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // readFinalResponse reads the head of the next response that is not an interim (1xx)
 // one.
 func readFinalResponse(c *conn, method string) (*http.Response, error) {
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -17,6 +17,11 @@
 	// errUnsolicited reports a connection that was closed or on which bytes arrived before
 	// the request was sent.
 	errUnsolicited = eris.New("upstream: connection not idle before the request")
+	// errForeign reports a response that does not belong to the request.
+	errForeign = eris.New("upstream: response does not belong to the request")
+	// errUnattributed reports a refusal without an id among other responses: whether the
+	// request runs is unknown.
+	errUnattributed = eris.New("upstream: refusal without an id among other responses")
 	// ErrIdle reports an upstream that sent no data within the idle timeout.
 	ErrIdle = eris.New("upstream: idle timeout")
 )
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -63,7 +63,8 @@
 	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), smallBody: len(r.Body) <= writeBufferSize}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { c.Close() })
 	x.send(r)
-	x.Response, err = readResponse(c, r) //nolint:bodyclose // Exchange.Close closes the connection or returns it to the pool instead.
+	reader := responseReader{conn: c, request: r}
+	x.Response, err = reader.read() //nolint:bodyclose // Exchange.Close closes the connection or returns it to the pool instead.
 	if err == nil {
 		return x, nil
 	}
@@ -181,7 +182,7 @@
 // CloseDelimited reports whether the end of the connection marks the end of the response
 // body, so that a response that was cut off may look complete.
 func (x *Exchange) CloseDelimited() bool {
-	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+	return isCloseDelimited(x.Response)
 }
 
 // EarlierRequests returns the number of requests that the connection carried before this
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -19,6 +19,10 @@
 	closedUnsolicited closeCause = "unsolicited_bytes"
 	// closedUnmarked means that a response bore no id.
 	closedUnmarked closeCause = "unmarked_response"
+	// closedForeign means that a response to another request or to none was discarded.
+	closedForeign closeCause = "foreign_response"
+	// closedUnattributed means that a refusal without an id came among other responses.
+	closedUnattributed closeCause = "unattributed_response"
 )
 
 func countClosed(cause closeCause) { connectionsClosed.Add(string(cause), 1) }
