upstream: a sidecar's connection carries one request

Callers of the product's own path could get the answer to another request (MIXED) where an upstream repeats an answer late: the transport of net/http takes a copy that comes after the next request was sent for its answer. Answers of a sidecar's upstream have no id, so that nothing can tell them apart. Only idempotent requests and health checks used kept connections.

Each request has a connection of its own now, as non-idempotent ones had before. With this the transport resends nothing, so Call.Idempotent is gone. The tests of Client are the same but for that parameter.

--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -142,7 +142,6 @@
 		Path:         x.dispatch.GetPath(),
 		Header:       header,
 		Body:         x.body,
-		Idempotent:   x.dispatch.GetIdempotent(),
 		IdleTimeout:  x.service.IdleTimeout.Std(),
 		ResumeOffset: x.dispatch.GetResumeOffset(),
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -17,11 +17,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// Limits of the connections to the upstream.
 const (
-	maxIdleConnections = 256
-	readBufferBytes    = 32 << 10
-	healthTimeout      = 2 * time.Second
+	readBufferBytes = 32 << 10
+	healthTimeout   = 2 * time.Second
 )
 
 // HeaderResumeOffset asks an upstream to resume a stream at a byte offset, and
@@ -36,28 +34,18 @@
 	baseURL    string
 	healthPath string
 	http       *http.Client
-	// noReuse opens a connection for each request: on a reused one the transport
-	// may resend a request that has an Idempotency-Key header.
-	noReuse *http.Client
 }
 
 // NewClient returns a client of the upstream at baseURL.
 func NewClient(baseURL, healthPath string) *Client {
-	return &Client{
-		baseURL:    baseURL,
-		healthPath: healthPath,
-		http:       newHTTPClient(false),
-		noReuse:    newHTTPClient(true),
-	}
+	return &Client{baseURL: baseURL, healthPath: healthPath, http: newHTTPClient()}
 }
 
-func newHTTPClient(disableKeepAlives bool) *http.Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConnections,
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
-		IdleConnTimeout:     time.Minute,
-	}
+// newHTTPClient returns a client that opens a connection for each request. Responses have no
+// id, so that on a reused connection an extra one would be taken for the response to the next
+// request; the transport may also resend a request there.
+func newHTTPClient() *http.Client {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
@@ -68,8 +56,6 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Idempotent allows the transport to resend the request.
-	Idempotent bool
 	// IdleTimeout limits the time without a byte of the response.
 	IdleTimeout time.Duration
 	// ResumeOffset is the number of body bytes to skip, zero for none.
@@ -133,11 +119,7 @@
 	if call.ResumeOffset > 0 {
 		req.Header.Set(HeaderResumeOffset, strconv.FormatUint(call.ResumeOffset, 10))
 	}
-	client := c.noReuse
-	if call.Idempotent {
-		client = c.http
-	}
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	if err == nil {
 		return resp, nil
 	}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -54,10 +54,10 @@
 	return NewClient(server.URL, "/health")
 }
 
-func postCall(idempotent bool, body string) *Call {
+func postCall(body string) *Call {
 	return &Call{
 		Method: http.MethodPost, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}},
-		Body: []byte(body), Idempotent: idempotent, IdleTimeout: longIdle,
+		Body: []byte(body), IdleTimeout: longIdle,
 	}
 }
 
@@ -73,19 +73,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	refused := NewClient("http://"+ln.Addr().String(), "/health")
 	ln.Close()
-	g.Expect(refused.Do(t.Context(), postCall(false, "x"), &recordingSink{})).To(MatchError(ErrNotSent))
+	g.Expect(refused.Do(t.Context(), postCall("x"), &recordingSink{})).To(MatchError(ErrNotSent))
 	g.Expect(refused.CheckHealth(t.Context())).To(MatchError(ErrInterrupted))
 
 	canceled, cancel := context.WithCancel(t.Context())
 	cancel()
 	reachable := newTestClient(t, func(http.ResponseWriter, *http.Request) {})
-	g.Expect(reachable.Do(canceled, postCall(false, "x"), &recordingSink{})).To(MatchError(ErrNotSent))
+	g.Expect(reachable.Do(canceled, postCall("x"), &recordingSink{})).To(MatchError(ErrNotSent))
 
 	noResponse := newTestClient(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	g.Expect(noResponse.Do(t.Context(), postCall(false, "x"), &recordingSink{})).To(MatchError(ErrInterrupted))
+	g.Expect(noResponse.Do(t.Context(), postCall("x"), &recordingSink{})).To(MatchError(ErrInterrupted))
 
 	got := &recordingSink{}
-	g.Expect(newTestClient(t, abortResponse).Do(t.Context(), postCall(false, "x"), got)).To(MatchError(ErrInterrupted))
+	g.Expect(newTestClient(t, abortResponse).Do(t.Context(), postCall("x"), got)).To(MatchError(ErrInterrupted))
 	g.Expect(got.body.String()).To(Equal("half"))
 }
 
@@ -105,9 +105,9 @@
 				}
 			}
 		})
-		// The first call leaves a connection that could be reused.
-		g.Expect(client.Do(t.Context(), postCall(false, body), &recordingSink{})).To(Succeed())
-		g.Expect(client.Do(t.Context(), postCall(false, body), &recordingSink{})).To(MatchError(ErrInterrupted))
+		// The first call may leave a connection that could be reused.
+		g.Expect(client.Do(t.Context(), postCall(body), &recordingSink{})).To(Succeed())
+		g.Expect(client.Do(t.Context(), postCall(body), &recordingSink{})).To(MatchError(ErrInterrupted))
 		g.Expect(received.Load()).To(Equal(int64(2)))
 	}
 }
@@ -126,7 +126,7 @@
 	})
 	defer close(release)
 	for _, path := range []string{"/", "/head"} {
-		call := postCall(true, "x")
+		call := postCall("x")
 		call.Path = path
 		call.IdleTimeout = shortIdle
 		g.Expect(hanging.Do(t.Context(), call, &recordingSink{})).To(MatchError(ErrIdle))
@@ -143,7 +143,7 @@
 		<-proceed
 		_, _ = io.WriteString(w, "second")
 	})
-	call := postCall(true, "x")
+	call := postCall("x")
 	call.IdleTimeout = shortIdle
 	got := &recordingSink{}
 	got.onData = func() {
@@ -168,7 +168,7 @@
 		<-r.Context().Done()
 		close(disconnected)
 	})
-	g.Expect(client.Do(t.Context(), postCall(true, "x"), failingSink{sinkErr})).To(MatchError(sinkErr))
+	g.Expect(client.Do(t.Context(), postCall("x"), failingSink{sinkErr})).To(MatchError(sinkErr))
 	g.Eventually(disconnected).Should(BeClosed())
 }
 
@@ -185,7 +185,7 @@
 			g.Expect(r.Header.Get(HeaderResumeOffset)).To(Equal("7"))
 			w.Header().Set(HeaderResumedAt, resumedAt)
 		})
-		call := postCall(true, "x")
+		call := postCall("x")
 		call.ResumeOffset = 7
 		err := client.Do(t.Context(), call, &recordingSink{})
 		if want == nil {
