gateway: the store refutes what another router claims to be stored

After one corrupted gateway had sent a configuration with a version, or evacuations with a revision, far in the future, no gateway adopted what the operator wrote afterwards: routes stayed gone and domains evacuated until all gateways had been stopped, as each tells the next one.

Copies are ordered by version and revision alone, and what another router claims these to be was taken for the store's.

A router now remembers whether what is in force came from another one and is not confirmed. If its watch of the store then answers with something older, or for the configuration nothing, it reads or lists once: the store's answers are linearizable, so one that was requested after the claim and is older refutes it, as does other content of the same version. The store's then counts, and claims from that version on are ignored until the store gets there.

Gateways of large fleets that watch no store themselves still believe the other gateways.

--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -44,6 +44,12 @@
 	if s.known && revision <= s.revision {
 		return Transition{}
 	}
+	return s.Correct(revision, domains)
+}
+
+// Correct applies the complete set of a revision also if the known one has a higher revision,
+// which was found not to be the store's.
+func (s *Set) Correct(revision uint64, domains []fleet.FailureDomainID) Transition {
 	next := make(map[fleet.FailureDomainID]bool, len(domains))
 	for _, domain := range domains {
 		next[domain] = true
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -19,6 +19,8 @@
 	wire *peerpb.Evacuations
 	// begunAt is when this router learned of each evacuation in force.
 	begunAt map[fleet.FailureDomainID]time.Time
+	// claim is what is known of the set if it came from another router.
+	claim peerClaim
 	// waitingSince is the time from which this router has waited for the first set.
 	waitingSince time.Time
 }
@@ -36,14 +38,18 @@
 			node.Pause(ctx, watchCheckInterval)
 			continue
 		}
+		listed, sent := w.listing == nil, time.Now()
 		changed, err := w.next(ctx)
 		dep.report(err)
 		if err == nil {
 			// A report must not claim contact with the store before it has the change.
-			g.applyEvacuations("store", w.revision, w.listing.Domains())
+			g.applyStoredEvacuations(w.revision, w.listing.Domains(), listed, sent)
 		}
 		g.storeContact.recordWatch(&g.storeContact.evacuations, err)
 		switch {
+		case err == nil && g.evacuationsClaimAhead(w.revision):
+			// A watch does not show that the set of another router is not the store's.
+			w.listing = nil
 		case err != nil:
 			w.listing = nil
 			node.Pause(ctx, g.options.StoreRetry)
@@ -122,25 +128,61 @@
 	}
 	known := g.knownDomains()
 	kept, _ := evacuation.Limit(domains, func(d fleet.FailureDomainID) bool { return known[d] })
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.applyEvacuations(string(from), m.GetRevision(), kept)
+	if g.evacuations.set.Revision() == m.GetRevision() {
+		g.evacuations.claim.apply(time.Now())
+	}
 }
 
-// needsEvacuations reports whether a set of a revision is newer than the known one.
+// evacuationsClaimAhead reports whether the known set came from another router and has a higher
+// revision than the store's answer.
+func (g *Gateway) evacuationsClaimAhead(revision uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.claim.open && g.evacuations.set.Revision() > revision
+}
+
+// applyStoredEvacuations applies the set of the store at a revision. A list, requested at a
+// time, of a lower revision shows that what another router sent before is not the store's.
+func (g *Gateway) applyStoredEvacuations(revision uint64, domains []fleet.FailureDomainID, listed bool, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := &g.evacuations
+	if ahead := e.set.Revision(); ahead > revision && listed && e.claim.refutedBy(sent) {
+		g.log.Warn("evacuations of another router are not the store's", zap.Uint64("revision", ahead), zap.Uint64("stored", revision))
+		e.claim.refute(ahead)
+		g.recordEvacuations(sourceStore, e.set.Correct(revision, domains), false)
+		return
+	}
+	if e.set.Revision() <= revision {
+		e.claim.confirm(revision)
+	}
+	g.applyEvacuations(sourceStore, revision, domains)
+}
+
+// needsEvacuations reports whether a set of a revision is newer than the known one, and one
+// that the store has not refuted.
 func (g *Gateway) needsEvacuations(revision uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.evacuations.set.Known() || revision > g.evacuations.set.Revision()
+	e := &g.evacuations
+	return e.claim.accepts(revision) && (!e.set.Known() || revision > e.set.Revision())
 }
 
 // applyEvacuations applies a complete set, unless a newer one is known, and passes it to
-// the services and the other routers if it differs.
+// the services and the other routers if it differs. The caller holds mu.
 func (g *Gateway) applyEvacuations(source string, revision uint64, domains []fleet.FailureDomainID) {
+	first := !g.evacuations.set.Known()
+	g.recordEvacuations(source, g.evacuations.set.Replace(revision, domains), first)
+}
+
+// recordEvacuations passes a change of the set to the services and the other routers. The
+// caller holds mu.
+func (g *Gateway) recordEvacuations(source string, transition evacuation.Transition, first bool) {
 	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	e := &g.evacuations
-	first := !e.set.Known()
-	transition := e.set.Replace(revision, domains)
 	e.wire = evacuationsToWire(&e.set)
 	if transition.Empty() && !first {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	evacuations evacuations
 	// fleet lists the routers from which the senders to cold upstreams are chosen.
 	fleet *warmup.Fleet
+	// routingClaim is what is known of the configuration in force if it came from another
+	// router. It is guarded by mu.
+	routingClaim peerClaim
 	// adoptedAt is when the configuration in force was adopted; registeredAt is when
 	// registrations were last received from the store or a router.
 	adoptedAt    time.Time
--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -170,7 +170,7 @@
 		g.log.Error("configuration refused", zap.String("from", string(from)), zap.Error(err))
 		return
 	}
-	g.adopt(definition, string(from))
+	g.adoptPeer(definition, string(from))
 }
 
 func (g *Gateway) registryRevision() uint64 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -101,6 +101,17 @@
 	return 0
 }
 
+// lacksGeneration reports whether a configuration version is newer than the one in force and
+// may exist.
+func (g *Gateway) lacksGeneration(generation uint64) bool {
+	if generation <= g.generation() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.routingClaim.accepts(generation)
+}
+
 // budgetRouters returns the number of routers that share the retry budgets, connected
 // or not; zero while unknown.
 func (p *peers) budgetRouters() int {
@@ -281,7 +292,7 @@
 
 // Message implements peer.Handler.
 func (p *peers) Message(s *peer.Session, env *peerpb.Envelope) {
-	if env.GetGeneration() > p.gateway.generation() && env.GetRoutingSnapshot() == nil && p.mayRequestRouting(env.GetGeneration()) {
+	if p.gateway.lacksGeneration(env.GetGeneration()) && env.GetRoutingSnapshot() == nil && p.mayRequestRouting(env.GetGeneration()) {
 		s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_RoutingRequest{RoutingRequest: &peerpb.RoutingRequest{}}})
 	}
 	p.recordHeard(s.ID())
