platform: use of an engine's cache list what is sound

One bad entry hid an engine's whole list from a gateway that started, and it then sent prompts elsewhere. Lists were also taken from another instance or an earlier incarnation that names itself, from an encoded body or one with other bytes behind the list, with lengths over any engine's memory, and from JSON that holds no list.

The list was decoded as one value from the beginning of the body, and of the head only the status counted.

--- a/gateway/cachelist.go
+++ b/gateway/cachelist.go
@@ -64,12 +64,16 @@
 		return
 	}
 	asked := time.Now()
-	parts, err := g.options.Engines.ListCache(g.background, u)
+	parts, leftOut, err := g.options.Engines.ListCache(g.background, u)
 	if err != nil {
 		g.log.Warn("cache not listed", zap.String("upstream", string(u.ID)), zap.Error(err))
 		return
 	}
 	s.restoreCache(u.ID, parts)
+	if leftOut > 0 {
+		unsoundCacheEntries.Add(string(s.id), int64(leftOut))
+		g.log.Warn("unsound cache entries left out", zap.String("upstream", string(u.ID)), zap.Int("left_out", leftOut), zap.Int("parts", len(parts)))
+	}
 	g.log.Info("cache listed", zap.String("upstream", string(u.ID)), zap.Int("parts", len(parts)),
 		zap.Int("tokens", placement.Prompt(parts).Tokens()), zap.Duration("took", time.Since(asked)))
 }
--- a/gateway/cachelist_test.go
+++ b/gateway/cachelist_test.go
@@ -22,15 +22,15 @@
 	requests map[fleet.UpstreamID]int
 }
 
-func (e *fakeEngines) ListCache(_ context.Context, u registry.Upstream) ([]placement.Part, error) {
+func (e *fakeEngines) ListCache(_ context.Context, u registry.Upstream) ([]placement.Part, int, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.requests[u.ID]++
 	parts, ok := e.cached[u.ID]
 	if !ok {
-		return nil, errStoreUnavailable
+		return nil, 0, errStoreUnavailable
 	}
-	return parts, nil
+	return parts, 0, nil
 }
 
 func (e *fakeEngines) count(id fleet.UpstreamID) int {
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -40,7 +40,8 @@
 
 // CacheLister asks engines which prompt parts they have cached.
 type CacheLister interface {
-	ListCache(ctx context.Context, u registry.Upstream) ([]placement.Part, error)
+	// ListCache also returns the number of unsound entries, which are left out.
+	ListCache(ctx context.Context, u registry.Upstream) ([]placement.Part, int, error)
 }
 
 // Store provides the operators' configuration and the registered upstreams. Revisions
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -46,6 +46,9 @@
 	// unsoundStreamCounts counts the streams in which something other than the upstream's
 	// events was found, by service.
 	unsoundStreamCounts = expvar.NewMap("gateway_unsound_streams")
+	// unsoundCacheEntries counts the entries of engines' cache lists that were left out, by
+	// service.
+	unsoundCacheEntries = expvar.NewMap("gateway_unsound_cache_entries")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
