placement: parts that a cache can't hold change nothing

A part with an impossible length, from another gateway or a caller, evicted all others from the estimated cache of an engine, so that requests went where their prompts are not cached. A length near the largest integer made the sum negative, and the cache was never full again.

Lengths were added up before they were compared with the capacity.

A part that is longer than the capacity, or negative, is left out with those behind it.

--- a/placement/cache.go
+++ b/placement/cache.go
@@ -88,9 +88,14 @@
 	return tokens
 }
 
-// Add records that a prompt was sent to the engine.
+// Add records that a prompt was sent to the engine. Parts from the first one on that the
+// cache can't hold are left out: an engine does not cache them, and they would displace all
+// others.
 func (c *Cache) Add(p Prompt) {
 	for _, part := range p {
+		if !c.canHold(part) {
+			break
+		}
 		c.touch(part)
 	}
 	for c.used > c.capacity {
@@ -103,7 +108,10 @@
 
 // HasRoom reports whether a prompt without cached parts can be added without evicting
 // any part.
-func (c *Cache) HasRoom(p Prompt) bool { return c.used+p.Tokens() <= c.capacity }
+func (c *Cache) HasRoom(p Prompt) bool { return p.Tokens() <= c.capacity-c.used }
+
+// canHold reports whether an empty cache holds the part.
+func (c *Cache) canHold(part Part) bool { return part.Tokens >= 0 && part.Tokens <= c.capacity }
 
 func (c *Cache) touch(part Part) {
 	if element, ok := c.entries[part.ID]; ok {
@@ -119,7 +127,7 @@
 func (c *Cache) Restore(parts []Part) {
 	for _, part := range parts {
 		_, known := c.entries[part.ID]
-		if known || c.used+part.Tokens > c.capacity {
+		if known || part.Tokens < 0 || part.Tokens > c.capacity-c.used {
 			continue
 		}
 		c.entries[part.ID] = c.order.PushFront(part)
