admission: a cache list counts for the incarnation that was asked

A gateway that asked an engine for its cached parts took the answer for what the engine keeps although it had started anew meanwhile, and sent prompts there that had to be read in full.

The answer was applied by the engine's id, which an engine may keep.

Start time and address now have to be those of the engine that was asked.

--- a/gateway/cachelist.go
+++ b/gateway/cachelist.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
 )
@@ -69,7 +68,7 @@
 		g.log.Warn("cache not listed", zap.String("upstream", string(u.ID)), zap.Error(err))
 		return
 	}
-	s.restoreCache(u.ID, parts)
+	s.restoreCache(u, parts)
 	if leftOut > 0 {
 		unsoundCacheEntries.Add(string(s.id), int64(leftOut))
 		g.log.Warn("unsound cache entries left out", zap.String("upstream", string(u.ID)), zap.Int("left_out", leftOut), zap.Int("parts", len(parts)))
@@ -85,10 +84,10 @@
 	delete(c.requested, keyOf(u))
 }
 
-func (s *service) restoreCache(id fleet.UpstreamID, parts []placement.Part) {
+func (s *service) restoreCache(engine registry.Upstream, parts []placement.Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.RestoreCache(id, parts)
+	s.scheduler.RestoreCache(engine, parts)
 }
 
 // cachesPrompts reports whether the service's upstreams are engines, which cache
