upstream: a sidecar relays only what is found to be an event

A stream that was cut within an event ended as complete, too, if its body did not break off.

The client of the sidecar passed on what arrived.

Event streams are now split into events, and each is checked and passed on as soon as it is complete. Only whole events are passed on, so that a resumption offset is between two events, where the checker of the resumed stream begins.

--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -4,14 +4,15 @@
 
 import (
 	"bytes"
+	"cmp"
 
 	"github.com/rotisserie/eris"
 )
 
-// MaxEventBytes limits the size of an event.
+// MaxEventBytes limits the size of an event unless a splitter has another limit.
 const MaxEventBytes = 64 << 10
 
-// ErrTooLong reports an event over MaxEventBytes.
+// ErrTooLong reports an event over the splitter's limit.
 var ErrTooLong = eris.New("eventstream: event too long")
 
 // Event is a complete block of a stream: an event, or lines that dispatch none, such as
@@ -30,6 +31,9 @@
 
 // Splitter buffers the bytes of a stream and returns complete events.
 type Splitter struct {
+	// Limit is the size of the longest event in bytes; zero stands for MaxEventBytes.
+	Limit int
+
 	buf []byte
 	// consumed is the number of bytes of buf that were returned as events, and scanned the
 	// number of those whose lines are in fields.
@@ -44,14 +48,14 @@
 }
 
 // Write appends bytes of the stream. It returns ErrTooLong, and drops p, if the
-// buffered bytes would exceed MaxEventBytes.
+// buffered bytes would exceed the limit.
 func (s *Splitter) Write(p []byte) error {
 	if s.consumed > 0 {
 		s.buf = append(s.buf[:0], s.buf[s.consumed:]...)
 		s.scanned -= s.consumed
 		s.consumed = 0
 	}
-	if len(s.buf)+len(p) > MaxEventBytes {
+	if len(s.buf)+len(p) > cmp.Or(s.Limit, MaxEventBytes) {
 		return ErrTooLong
 	}
 	s.buf = append(s.buf, p...)
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net/http"
 	"strings"
 	"time"
@@ -24,6 +25,9 @@
 // the time of the charge.
 const chargeAheadFactor = 1.25
 
+// unsoundStreams counts the streams in which the upstream sent something other than events.
+var unsoundStreams = expvar.NewInt("sidecar_unsound_streams")
+
 // execution is the state of one request that was dispatched to this sidecar.
 type execution struct {
 	sidecar  *Sidecar
@@ -120,6 +124,10 @@
 	x.started = time.Now()
 	x.meter = x.newMeter(false)
 	err := x.sidecar.client.Do(ctx, x.call(), x)
+	if errors.Is(err, upstream.ErrUnsound) {
+		unsoundStreams.Add(1)
+		x.sidecar.log.Warn("unsound stream of the upstream", zap.String("attempt", x.dispatch.GetAttemptId()), zap.Uint64("bytes", x.sentBytes), zap.Error(err))
+	}
 	x.finish(ctx, err)
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/eventstream"
 )
 
 // Limits of the connections to the upstream.
@@ -82,8 +84,9 @@
 	Data(p []byte) error
 }
 
-// Do sends the call and relays the response to sink. Its errors are ErrNotSent,
-// ErrInterrupted, ErrIdle, and those of the sink.
+// Do sends the call and relays the response to sink. Of an event stream it relays whole
+// events only. Its errors are ErrNotSent, ErrInterrupted, ErrIdle, ErrUnsound, and those of
+// the sink.
 func (c *Client) Do(ctx context.Context, call *Call, sink Sink) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -103,7 +106,14 @@
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
-	return relay(ctx, resp.Body, sink, idle)
+	if isEventStream(resp.Header) {
+		events := &eventRelay{sink: sink, splitter: eventstream.Splitter{Limit: maxEventBytes}, checker: eventstream.NewChecker(eventstream.Contract{})}
+		if err := relay(ctx, resp.Body, events.data, idle); err != nil {
+			return err
+		}
+		return events.end()
+	}
+	return relay(ctx, resp.Body, sink.Data, idle)
 }
 
 // idleTimer enforces the idle timeout. It is stopped while the sink processes data,
@@ -158,14 +168,14 @@
 	return eris.Wrap(ErrInterrupted, "the upstream did not resume the stream")
 }
 
-func relay(ctx context.Context, body io.Reader, sink Sink, idle *idleTimer) error {
+func relay(ctx context.Context, body io.Reader, data func([]byte) error, idle *idleTimer) error {
 	buf := make([]byte, readBufferBytes)
 	for {
 		idle.start()
 		n, err := body.Read(buf)
 		idle.stop()
 		if n > 0 {
-			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
+			if sinkErr := data(buf[:n]); sinkErr != nil {
 				return sinkErr
 			}
 		}
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -14,6 +14,9 @@
 	// ErrInterrupted reports a call that failed after the upstream may have
 	// received it.
 	ErrInterrupted = eris.New("upstream: answer broken off")
+	// ErrUnsound reports a stream in which the upstream sent something that is no event. What
+	// follows can't be told from what was inserted.
+	ErrUnsound = eris.New("upstream: not an event of the stream")
 	// ErrIdle reports an upstream that sent no data within the idle timeout.
 	ErrIdle = eris.New("upstream: idle timeout")
 )
