upstream: a health check needs the whole response

A sidecar took an upstream for healthy whose response broke off after its status line, as one that crashes does, and thus did not see the crash.

Only the status was looked at.

The body is read to its end, which has to come within 1 MiB and the timeout. Before, the test got no error for the broken response; it passes now.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,6 +24,8 @@
 	maxIdleConnections = 256
 	readBufferBytes    = 32 << 10
 	healthTimeout      = 2 * time.Second
+	// maxHealthBytes limits the body of a health check's response.
+	maxHealthBytes = 1 << 20
 )
 
 // HeaderResumeOffset asks an upstream to resume a stream at a byte offset, and
@@ -196,7 +198,8 @@
 	return eris.Wrap(ErrInterrupted, err.Error())
 }
 
-// CheckHealth requests the upstream's health path. It returns nil for a 2xx status.
+// CheckHealth requests the upstream's health path. It returns nil for a complete response with
+// a 2xx status.
 func (c *Client) CheckHealth(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
@@ -212,5 +215,12 @@
 	if resp.StatusCode/100 != 2 {
 		return eris.Wrapf(ErrInterrupted, "health check returned status %d", resp.StatusCode)
 	}
+	length, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes+1))
+	switch {
+	case err != nil:
+		return eris.Wrap(ErrInterrupted, err.Error())
+	case length > maxHealthBytes:
+		return eris.Wrapf(ErrInterrupted, "health check returned more than %d bytes", maxHealthBytes)
+	}
 	return nil
 }
