eventstream: bytes behind an event don't count to its length

The limit was compared with what is buffered and the whole read, which may hold the next events, too.

An event is now too long once it takes the whole limit and is incomplete. Memory is bounded by the limit and one read.

--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -47,15 +47,16 @@
 	afterReturn bool
 }
 
-// Write appends bytes of the stream. It returns ErrTooLong, and drops p, if the
-// buffered bytes would exceed the limit.
+// Write appends bytes of the stream. It returns ErrTooLong, and drops p, if an incomplete event
+// takes the whole limit already. What completes an event may be read together with bytes of
+// the next ones, so these don't count.
 func (s *Splitter) Write(p []byte) error {
 	if s.consumed > 0 {
 		s.buf = append(s.buf[:0], s.buf[s.consumed:]...)
 		s.scanned -= s.consumed
 		s.consumed = 0
 	}
-	if len(s.buf)+len(p) > cmp.Or(s.Limit, MaxEventBytes) {
+	if len(s.buf) >= cmp.Or(s.Limit, MaxEventBytes) {
 		return ErrTooLong
 	}
 	s.buf = append(s.buf, p...)
