config: a peer that sends an older head does not hold what it named

A router refused all work from 10 s after a corrupted process had sent any message with a generation far in the future, and did so until it was restarted, also after that process had ended.

A generation that a peer names counts as accepted somewhere, and only its adoption ended that.

A process that is named a newer generation asks for it. If the peer answers with an older head, generations that it alone has named are no longer known; what others name, or whose head was received, still is.

A whole head of a generation that was never accepted, with shards that exist, is still adopted.

--- a/config/adopter.go
+++ b/config/adopter.go
@@ -74,6 +74,8 @@
 type knownGeneration struct {
 	generation uint64
 	since      time.Time
+	// claimedBy is the peer that named the generation first; empty if its head was received.
+	claimedBy fleet.NodeID
 }
 
 // NewAdopter returns an Adopter that holds no configuration.
@@ -108,7 +110,7 @@
 		actions = a.shardReceived(e.Shard)
 	case PeerGeneration:
 		a.peers[e.Peer] = max(a.peers[e.Peer], e.Generation)
-		a.recordKnown(now, e.Generation)
+		a.recordKnown(now, e.Generation, e.Peer)
 	case PeerLost:
 		delete(a.peers, e.Peer)
 	case Tick:
@@ -140,9 +142,9 @@
 	if err != nil {
 		return []Action{Reject{From: e.From, Err: err}}
 	}
-	a.recordKnown(now, head.Generation)
+	a.recordKnown(now, head.Generation, "")
 	if e.From != "" {
-		a.peers[e.From] = max(a.peers[e.From], head.Generation)
+		a.setHeld(now, e.From, head.Generation)
 	}
 	if err := a.checkHeadConflict(head.Generation, e.Head); err != nil {
 		return []Action{Reject{From: e.From, Err: err}}
--- a/config/adopter_progress.go
+++ b/config/adopter_progress.go
@@ -8,8 +8,9 @@
 )
 
 // recordKnown records when a newer generation first became known. If there are too many, it
-// merges the newest, which can only make the process report Behind earlier.
-func (a *Adopter) recordKnown(now time.Time, generation uint64) {
+// merges the newest, which can only make the process report Behind earlier. claimedBy is the peer
+// that named it, or empty if its head was received.
+func (a *Adopter) recordKnown(now time.Time, generation uint64, claimedBy fleet.NodeID) {
 	if generation <= a.snapshot.Generation {
 		return
 	}
@@ -19,9 +20,30 @@
 	}
 	if len(a.knownGenerations) >= maxKnownGenerations {
 		a.knownGenerations[last].generation = generation
+		if a.knownGenerations[last].claimedBy != claimedBy {
+			a.knownGenerations[last].claimedBy = ""
+		}
 		return
 	}
-	a.knownGenerations = append(a.knownGenerations, knownGeneration{generation: generation, since: now})
+	a.knownGenerations = append(a.knownGenerations, knownGeneration{generation: generation, since: now, claimedBy: claimedBy})
+}
+
+// setHeld records the generation of the head that a peer sent. Newer generations that only this
+// peer has named are no longer known: it does not hold them. Otherwise a generation that a
+// corrupted process names would keep this process behind for good.
+func (a *Adopter) setHeld(now time.Time, peer fleet.NodeID, generation uint64) {
+	a.peers[peer] = generation
+	holder, named := peer, generation
+	for other, held := range a.peers {
+		if held > named || held == named && other < holder {
+			holder, named = other, held
+		}
+	}
+	a.knownGenerations = slices.DeleteFunc(a.knownGenerations, func(known knownGeneration) bool {
+		return known.claimedBy == peer && known.generation > named
+	})
+	a.recordKnown(now, named, holder)
+	a.highestRequested = min(a.highestRequested, a.highestKnown())
 }
 
 // pruneKnown removes the generations up to that of the snapshot.
--- a/config/adopter_test.go
+++ b/config/adopter_test.go
@@ -102,6 +102,29 @@
 		Expect(actions).To(ContainElement(config.CaughtUp{}))
 	})
 
+	// Guards against a process that refuses all work for good because a corrupted peer names a
+	// generation that nobody holds.
+	It("does not stay behind a generation that a peer names and does not hold", func() {
+		adopter.Step(now, received(generation(1), "a"))
+		for range 100 {
+			actions := adopter.Step(now, config.PeerGeneration{Peer: "a", Generation: 1 << 60})
+			for _, action := range actions {
+				Expect(action).NotTo(BeAssignableToTypeOf(config.Behind{}))
+				if request, ok := action.(config.RequestFromPeer); ok {
+					Expect(request.Peer).To(BeEquivalentTo("a"))
+					adopter.Step(now, received(generation(1), "a"))
+				}
+			}
+			now = now.Add(config.DefaultRetryInterval)
+		}
+		By("still being behind what another peer names, too")
+		adopter.Step(now, config.PeerGeneration{Peer: "a", Generation: 1 << 60})
+		adopter.Step(now, config.PeerGeneration{Peer: "b", Generation: 2})
+		adopter.Step(now, received(generation(1), "a"))
+		now = now.Add(config.DefaultBehindTimeout)
+		Expect(adopter.Step(now, config.Tick{})).To(ContainElement(config.Behind{Held: 1, Known: 2}))
+	})
+
 	It("is not behind while it keeps up with continuous changes", func() {
 		for n := uint64(1); n < 30; n++ {
 			adopter.Step(now, config.PeerGeneration{Peer: "a", Generation: n + 1})
