claim: what is stored is checked before requests run by it

A repeated non-idempotent request ran a second time if the head of its partition was replaced by other JSON, as {} or null, if a sealed segment had lost its records, or if its Idempotency-Key is not valid UTF-8 and came to another router.

Whatever could be decoded was a head or a segment, with no claims if it had none of the fields. JSON can't hold keys that are no text: what was stored was another key.

A head has to have been written at least once, its records complete and one of a key, its segments with a key and records. A segment has to have the records whose hash is in its key. Callers' keys that are no text are refused with 400, and so are their claims.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,8 @@
 # Runs each fuzz target for a bounded count of inputs.
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./peer
+	$(GO) test -run '^$$' -fuzz FuzzDecodeHead -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./claim
+	$(GO) test -run '^$$' -fuzz FuzzDecodeSegment -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./claim
 	$(GO) test -run '^$$' -fuzz FuzzCallerHeaders -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./caller
 	$(GO) test -run '^$$' -fuzz FuzzParseInventory -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./config
 	$(GO) test -run '^$$' -fuzz FuzzGatewaySettings -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./config
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
@@ -112,6 +113,9 @@
 		return "", NotRun(http.StatusBadRequest, "invalid_idempotency_key",
 			fmt.Sprintf("Idempotency-Key exceeds %d bytes", maxIdempotencyKeyBytes))
 	}
+	if !utf8.ValidString(key) {
+		return "", NotRun(http.StatusBadRequest, "invalid_idempotency_key", "Idempotency-Key is not valid UTF-8")
+	}
 	return key, nil
 }
 
--- a/claim/driver.go
+++ b/claim/driver.go
@@ -179,7 +179,7 @@
 		d.warn("reading a segment failed", a.Key, err)
 		return SegmentReadFailed(a)
 	}
-	records, err := DecodeSegment(obj.Value)
+	records, err := DecodeSegment(a.Key, obj.Value)
 	if err != nil {
 		d.warn("a segment is corrupt", a.Key, err)
 		return SegmentReadFailed(a)
--- a/claim/fakestore_test.go
+++ b/claim/fakestore_test.go
@@ -86,7 +86,7 @@
 	intact = err == nil
 	var all []Record
 	for _, ref := range head.Sealed {
-		records, err := DecodeSegment(s.objects[ref.Key].Value)
+		records, err := DecodeSegment(ref.Key, s.objects[ref.Key].Value)
 		intact = intact && err == nil
 		all = append(all, records...)
 	}
--- a/claim/head.go
+++ b/claim/head.go
@@ -5,7 +5,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"hash"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,37 +80,80 @@
 		// Encoding a Record into a hash cannot fail.
 		_ = enc.Encode(r)
 	}
-	return fmt.Sprintf("%s%016x-%s", SegmentPrefix(partition), uint64(version), hex.EncodeToString(h.Sum(nil)[:8]))
+	return fmt.Sprintf("%s%016x%s", SegmentPrefix(partition), uint64(version), segmentSuffix(h))
 }
 
+// segmentSuffix returns the end of a segment's key, from the hash of its encoded records, each
+// followed by a line feed.
+func segmentSuffix(h hash.Hash) string { return "-" + hex.EncodeToString(h.Sum(nil)[:8]) }
+
 // EncodeHead encodes a head for the store.
 func EncodeHead(h Head) ([]byte, error) {
 	b, err := json.Marshal(h)
 	return b, eris.Wrap(err, "claim: encode head")
 }
 
-// DecodeHead decodes a head read from the store. It returns ErrCorrupt if the
-// value is invalid.
+// DecodeHead decodes a head read from the store. It returns ErrCorrupt if the value is
+// invalid: a head that lacks claims would let their requests run again.
 func DecodeHead(b []byte) (Head, error) {
 	var h Head
 	if err := json.Unmarshal(b, &h); err != nil {
 		return Head{}, eris.Wrapf(ErrCorrupt, "head: %v", err)
 	}
+	if err := h.validate(); err != nil {
+		return Head{}, err
+	}
 	return h, nil
 }
 
+func (h Head) validate() error {
+	if h.Writes == 0 {
+		return eris.Wrap(ErrCorrupt, "head that was never written")
+	}
+	for _, ref := range h.Sealed {
+		if ref.Key == "" || ref.Count <= 0 {
+			return eris.Wrap(ErrCorrupt, "head: segment without key or records")
+		}
+	}
+	known := make(map[ScopeKey]bool, len(h.Records))
+	for _, r := range h.Records {
+		if err := r.Validate(); err != nil {
+			return eris.Wrapf(ErrCorrupt, "head: %v", err)
+		}
+		if known[r.Scope] {
+			return eris.Wrap(ErrCorrupt, "head: two records of one key")
+		}
+		known[r.Scope] = true
+	}
+	return nil
+}
+
 // EncodeSegment encodes a sealed segment for the store.
 func EncodeSegment(records []Record) ([]byte, error) {
 	b, err := json.Marshal(records)
 	return b, eris.Wrap(err, "claim: encode segment")
 }
 
-// DecodeSegment decodes a sealed segment read from the store. It returns
-// ErrCorrupt if the value is invalid.
-func DecodeSegment(b []byte) ([]Record, error) {
-	var records []Record
-	if err := json.Unmarshal(b, &records); err != nil {
+// DecodeSegment decodes a sealed segment read from the store under a key. It returns
+// ErrCorrupt if the value is invalid or does not have the records that were sealed: those that
+// it lacks could run again.
+func DecodeSegment(key string, b []byte) ([]Record, error) {
+	var encoded []json.RawMessage
+	if err := json.Unmarshal(b, &encoded); err != nil {
 		return nil, eris.Wrapf(ErrCorrupt, "segment: %v", err)
 	}
+	h := sha256.New()
+	records := make([]Record, len(encoded))
+	for i, raw := range encoded {
+		if err := json.Unmarshal(raw, &records[i]); err != nil {
+			return nil, eris.Wrapf(ErrCorrupt, "segment: %v", err)
+		}
+		// Writing to a hash never fails.
+		_, _ = h.Write(raw)
+		_, _ = h.Write([]byte{'\n'})
+	}
+	if !strings.HasSuffix(key, segmentSuffix(h)) {
+		return nil, eris.Wrapf(ErrCorrupt, "segment %s has other records", key)
+	}
 	return records, nil
 }
--- a/claim/record.go
+++ b/claim/record.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -103,6 +104,10 @@
 		{"router", string(r.Router)},
 		{"digest", r.Digest},
 	}
+	if !utf8.ValidString(r.Scope.Key) {
+		// What is stored of it would be another key.
+		return eris.Wrap(ErrInvalidRecord, "key is not valid UTF-8")
+	}
 	for _, f := range fields {
 		if f.value == "" || len(f.value) > MaxIDBytes {
 			return eris.Wrapf(ErrInvalidRecord, "%s must have 1 to %d bytes, has %d", f.name, MaxIDBytes, len(f.value))
