--- a/eventstream/checker.go
+++ b/eventstream/checker.go
@@ -46,7 +46,7 @@
 // Check returns ErrUnsound, ErrOrder or ErrTooLong if the block is not an event, comment or
 // reconnection time that may come next in the stream. Blocks have to be passed in order.
 func (c *Checker) Check(e Event) error {
-	if len(e.Raw) > MaxEventBytes {
+	if e.fields.tooLong {
 		return ErrTooLong
 	}
 	if !utf8.Valid(e.Raw) || bytes.IndexByte(e.Raw, 0) >= 0 {
--- a/eventstream/fields.go
+++ b/eventstream/fields.go
@@ -35,6 +35,8 @@
 	// such a field if it is the block's first one and has a number.
 	others  int
 	leading string
+	// tooLong is set if the block exceeds the splitter's limit.
+	tooLong bool
 }
 
 // add records a line that is not empty.
--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -4,14 +4,15 @@
 
 import (
 	"bytes"
+	"cmp"
 
 	"github.com/rotisserie/eris"
 )
 
-// MaxEventBytes limits the size of an event.
+// MaxEventBytes limits the size of an event unless a splitter has another limit.
 const MaxEventBytes = 64 << 10
 
-// ErrTooLong reports an event over MaxEventBytes.
+// ErrTooLong reports an event over the splitter's limit.
 var ErrTooLong = eris.New("eventstream: event too long")
 
 // Event is a complete block of a stream: an event, or lines that dispatch none, such as
@@ -30,6 +31,9 @@
 
 // Splitter buffers the bytes of a stream and returns complete events.
 type Splitter struct {
+	// Limit is the size of the longest event in bytes; zero stands for MaxEventBytes.
+	Limit int
+
 	buf []byte
 	// consumed is the number of bytes of buf that were returned as events, and scanned the
 	// number of those whose lines are in fields. The bytes between scanned and searched hold
@@ -46,8 +50,9 @@
 }
 
 // Write appends bytes of the stream, after Next has returned the complete events before
-// them. It returns ErrTooLong, and drops p, if MaxEventBytes of an incomplete event are
-// buffered already.
+// them. It returns ErrTooLong, and drops p, if an incomplete event takes the whole limit
+// already. What completes an event may be read together with bytes of the next ones, so
+// these don't count.
 func (s *Splitter) Write(p []byte) error {
 	if s.consumed > 0 {
 		s.buf = append(s.buf[:0], s.buf[s.consumed:]...)
@@ -55,13 +60,15 @@
 		s.searched -= s.consumed
 		s.consumed = 0
 	}
-	if len(s.buf) >= MaxEventBytes {
+	if len(s.buf) >= s.limit() {
 		return ErrTooLong
 	}
 	s.buf = append(s.buf, p...)
 	return nil
 }
 
+func (s *Splitter) limit() int { return cmp.Or(s.Limit, MaxEventBytes) }
+
 // Next returns the next complete event and reports whether there is one.
 func (s *Splitter) Next() (Event, bool) {
 	if s.skipLineFeed() && s.scanned == s.consumed+1 {
@@ -118,6 +125,7 @@
 // take returns the scanned bytes as an event.
 func (s *Splitter) take() Event {
 	event := Event{Raw: s.buf[s.consumed:s.scanned], ID: s.fields.id, HasID: s.fields.hasID, fields: s.fields}
+	event.fields.tooLong = len(event.Raw) > s.limit()
 	s.consumed = s.scanned
 	s.fields = fields{}
 	return event
--- a/gateway/cachelist.go
+++ b/gateway/cachelist.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
 )
@@ -64,12 +63,16 @@
 		return
 	}
 	asked := time.Now()
-	parts, err := g.options.Engines.ListCache(g.background, u)
+	parts, leftOut, err := g.options.Engines.ListCache(g.background, u)
 	if err != nil {
 		g.log.Warn("cache not listed", zap.String("upstream", string(u.ID)), zap.Error(err))
 		return
 	}
-	s.restoreCache(u.ID, parts)
+	s.restoreCache(u, parts)
+	if leftOut > 0 {
+		unsoundCacheEntries.Add(string(s.id), int64(leftOut))
+		g.log.Warn("unsound cache entries left out", zap.String("upstream", string(u.ID)), zap.Int("left_out", leftOut), zap.Int("parts", len(parts)))
+	}
 	g.log.Info("cache listed", zap.String("upstream", string(u.ID)), zap.Int("parts", len(parts)),
 		zap.Int("tokens", placement.Prompt(parts).Tokens()), zap.Duration("took", time.Since(asked)))
 }
@@ -81,10 +84,10 @@
 	delete(c.requested, keyOf(u))
 }
 
-func (s *service) restoreCache(id fleet.UpstreamID, parts []placement.Part) {
+func (s *service) restoreCache(engine registry.Upstream, parts []placement.Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.RestoreCache(id, parts)
+	s.scheduler.RestoreCache(engine, parts)
 }
 
 // cachesPrompts reports whether the service's upstreams are engines, which cache
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,6 +49,9 @@
 	// invalidPeerRegistrations counts the registrations and updates of other routers that
 	// are not valid.
 	invalidPeerRegistrations = expvar.NewInt("gateway_invalid_peer_registrations")
+	// unsoundCacheEntries counts the entries of engines' cache lists that were left out, by
+	// service.
+	unsoundCacheEntries = expvar.NewMap("gateway_unsound_cache_entries")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -15,11 +15,15 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"fulmarspindle.example/fulmarspindle/eventstream"
 )
 
 const (
 	readBufferBytes = 32 << 10
 	healthTimeout   = 2 * time.Second
+	// maxHealthBytes limits the body of a health check's response.
+	maxHealthBytes = 1 << 20
 )
 
 // HeaderResumeOffset asks an upstream to resume a stream at a byte offset, and
@@ -68,8 +72,9 @@
 	Data(p []byte) error
 }
 
-// Do sends the call and relays the response to sink. Its errors are ErrNotSent,
-// ErrInterrupted, ErrIdle, and those of the sink.
+// Do sends the call and relays the response to sink. Of an event stream it relays whole
+// events only. Its errors are ErrNotSent, ErrInterrupted, ErrIdle, ErrUnsound, and those of
+// the sink.
 func (c *Client) Do(ctx context.Context, call *Call, sink Sink) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -89,7 +94,14 @@
 	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
-	return relay(ctx, resp.Body, sink, idle)
+	if isEventStream(resp.Header) {
+		events := &eventRelay{sink: sink, splitter: eventstream.Splitter{Limit: maxEventBytes}, checker: eventstream.NewChecker(eventstream.Contract{})}
+		if err := relay(ctx, resp.Body, events.data, idle); err != nil {
+			return err
+		}
+		return events.end()
+	}
+	return relay(ctx, resp.Body, sink.Data, idle)
 }
 
 // idleTimer enforces the idle timeout. It is stopped while the sink processes data,
@@ -140,14 +152,14 @@
 	return eris.Wrap(ErrInterrupted, "the upstream did not resume the stream")
 }
 
-func relay(ctx context.Context, body io.Reader, sink Sink, idle *idleTimer) error {
+func relay(ctx context.Context, body io.Reader, data func([]byte) error, idle *idleTimer) error {
 	buf := make([]byte, readBufferBytes)
 	for {
 		idle.start()
 		n, err := body.Read(buf)
 		idle.stop()
 		if n > 0 {
-			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
+			if sinkErr := data(buf[:n]); sinkErr != nil {
 				return sinkErr
 			}
 		}
@@ -168,7 +180,8 @@
 	return eris.Wrap(ErrInterrupted, err.Error())
 }
 
-// CheckHealth requests the upstream's health path. It returns nil for a 2xx status.
+// CheckHealth requests the upstream's health path. It returns nil for a complete response with
+// a 2xx status.
 func (c *Client) CheckHealth(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
@@ -184,5 +197,12 @@
 	if resp.StatusCode/100 != 2 {
 		return eris.Wrapf(ErrInterrupted, "health check returned status %d", resp.StatusCode)
 	}
+	length, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes+1))
+	switch {
+	case err != nil:
+		return eris.Wrap(ErrInterrupted, err.Error())
+	case length > maxHealthBytes:
+		return eris.Wrapf(ErrInterrupted, "health check returned more than %d bytes", maxHealthBytes)
+	}
 	return nil
 }
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -22,6 +22,9 @@
 	// errUnattributed reports a refusal without an id among other responses: whether the
 	// request runs is unknown.
 	errUnattributed = eris.New("upstream: refusal without an id among other responses")
+	// ErrUnsound reports a stream in which the upstream sent something that is no event. What
+	// follows can't be told from what was inserted.
+	ErrUnsound = eris.New("upstream: not an event of the stream")
 	// ErrIdle reports an upstream that sent no data within the idle timeout.
 	ErrIdle = eris.New("upstream: idle timeout")
 )
