gateway: only a sound event counts as a stream's first one

Cause: any byte counted as the first event, before it was checked. The time of the first event, the charge, and the test for a connection that ended before it now follow sound events with an id; a response that is no stream counts once it is whole.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -169,10 +169,10 @@
 func (g *Gateway) relayWhole(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	resp, err := g.bufferResponse(j, x)
 	first := time.Since(j.arrived)
-	j.service.recordFirstEvent(id)
 	if err != nil && !errors.Is(err, errTooLarge) {
 		return g.classifyBroken(ctx, j, id, x, err)
 	}
+	j.service.recordFirstEvent(id)
 	if j.response.started {
 		// A stream that has started cannot continue with a response of another type.
 		g.recordOutcome(j, id, outlier.Failure)
--- a/gateway/relay_stream.go
+++ b/gateway/relay_stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -28,14 +29,16 @@
 	exchange *upstream.Exchange
 	splitter eventstream.Splitter
 	trace    *streamTrace
-	// firstEvent is the time from the request's arrival to the first bytes, and lastRead
-	// when bytes were last read.
+	// firstEvent is the time from the request's arrival to the first event with an id, and
+	// lastEvents when such events were last read.
 	firstEvent time.Duration
-	lastRead   time.Time
+	lastEvents time.Time
 	// continued is set if an earlier attempt relayed events, and written is the number of
 	// events with an ID that this one has relayed.
 	continued bool
 	written   int
+	// unflushed is set while written bytes have not been flushed to the caller.
+	unflushed bool
 }
 
 // relayStream relays each event as soon as it is complete and found sound. On a retry the
@@ -56,7 +59,6 @@
 	for {
 		n, err := s.exchange.Read(buf)
 		if n > 0 {
-			s.recordRead(time.Now())
 			if relayErr := s.relayBytes(buf[:n]); relayErr != nil {
 				return relayErr
 			}
@@ -70,15 +72,19 @@
 	}
 }
 
-func (s *streamRelay) recordRead(now time.Time) {
+// recordEvents records the time at which events with an id were read.
+func (s *streamRelay) recordEvents(now time.Time) {
+	if s.lastEvents.Equal(now) {
+		return
+	}
 	if s.firstEvent == 0 {
 		s.firstEvent = now.Sub(s.job.arrived)
 		s.job.service.recordFirstEvent(s.attempt)
 		s.job.answerBegun.Store(true)
 	} else {
-		eventGap.record(now.Sub(s.lastRead))
+		eventGap.record(now.Sub(s.lastEvents))
 	}
-	s.lastRead = now
+	s.lastEvents = now
 }
 
 // checkEnd returns an error if the response ended where a stream can't be complete.
@@ -111,38 +117,50 @@
 	}
 }
 
-// relayBytes relays the events that p completes. After an unsound block it returns
-// eventstream.ErrUnsound and relays nothing further: what follows can't be told from what
-// was inserted.
+// relayBytes relays the events that p completes. After an unsound block it returns an error
+// and relays nothing further: what follows can't be told from what was inserted.
 func (s *streamRelay) relayBytes(p []byte) error {
 	if err := s.splitter.Write(p); err != nil {
 		return err
 	}
-	wrote := false
-	var unsound error
+	now := time.Now()
+	var err error
 	for event, ok := s.splitter.Next(); ok; event, ok = s.splitter.Next() {
-		if unsound = s.trace.observe(event); unsound != nil {
-			s.gateway.logUnsoundStream(s.job, s.trace, event, unsound)
-			break
-		}
-		if event.HasID && s.job.position.includes(event.ID) {
-			continue
-		}
-		if event.HasID && s.joins() && s.job.position.leavesGap(event.ID) {
-			unsound = eris.Wrapf(errGap, "event %d after %d", event.ID, s.job.position.lastID)
+		if err = s.relayEvent(now, event); err != nil {
 			break
 		}
-		if err := s.write(event); err != nil {
-			return err
-		}
-		wrote = true
 	}
-	if wrote {
-		if err := s.job.response.control.Flush(); err != nil {
-			return eris.Wrap(errCallerWrite, err.Error())
+	return cmp.Or(err, s.flush())
+}
+
+// relayEvent relays an event that was read at a given time, if it is sound and the caller does
+// not have it.
+func (s *streamRelay) relayEvent(now time.Time, event eventstream.Event) error {
+	if err := s.trace.observe(event); err != nil {
+		s.gateway.logUnsoundStream(s.job, s.trace, event, err)
+		return err
+	}
+	if event.HasID {
+		s.recordEvents(now)
+		switch position := &s.job.position; {
+		case position.includes(event.ID):
+			return nil
+		case s.joins() && position.leavesGap(event.ID):
+			return eris.Wrapf(errGap, "event %d after %d", event.ID, position.lastID)
 		}
 	}
-	return unsound
+	return s.write(event)
+}
+
+func (s *streamRelay) flush() error {
+	if !s.unflushed {
+		return nil
+	}
+	s.unflushed = false
+	if err := s.job.response.control.Flush(); err != nil {
+		return eris.Wrap(errCallerWrite, err.Error())
+	}
+	return nil
 }
 
 // joins reports whether the next event follows one that an earlier attempt has relayed.
@@ -157,6 +175,7 @@
 	if _, err := s.job.response.w.Write(raw); err != nil {
 		return eris.Wrap(errCallerWrite, err.Error())
 	}
+	s.unflushed = true
 	if event.HasID {
 		s.written++
 		s.job.position.advance(event.ID)
