gateway, upstream: the connection of a corrupt response is closed

Only a response that was not read to its end closed it.

A corrupt response now marks its connection, whatever was read. TestConnectionOfAnUnsoundStreamIsClosed failed before in both cases.

--- a/gateway/corrupt_upstream_test.go
+++ b/gateway/corrupt_upstream_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -55,3 +56,27 @@
 		g.Expect(requests).To(Equal(1), "requests on connection %v", c.RemoteAddr())
 	}
 }
+
+// Guards against keeping the connection of an upstream whose stream was found unsound in the
+// last read of its body.
+func TestConnectionOfAnUnsoundStreamIsClosed(t *testing.T) {
+	body := event(1) + "garbage\n\n" + event(2)
+	for name, response := range map[string]string{
+		"chunked": signedHead + streamType + inChunks + "\r\n" + chunkOf(body) + noMore,
+		"length":  signedHead + streamType + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := startServer(t, "e1", "engines", writeRaw(response, false))
+			n := startGatewayWith(t, s)
+			for range 2 {
+				_, _, err := send(n, http.MethodPost, "/stream/", "prompt")
+				g.Expect(err).To(HaveOccurred())
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			g.Expect(s.requests).To(HaveLen(2))
+			g.Expect(len(s.conns)).To(BeNumerically(">=", 2))
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -107,8 +107,7 @@
 		j.service.cancelAttempt(id)
 		return result{kind: refusedByUpstream, status: status}
 	case exchange.Invalid:
-		g.recordOutcome(j, id, outlier.Corrupt)
-		return result{kind: broken, status: status, err: eris.New("response is not from the upstream")}
+		return g.classifyCorrupt(j, id, x, eris.New("response is not from the upstream"))
 	case exchange.Failed:
 		return g.relayFailure(ctx, j, id, x)
 	case exchange.Ran:
@@ -121,8 +120,7 @@
 		head := &bufferedResponse{status: status, header: g.options.Dialect.ResponseHeader(header)}
 		return g.relayIncrementally(ctx, j, id, x, head)
 	case !stream || status != http.StatusOK:
-		g.recordOutcome(j, id, outlier.Corrupt)
-		return result{kind: broken, status: status, err: eris.New("response is not an event stream")}
+		return g.classifyCorrupt(j, id, x, eris.New("response is not an event stream"))
 	}
 	return g.relayStream(ctx, j, id, x)
 }
@@ -227,12 +225,19 @@
 // classifyBroken returns the result of a response that broke off.
 func (g *Gateway) classifyBroken(ctx context.Context, j *job, id string, x *upstream.Exchange, err error) result {
 	switch {
+	case eventstream.IsCorrupt(err), errors.Is(err, errGap):
+		return g.classifyCorrupt(j, id, x, err)
 	case ctx.Err() != nil:
 		j.service.cancelAttempt(id)
-	case eventstream.IsCorrupt(err), errors.Is(err, errGap):
-		g.recordOutcome(j, id, outlier.Corrupt)
 	default:
 		g.recordOutcome(j, id, outlier.Broken)
 	}
 	return result{kind: broken, status: x.Response.StatusCode, err: err}
 }
+
+// classifyCorrupt returns the result of a response with bytes that are not the upstream's.
+func (g *Gateway) classifyCorrupt(j *job, id string, x *upstream.Exchange, err error) result {
+	x.MarkCorrupt()
+	g.recordOutcome(j, id, outlier.Corrupt)
+	return result{kind: broken, status: x.Response.StatusCode, err: err}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -189,6 +189,10 @@
 // one.
 func (x *Exchange) EarlierRequests() int { return x.conn.requests }
 
+// MarkCorrupt makes Close close the connection, because the response holds bytes that are not
+// the upstream's: what follows on the connection can't be trusted either.
+func (x *Exchange) MarkCorrupt() { x.conn.closeCause = closedCorrupt }
+
 // Close returns the connection to the pool if the request was written, the response
 // read to its end, no further bytes received, and the next response can be attributed;
 // otherwise it closes the connection.
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -23,6 +23,8 @@
 	closedForeign closeCause = "foreign_response"
 	// closedUnattributed means that a refusal without an id came among other responses.
 	closedUnattributed closeCause = "unattributed_response"
+	// closedCorrupt means that a response held bytes that are not the upstream's.
+	closedCorrupt closeCause = "corrupt_response"
 )
 
 func countClosed(cause closeCause) { connectionsClosed.Add(string(cause), 1) }
