--- a/upstream/attribution.go
+++ b/upstream/attribution.go
@@ -102,7 +102,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
+		switch {
+		case resp.StatusCode < http.StatusContinue:
+			return nil, eris.Wrapf(errMalformedHead, "status %d", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 		remaining -= before - len(c.prefetched) - c.reader.Buffered()
