--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -201,3 +201,15 @@
 		c.markDecided()
 	}
 }
+
+// resetOnClose makes the caller's connection close by a TCP reset, which no caller takes for
+// the end of a response.
+func resetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only if the connection is closed already.
+	}
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -47,6 +47,9 @@
 	// closing reports whether the connection is closed after the response.
 	closing func() bool
 	started bool
+	// closeDelimited is set if the end of the connection may mark the end of the response, as
+	// for callers of HTTP/1.0.
+	closeDelimited bool
 	// request is the context of the caller's request. It ends when the caller
 	// disconnects.
 	request context.Context
@@ -58,7 +61,7 @@
 }
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool) *responseWriter {
-	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing}
+	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing, closeDelimited: !r.ProtoAtLeast(1, 1)}
 }
 
 // writeHead writes the status line and the headers.
@@ -103,4 +106,9 @@
 
 // abort closes the connection before the response is complete, so that the caller does
 // not mistake the response for a complete one.
-func (rw *responseWriter) abort() { panic(http.ErrAbortHandler) }
+func (rw *responseWriter) abort() {
+	if rw.closeDelimited {
+		resetOnClose(rw.request)
+	}
+	panic(http.ErrAbortHandler)
+}
