--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,8 @@
 	$(GO) test -run '^$$' -fuzz FuzzIngress -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzStoreBodies -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzEvacuations -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
+	$(GO) test -run '^$$' -fuzz FuzzOddItem -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
+	$(GO) test -run '^$$' -fuzz FuzzSpecs -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
 
 # Tests with real processes, and the model checker.
 e2e: build
