fuzz tests of what other processes send

FuzzPeerMessages feeds decoded messages to a running gateway: its session stays open, its state can be read and is within bounds.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,12 @@
 
 # Runs each fuzz target for a bounded count of inputs.
 fuzz:
+	$(GO) test -run '^$$' -fuzz '^FuzzCheck$$' -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./peer
+	$(GO) test -run '^$$' -fuzz '^FuzzHello$$' -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./peer
+	$(GO) test -run '^$$' -fuzz '^FuzzPeerMessages$$' -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./gateway
+	$(GO) test -run '^$$' -fuzz '^FuzzSnapshot$$' -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./config
+	$(GO) test -run '^$$' -fuzz '^FuzzShard$$' -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./config
+	$(GO) test -run '^$$' -fuzz '^FuzzCacheList$$' -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./peer
 	$(GO) test -run '^$$' -fuzz FuzzDecodeHead -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./claim
 	$(GO) test -run '^$$' -fuzz FuzzDecodeSegment -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./claim
