quarantine: evidence against no part is left out

A stored verdict or a message with the part 0, which names none, was shown as a blamed part, told to all gateways and tried.

Nothing looked at the ID.

Before, the test found the part blamed; it passes now.

--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -40,8 +40,11 @@
 	return m
 }
 
-// mergeInto adds a suspect part to a crash and records the result in m.
+// mergeInto adds a suspect part to a crash, unless it has no ID, and records the result in m.
 func (l *PartList) mergeInto(m *Merged, record *crashRecord, part SuspectPart) {
+	if part.ID == 0 {
+		return
+	}
 	known := record.parts[part.ID]
 	if known != nil && known.Cleared && !part.Cleared {
 		m.Known.Parts = append(m.Known.Parts, *known)
