peer: a registry update reaches no further than its registrations

After one corrupted gateway had sent an update with a revision ahead of the store, the others ignored all complete lists of the store and asked no gateway for changes: servers that were removed during a gap of the watch stayed in use.

The revision of the update was taken as the one up to which all changes are known.

It is lowered to that of the newest registration in the message: a sender knows no more than it has, and sends all newer than asked for. Revisions of single registrations are not checked by this.

--- a/peer/check.go
+++ b/peer/check.go
@@ -45,7 +45,7 @@
 	case *peerpb.Envelope_LoadReport:
 		out.checkLoadReport(b.LoadReport)
 	case *peerpb.Envelope_RegistryUpdate:
-		out.checkRevision(&b.RegistryUpdate.Revision)
+		out.checkRegistryUpdate(b.RegistryUpdate)
 	case *peerpb.Envelope_Suspects:
 		out.checkSuspects(b.Suspects)
 	case *peerpb.Envelope_Crashes:
@@ -102,6 +102,22 @@
 	}
 }
 
+// checkRegistryUpdate lowers the revision to that of the newest registration in the message,
+// which is what its sender knows. A higher one would keep later lists of the store out.
+func (o leftOut) checkRegistryUpdate(m *peerpb.RegistryUpdate) {
+	newest := uint64(0)
+	for _, registration := range m.GetRegistrations() {
+		newest = max(newest, registration.GetRevision())
+	}
+	if m.Revision <= newest {
+		return
+	}
+	if len(m.GetRegistrations()) > 0 || m.Revision > maxRevision {
+		o["revision"]++
+	}
+	m.Revision = newest
+}
+
 func isName(s string) bool { return s != "" && len(s) <= maxNameBytes }
 
 func isAmount(v float64) bool { return math.Abs(v) <= maxAmount }
--- a/peer/check_test.go
+++ b/peer/check_test.go
@@ -51,13 +51,15 @@
 		"limit's version":        {limits(limit(func(l *peerpb.UpstreamLimit) { l.Version = math.MaxUint64 }), soundLimit), limits(soundLimit)},
 		"limit of the future":    {limits(limit(func(l *peerpb.UpstreamLimit) { l.StartedUnixMs = math.MaxInt64 }), soundLimit), limits(soundLimit)},
 		"limit of no upstream":   {limits(limit(func(l *peerpb.UpstreamLimit) { l.Upstream = "" }), soundLimit), limits(soundLimit)},
-		"registry of the future": {registryOf(math.MaxUint64), registryOf(0)},
+		"registry of the future": {registryOf(math.MaxUint64, 7), registryOf(7, 7)},
+		"registry ahead of all":  {registryOf(1<<40, 7), registryOf(7, 7)},
 	}
 	return messages
 }
 
-func registryOf(revision uint64) *peerpb.Envelope {
-	update := &peerpb.RegistryUpdate{Revision: revision, Registrations: []*peerpb.Registration{{Upstream: "u"}}}
+// registryOf returns an update with one registration that changed at a revision.
+func registryOf(revision, changed uint64) *peerpb.Envelope {
+	update := &peerpb.RegistryUpdate{Revision: revision, Registrations: []*peerpb.Registration{{Upstream: "u", Revision: changed}}}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_RegistryUpdate{RegistryUpdate: update}}
 }
 
@@ -104,7 +106,7 @@
 		{Generation: math.MaxInt64, Body: &peerpb.Envelope_LoadReport{LoadReport: load}},
 		accounts(-1, &peerpb.AccountEntry{Team: "t", Charged: 1e15, Active: true, Echo: &peerpb.AccountEcho{Lift: -2}}),
 		limits(limit(func(l *peerpb.UpstreamLimit) { l.StartedUnixMs = now.UnixMilli() }), limit(func(l *peerpb.UpstreamLimit) { l.Ended, l.Rate = true, 0 })),
-		registryOf(1 << 40),
+		registryOf(1<<40, 1<<40), registryOf(5, 6),
 		{Body: &peerpb.Envelope_Crashes{Crashes: &peerpb.CrashUpdate{Crashes: []*peerpb.Crash{{Id: "c", Parts: []*peerpb.SuspectPart{{Id: 1}}}}}}},
 		{Body: &peerpb.Envelope_Suspects{Suspects: &peerpb.SuspectUpdate{Suspects: []*peerpb.Suspect{{Digest: "d", CrashIds: []string{"c"}}}}}},
 		{Body: &peerpb.Envelope_Load{Load: &peerpb.Load{Slots: 64, FreeSlots: 3}}},
