gateway: reported loads stay within the bounds of receivers

The sum of a failure domain's loads at one upstream could wrap around, so that the other domains took the busiest upstream for idle. Since the check of messages they would also leave a sum out that is beyond its bounds.

Counts were cast to 32 bits as they were.

They are limited to what receivers accept when a report is encoded. Before, the test found 4,294,967,295 requests for a sum of -1; it passes now.

--- a/gateway/peer_messages.go
+++ b/gateway/peer_messages.go
@@ -10,6 +10,7 @@
 
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/registry"
@@ -65,7 +66,8 @@
 	out := &peerpb.ServiceLoad{Service: string(id), Full: r.Full}
 	for upstream, load := range r.Upstreams {
 		out.Upstreams = append(out.Upstreams, &peerpb.UpstreamLoad{
-			Upstream: string(upstream), Prefill: uint32(load.Prefill), Running: uint32(load.Running), Memory: uint32(load.Memory),
+			Upstream: string(upstream), Prefill: countToWire(load.Prefill, peer.MaxLoadTokens),
+			Running: countToWire(load.Running, peer.MaxLoadRequests), Memory: countToWire(load.Memory, peer.MaxLoadTokens),
 		})
 	}
 	for account, usage := range r.Teams {
@@ -92,6 +94,9 @@
 	return out
 }
 
+// countToWire encodes a count within the bounds that receivers accept.
+func countToWire(count, maximum int) uint32 { return uint32(min(max(count, 0), maximum)) }
+
 func reportFromWire(m *peerpb.ServiceLoad) admission.Report {
 	r := admission.Report{Full: m.GetFull(), Upstreams: make(map[fleet.UpstreamID]admission.UpstreamLoad), Teams: make(admission.Usage)}
 	for _, u := range m.GetUpstreams() {
--- a/peer/check_load.go
+++ b/peer/check_load.go
@@ -8,10 +8,10 @@
 
 // Bounds of load reports.
 const (
-	// maxLoadTokens is the most work and memory, in tokens, at one upstream.
-	maxLoadTokens = 1 << 28
-	// maxLoadRequests is the most running requests at one upstream.
-	maxLoadRequests = 1 << 20
+	// MaxLoadTokens is the most work and memory, in tokens, at one upstream.
+	MaxLoadTokens = 1 << 28
+	// MaxLoadRequests is the most running requests at one upstream.
+	MaxLoadRequests = 1 << 20
 	// maxPromptParts is the largest number of parts of a prompt.
 	maxPromptParts = 1 << 12
 	// minPrefillRate and maxPrefillRate bound the speed of engines in tokens per second,
@@ -68,7 +68,7 @@
 }
 
 func soundUpstreamLoad(u *peerpb.UpstreamLoad) bool {
-	return isName(u.GetUpstream()) && u.GetPrefill() <= maxLoadTokens && u.GetMemory() <= maxLoadTokens && u.GetRunning() <= maxLoadRequests
+	return isName(u.GetUpstream()) && u.GetPrefill() <= MaxLoadTokens && u.GetMemory() <= MaxLoadTokens && u.GetRunning() <= MaxLoadRequests
 }
 
 // soundTeamUsage accepts an empty team: that of callers without a key.
@@ -84,7 +84,7 @@
 		return false
 	}
 	for _, tokens := range p.GetTokens() {
-		if tokens > maxLoadTokens {
+		if tokens > MaxLoadTokens {
 			return false
 		}
 	}
