gateway: bound the routers and domains that another router names

A corrupted gateway that named other routers and failure domains in each report made all others dial each of them for good and keep a load of each domain.

Each new name was added; only the size of one message bounded them.

Addresses that routers report are added up to 2,048 known ones; those of the store and of sessions are not subject to that. Beyond 256 domains only the sums of those that settings or registrations name are held. Before, the test found 4,096 addresses to dial; it passes now.

--- a/gateway/domains.go
+++ b/gateway/domains.go
@@ -20,6 +20,9 @@
 	// aggregatorTimeout is how long an aggregator may be silent before another one is
 	// elected.
 	aggregatorTimeout = 2 * time.Second
+	// maxSummedDomains is the number of failure domains up to which the sums of any are held;
+	// beyond it only those of known ones are.
+	maxSummedDomains = 256
 	// maxPendingSums limits the number of sums waiting to be forwarded.
 	maxPendingSums = 256
 )
@@ -184,7 +187,7 @@
 // that its routers reported individually.
 func (p *peers) applyDomainSum(sum *peerpb.DomainLoad) {
 	domain := fleet.FailureDomainID(sum.GetFailureDomain())
-	if domain == p.gateway.options.Location.FailureDomain {
+	if domain == p.gateway.options.Location.FailureDomain || !p.mayHoldSum(domain) {
 		return
 	}
 	p.mu.Lock()
@@ -201,6 +204,15 @@
 	p.gateway.applyPeerLoad(domainSumID(domain), sum.GetServices())
 }
 
+// mayHoldSum reports whether the sums of a failure domain are held already or may be added:
+// there is room, or the domain is known otherwise.
+func (p *peers) mayHoldSum(domain fleet.FailureDomainID) bool {
+	p.mu.Lock()
+	fits := p.summedDomains[domain] || len(p.summedDomains) < maxSummedDomains
+	p.mu.Unlock()
+	return fits || p.gateway.knownDomains()[domain]
+}
+
 // queueSums queues sums for the routers of this failure domain. When the queue is full
 // the newest are dropped; the next full report makes up for them.
 func (p *peers) queueSums(sums []*peerpb.DomainLoad) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,6 +24,9 @@
 	// routingRequestInterval is the minimum time between two requests for the same
 	// configuration.
 	routingRequestInterval = 300 * time.Millisecond
+	// maxKnownRouters bounds the addresses that are dialed because other routers report them.
+	// Registered and connected routers are not subject to it.
+	maxKnownRouters = 2048
 	// membersInterval is the time between two reads of the registered routers.
 	membersInterval = 10 * time.Second
 )
@@ -329,20 +332,26 @@
 	p.markConnected(s)
 	p.setDraining(s.ID(), m.GetDraining())
 	p.setUnready(s.ID(), m.GetUnready())
+	if found := p.newAddresses(m.GetRouters()); len(found) > 0 {
+		p.addAddresses(p.gateway.background, found)
+	}
+	p.gateway.storeContact.recordPeerAge(time.Now(), m.GetStoreAgeMs(), p.isAggregator(s.ID()))
+	p.requestRegistrations(s, m.GetRegistryRevision())
+}
+
+// newAddresses returns those of the routers reported by another one that are new, as long as no
+// more than maxKnownRouters are known.
+func (p *peers) newAddresses(routers []*peerpb.RouterAddress) map[fleet.NodeID]string {
 	found := make(map[fleet.NodeID]string)
 	p.mu.Lock()
-	for _, router := range m.GetRouters() {
+	defer p.mu.Unlock()
+	for _, router := range routers {
 		id := fleet.NodeID(router.GetId())
-		if _, ok := p.addresses[id]; !ok && id != p.gateway.options.ID {
+		if _, ok := p.addresses[id]; !ok && id != p.gateway.options.ID && len(p.addresses)+len(found) < maxKnownRouters {
 			found[id] = router.GetAddress()
 		}
 	}
-	p.mu.Unlock()
-	if len(found) > 0 {
-		p.addAddresses(p.gateway.background, found)
-	}
-	p.gateway.storeContact.recordPeerAge(time.Now(), m.GetStoreAgeMs(), p.isAggregator(s.ID()))
-	p.requestRegistrations(s, m.GetRegistryRevision())
+	return found
 }
 
 // requestRegistrations requests newer registrations from a router that has them, unless
