e2e/soak: check what callers receive, and that no process ends by itself

The soak discarded the bodies of responses and started gateways again without asking why they had ended.

--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -46,6 +46,7 @@
 	evacuating sync.Map
 	// crashError is the first error of the return of a server that crashed.
 	crashError atomic.Pointer[error]
+	exits      exits
 
 	options    Options
 	cancelLoad context.CancelFunc
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -35,10 +35,12 @@
 
 var faultKinds = []faultKind{
 	{"kill", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
+		env.exits.expect(g.Process)
 		g.Kill()
 		return env.restart(ctx, g)
 	}, true},
 	{"stop", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
+		env.exits.expect(g.Process)
 		g.Terminate()
 		return env.restart(ctx, g)
 	}, true},
@@ -146,7 +148,11 @@
 	if err := g.Wait(ctx); ctx.Err() != nil {
 		return err
 	}
-	return env.Start(g)
+	if err := env.Start(g); err != nil {
+		return err
+	}
+	env.watchExits(g)
+	return nil
 }
 
 // InjectFaults injects faults drawn from a seed until ctx ends or a rule is broken, and
--- a/e2e/soak/random_test.go
+++ b/e2e/soak/random_test.go
@@ -66,6 +66,7 @@
 	}
 	Expect(DuplicateExecution(arrivals)).To(BeEmpty(), description)
 	Expect(FalseRefusal(requests, arrivals)).To(BeEmpty(), description)
+	Expect(AnswerViolation(requests, arrivals)).To(BeEmpty(), description)
 }
 
 var _ = Describe("gateways under random faults", func() {
@@ -77,6 +78,9 @@
 				FailureDomains: 3, Regions: 2, HomeRegions: map[string]string{homeTeam: homeTeamRegion}, EvacuateWithin: evacuateWithin,
 				Settings: budgetSettings + coldSettings, PrefillRate: 60_000, Objective: streamObjective,
 			})
+			for _, g := range env.Gateways {
+				env.watchExits(g)
+			}
 			env.StartLoad(seed, mixedWorkloads(env)...)
 			ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 			faults, err := env.InjectFaults(ctx, seed)
--- a/e2e/soak/recorder.go
+++ b/e2e/soak/recorder.go
@@ -14,6 +14,8 @@
 	AttemptID string
 	Team      string
 	Path      string
+	// Server is the identifier of the upstream's instance.
+	Server string
 	// Gateway is the IP address of the gateway that sent the request.
 	Gateway string
 	// NonIdempotent is set if the request must not run twice.
@@ -22,6 +24,10 @@
 	// Started is set if the upstream began to process the request, at StartedAt.
 	Started   bool
 	StartedAt time.Time
+	// ResumedAfter is the id of the event after which a stream is resumed, LastPiece that of
+	// the last event that the run made; both are zero for a plain service.
+	ResumedAfter int
+	LastPiece    int
 	// Cost is the prompt tokens plus twice the requested output tokens; zero for a
 	// plain service.
 	Cost float64
@@ -40,6 +46,10 @@
 	FirstByteAt time.Time
 	// Status is the HTTP status of the response, and zero without a whole response.
 	Status int
+	// Body is what the caller received of a successful response.
+	Body []byte
+	// Pieces is the number of events of a whole stream; zero for a plain service.
+	Pieces int
 	// Cost is as in Arrival.
 	Cost float64
 	// Objective is the latency objective of the time to the first byte.
@@ -86,6 +96,13 @@
 	a.Started, a.StartedAt = true, at
 }
 
+// markPiece records that a run made the event with an id.
+func (r *Recorder) markPiece(a *Arrival, id int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.LastPiece = id
+}
+
 // Snapshot returns copies of all records in order of time. A request is included once
 // it has ended.
 func (r *Recorder) Snapshot() ([]Request, []Arrival) {
--- a/e2e/soak/rules.go
+++ b/e2e/soak/rules.go
@@ -9,7 +9,7 @@
 
 // Rules checks at each arrival, while a run lasts, that requests stay in their home
 // regions, that evacuated upstreams receive nothing, and that cold ones receive no more
-// than the bound. It is safe for concurrent use.
+// than the bound. It also records what other checks report meanwhile. It is safe for concurrent use.
 type Rules struct {
 	// Region returns the region of a failure domain.
 	Region func(failureDomain string) string
@@ -43,13 +43,22 @@
 	end time.Time
 }
 
-// Violation describes the first arrival that broke a rule; it is empty if there is none.
+// Violation describes the first breach of a rule; it is empty if there is none.
 func (r *Rules) Violation() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.violation
 }
 
+// report records a violation, unless there is one.
+func (r *Rules) report(violation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.violation == "" {
+		r.violation = violation
+	}
+}
+
 // check checks an arrival at an upstream in a failure domain. coldArrivals is the number
 // of requests that the upstream received within the last second while it was cold.
 func (r *Rules) check(a Arrival, failureDomain string, coldArrivals int) {
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -102,9 +102,10 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	id := r.Header.Get(headerAttemptID)
 	a := Arrival{
-		Service: s.service, AttemptID: id, Team: r.Header.Get(headerTeam), Path: r.URL.Path, Gateway: gatewayOf(id),
+		Service: s.service, Server: s.id(), AttemptID: id, Team: r.Header.Get(headerTeam), Path: r.URL.Path, Gateway: gatewayOf(id),
 		ReceivedAt: time.Now(), Cost: requestCost(r.Header), NonIdempotent: strings.HasPrefix(r.URL.Path, orderPath),
 	}
+	a.ResumedAfter, _ = strconv.Atoi(r.Header.Get(headerLastEventID))
 	_, coldArrivals := s.cold.Receive(a.ReceivedAt)
 	s.rules.check(a, s.failureDomain, coldArrivals)
 	s.rules.checkLimit(a, &s.limit)
@@ -166,7 +167,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	_, _ = io.WriteString(w, "done")
+	_, _ = io.WriteString(w, plainAnswer(a.AttemptID))
 }
 
 // sleep reports whether d passed before ctx ended.
@@ -223,10 +224,15 @@
 	}
 	e.setResponseHeaders(w, r)
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.generate(w, r, a)
+}
+
+// generate sends the events of a run.
+func (e *engine) generate(w http.ResponseWriter, r *http.Request, a *Arrival) {
 	_, output := tokenCounts(r.Header)
-	first, _ := strconv.Atoi(r.Header.Get(headerLastEventID))
-	for i := first + 1; i <= output; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.id())
+	for i := a.ResumedAfter + 1; i <= output; i++ {
+		e.recorder.markPiece(a, i)
+		_, _ = io.WriteString(w, streamPiece(i, a.Server, a.AttemptID))
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
 		}
--- a/e2e/soak/workload.go
+++ b/e2e/soak/workload.go
@@ -99,7 +99,7 @@
 func (w *Workload) attempt(client *http.Client, gateway string, prompt int, expires time.Time, recorder *Recorder) (time.Duration, bool) {
 	sent := Request{
 		Service: w.Service, Team: w.Team, AttemptID: attemptID(gateway), SentAt: time.Now(),
-		Cost: w.cost(), Objective: w.Objective,
+		Cost: w.cost(), Objective: w.Objective, Pieces: w.OutputTokens,
 	}
 	defer func() {
 		sent.EndedAt = time.Now()
@@ -120,7 +120,11 @@
 	firstByteTimer.Stop()
 	defer func() { _ = resp.Body.Close() }()
 	firstByteAt := time.Now()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		sent.Body = body
+	}
+	if err != nil {
 		return 0, false
 	}
 	sent.Status = resp.StatusCode
