e2e/soak: a fault that inserts bytes that are no event into streams

For a random time, an engine now inserts text, control bytes, invalid UTF-8, the head of a response, data without an id or an event with an id that came before into 3 in 10 of its streams: before the first event, between two, after the last or within one. Half of its streams end with their connection instead of a last chunk; such a connection is reset if the stream is incomplete, as no caller could tell otherwise.

--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -114,6 +114,10 @@
 		env.limitFor(ctx, s, namedLimits[int(duration/time.Millisecond)%len(namedLimits)], duration)
 		return nil
 	}, false},
+	{"bytes inserted into streams", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		env.Engines[int(duration)%len(env.Engines)].insertBytes(ctx, duration)
+		return nil
+	}, false},
 	{"cold return", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		return env.returnCold(ctx, env.servers[int(duration)%len(env.servers)], duration/4)
 	}, false},
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -73,8 +73,8 @@
 	if err != nil {
 		return err
 	}
-	s.http = &http.Server{Handler: s.identify(s.id())}
-	go func(server *http.Server) { _ = server.Serve(ln) }(s.http)
+	s.http = &http.Server{Handler: s.identify(s.id()), ConnContext: withConn}
+	go func(server *http.Server) { _ = server.Serve(upstreamListener{ln}) }(s.http)
 	return nil
 }
 
@@ -190,6 +190,8 @@
 	prefillRate float64
 	// tokenInterval is the time between two events of a stream.
 	tokenInterval time.Duration
+	// insertions is set while the engine inserts bytes into its streams.
+	insertions atomic.Pointer[insertions]
 
 	// prefillSlot is held by the request whose prompt is being prefilled; others
 	// wait in order.
@@ -224,22 +226,23 @@
 	}
 	e.setResponseHeaders(w, r)
 	w.Header().Set("Content-Type", "text/event-stream")
-	e.generate(w, r, a)
+	e.sendStream(w, r, a)
 }
 
-// generate sends the events of a run.
-func (e *engine) generate(w http.ResponseWriter, r *http.Request, a *Arrival) {
+// generate sends the events of a run. It returns false if it could not send all.
+func (e *engine) generate(w http.ResponseWriter, r *http.Request, a *Arrival, inserted *insertion) bool {
 	_, output := tokenCounts(r.Header)
 	for i := a.ResumedAfter + 1; i <= output; i++ {
 		e.recorder.markPiece(a, i)
-		_, _ = io.WriteString(w, streamPiece(i, a.Server, a.AttemptID))
+		_, _ = io.WriteString(w, inserted.pieceWith(i, streamPiece(i, a.Server, a.AttemptID)))
 		if err := http.NewResponseController(w).Flush(); err != nil {
-			return
+			return false
 		}
 		if i < output && !sleep(r.Context(), e.tokenInterval) {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // prefill processes the prompt. It returns false if the caller leaves before the
