e2e/standin: the store serves objects of another writer byte by byte

The store's stand-in decoded and encoded each object by encoding/json, which refuses more than 10,000 levels of nesting, so that specs could not put such an object there. A call of the control port writes a spec as it is, with a revision of its own if the spec asks for one, and objects, lists and watches are encoded without a look into specs.

--- a/e2e/harness/objects.go
+++ b/e2e/harness/objects.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 
 	"github.com/rotisserie/eris"
 
@@ -33,6 +34,17 @@
 	return eris.Wrapf(ErrWriteObject, "%s/%s", kind, name)
 }
 
+// PutVerbatim creates or replaces an object whose spec is JSON that is sent byte by byte, also
+// during an outage. A revision that is not empty is served in place of the object's own.
+func (f *GatewayFleet) PutVerbatim(ctx context.Context, kind, name, spec, revision string) error {
+	path := fmt.Sprintf("%s/objects/%s/%s?revision=%s", f.Platform.URL(), kind, name, url.QueryEscape(revision))
+	status, err := send(ctx, http.MethodPut, path, []byte(spec))
+	if err == nil && status != http.StatusOK {
+		err = eris.Wrapf(ErrWriteObject, "%s/%s: status %d", kind, name, status)
+	}
+	return err
+}
+
 // Delete deletes an object on the platform stand-in.
 func (f *GatewayFleet) Delete(ctx context.Context, kind, name string) error {
 	status, err := f.callObject(ctx, http.MethodDelete, kind, name, nil)
@@ -58,8 +70,12 @@
 
 // callObject sends a request for an object and returns the status of the response.
 func (f *GatewayFleet) callObject(ctx context.Context, method, kind, name string, body []byte) (int, error) {
-	url := fmt.Sprintf("http://%s/fulmarspindle/objects/%s/%s", f.PlatformAddress, kind, name)
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	return send(ctx, method, fmt.Sprintf("http://%s/fulmarspindle/objects/%s/%s", f.PlatformAddress, kind, name), body)
+}
+
+// send sends a request and returns the status of the response.
+func send(ctx context.Context, method, target string, body []byte) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return 0, eris.Wrap(ErrWriteObject, err.Error())
 	}
--- a/e2e/standin/http.go
+++ b/e2e/standin/http.go
@@ -18,6 +18,11 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	writeEncoded(w, status, data)
+}
+
+// writeEncoded writes a body that is JSON already.
+func writeEncoded(w http.ResponseWriter, status int, data []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
--- a/e2e/standin/objects.go
+++ b/e2e/standin/objects.go
@@ -24,6 +24,8 @@
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
 	Status   json.RawMessage `json:"status"`
+	// servedRevision is served as the revision, if it is not empty.
+	servedRevision string
 }
 
 // Page is one page of a list. Revision is the store's revision at the time of the
@@ -52,7 +54,7 @@
 		writeError(w, http.StatusNotFound, err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, obj)
+	writeObject(w, http.StatusOK, obj)
 }
 
 func (p *Platform) create(w http.ResponseWriter, r *http.Request) {
@@ -82,7 +84,7 @@
 		return
 	}
 	p.loseResponse(kind, written.Metadata.Name)
-	writeJSON(w, http.StatusOK, written)
+	writeObject(w, http.StatusOK, written)
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
@@ -101,7 +103,7 @@
 		return
 	}
 	p.loseResponse(kind, removed.Metadata.Name)
-	writeJSON(w, http.StatusOK, removed)
+	writeObject(w, http.StatusOK, removed)
 }
 
 // list serves a list, or a watch if the query has the parameter watch.
@@ -116,7 +118,7 @@
 		writeJSON(w, http.StatusOK, p.vms.page(time.Now(), milliseconds(switches.VMLagMs)))
 		return
 	}
-	writeJSON(w, http.StatusOK, p.store.list(kind, r.URL.Query().Get("after")))
+	writePage(w, p.store.list(kind, r.URL.Query().Get("after")))
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
@@ -145,14 +147,14 @@
 		}
 		changes, changed := p.store.changesSince(r.PathValue("kind"), since)
 		if len(changes.Events) > 0 {
-			writeJSON(w, http.StatusOK, changes)
+			writeChanges(w, changes)
 			return
 		}
 		select {
 		case <-changed:
 		case <-switched:
 		case <-timer.C:
-			writeJSON(w, http.StatusOK, changes)
+			writeChanges(w, changes)
 			return
 		case <-r.Context().Done():
 			return
--- a/e2e/standin/platform.go
+++ b/e2e/standin/platform.go
@@ -123,6 +123,7 @@
 		p.vms.set(listing.VMs, time.Now())
 		writeJSON(w, http.StatusOK, listing)
 	})
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.putVerbatim)
 	return mux
 }
 
@@ -189,7 +190,7 @@
 		return
 	}
 	p.count(func(c *PlatformCounters) { c.Conflicts++ })
-	writeJSON(w, http.StatusConflict, current)
+	writeObject(w, http.StatusConflict, current)
 }
 
 // loseResponse aborts the connection if LoseResponses applies to the object that
--- a/e2e/standin/platform_test.go
+++ b/e2e/standin/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -149,6 +150,23 @@
 		Expect(second.HasMore).To(BeFalse())
 	})
 
+	// Guards against odd objects that the store changes, or that make it fail.
+	It("serves the specs and revisions of another writer as they were written", func() {
+		odd := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+		resp := mustCall(http.MethodPut, control+"/objects/servers/odd?revision=1e400", odd)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		want := `{"metadata":{"name":"odd","revision":1e400,"finalizers":[],"deleting":false},"spec":` + odd + `,"status":null}`
+		for path, before := range map[string]string{
+			"servers/odd": "", "servers": `{"items":[`, "servers?watch=0&waitMs=0": `{"events":[{"object":`,
+		} {
+			body, err := io.ReadAll(mustCall(http.MethodGet, url+objectsPath+path, "").Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(strings.HasPrefix(string(body), before+want)).To(BeTrue(), path)
+		}
+		mustCall(http.MethodPut, url+objectsPath+"servers/odd", objectBody("sound", 0))
+		Expect(decode[standin.Page](mustCall(http.MethodGet, url+objectsPath+"servers", "")).Items).To(HaveLen(1))
+	})
+
 	It("rejects a watch from before the start of the history", func() {
 		mustCall("POST", control+"/control", `{"history_from":7}`)
 		Expect(mustCall("GET", url+objectsPath+"a?watch=6&waitMs=10", "").StatusCode).To(Equal(410))
--- a/e2e/standin/store.go
+++ b/e2e/standin/store.go
@@ -88,9 +88,17 @@
 	if revision != 0 && revision != current.Metadata.Revision {
 		return current, ErrConflict
 	}
+	current.servedRevision = ""
 	return s.write(kind, current, true), nil
 }
 
+// overwrite writes an object, whether it exists or not.
+func (s *store) overwrite(kind string, obj Object) Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write(kind, obj, false)
+}
+
 func (s *store) write(kind string, obj Object, deleted bool) Object {
 	s.revision++
 	obj.Metadata.Revision = s.revision
