--- a/e2e/soak/conn.go
+++ b/e2e/soak/conn.go
@@ -7,7 +7,10 @@
 )
 
 // upstreamListener accepts connections as upstreamConn.
-type upstreamListener struct{ net.Listener }
+type upstreamListener struct {
+	net.Listener
+	server *server
+}
 
 // Accept implements net.Listener.
 func (l upstreamListener) Accept() (net.Conn, error) {
@@ -15,12 +18,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstreamConn{Conn: c}, nil
+	return &upstreamConn{Conn: c, server: l.server}, nil
 }
 
 // upstreamConn is a connection that an upstream accepted.
 type upstreamConn struct {
 	net.Conn
+	server *server
+	// repeater repeats refusals while the server is faulty.
+	repeater refusalRepeater
 	// unfinished is set while a response without a length is incomplete.
 	unfinished atomic.Bool
 }
@@ -34,6 +40,31 @@
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn.
+func (c *upstreamConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.repeat(true)
+	}
+	return n, err
+}
+
+// Write implements net.Conn. Refusals are short enough to be written at once.
+func (c *upstreamConn) Write(p []byte) (int, error) {
+	c.repeat(false)
+	if c.server.refusedPermille.Load() > 0 && isRefusal(p) {
+		c.repeater.remember(p)
+	}
+	return c.Conn.Write(p)
+}
+
+// repeat writes the refusal that is due when a request has arrived or is answered, if any.
+func (c *upstreamConn) repeat(arrived bool) {
+	if refusal := c.repeater.due(arrived); refusal != nil {
+		_, _ = c.Conn.Write(refusal)
+	}
+}
+
 type connKey struct{}
 
 // withConn is the ConnContext of an upstream's HTTP server.
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -118,6 +118,10 @@
 		env.Engines[int(duration)%len(env.Engines)].insertBytes(ctx, duration)
 		return nil
 	}, false},
+	{"repeated refusals", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		env.repeatRefusals(ctx, duration)
+		return nil
+	}, false},
 	{"cold return", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		return env.returnCold(ctx, env.servers[int(duration)%len(env.servers)], duration/4)
 	}, false},
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -50,6 +50,9 @@
 	// failurePermille is the share of requests, in thousandths, that fail after
 	// they have run.
 	failurePermille atomic.Int64
+	// refusedPermille is the share of requests, in thousandths, that a plain server refuses
+	// although it has slots. While it is not zero, refusals are repeated.
+	refusedPermille atomic.Int64
 	// crash ends the server, which returns as a new instance later.
 	crash func()
 	// endlessHeaders is set while responses send headers without end.
@@ -74,7 +77,7 @@
 		return err
 	}
 	s.http = &http.Server{Handler: s.identify(s.id()), ConnContext: withConn}
-	go func(server *http.Server) { _ = server.Serve(upstreamListener{ln}) }(s.http)
+	go func(server *http.Server) { _ = server.Serve(upstreamListener{Listener: ln, server: s}) }(s.http)
 	return nil
 }
 
@@ -148,11 +151,14 @@
 
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := p.recordArrival(r)
+	if rand.Int64N(1000) < p.refusedPermille.Load() {
+		p.refuse(w)
+		return
+	}
 	select {
 	case p.slots <- struct{}{}:
 	default:
-		w.Header().Set(headerNotRun, "full")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		p.refuse(w)
 		return
 	}
 	defer func() { <-p.slots }()
