e2e/soak: a fault that puts odd entries among those of servers

For a random time, another writer puts some of the odd registrations of e2e/standin among those of servers, under new names and in place of one server's entry, and removes or restores them. Those that are addresses at all name one where nobody may connect. While no gateway is disrupted, plain servers return under new ids beside odd entries, and requests must reach one of them.

--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,8 @@
 	// crashError is the first error of the return of a server that crashed.
 	crashError atomic.Pointer[error]
 	exits      exits
+	// unnamed listens at the address of odd entries.
+	unnamed net.Listener
 
 	options    Options
 	cancelLoad context.CancelFunc
@@ -118,6 +121,9 @@
 			return err
 		}
 	}
+	if err := env.serveUnnamed(fmt.Sprintf("%s:%d", host, upstreamPort+len(env.servers))); err != nil {
+		return err
+	}
 	if err := env.Put(ctx, standin.ConfigKind, standin.ConfigName, env.configuration()); err != nil {
 		return err
 	}
@@ -239,5 +245,8 @@
 	for _, s := range env.servers {
 		s.Close()
 	}
+	if env.unnamed != nil {
+		_ = env.unnamed.Close()
+	}
 	env.GatewayFleet.Close()
 }
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -83,6 +83,9 @@
 		sleep(ctx, duration)
 		return env.Platform.Set(context.WithoutCancel(ctx), map[string]any{"outage": false})
 	}, false},
+	{"odd entries of another writer", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		return env.keepOddEntries(ctx, uint64(duration), duration)
+	}, false},
 	{"endless response headers", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
 		env.PlainServers[0].endlessHeaders.Store(true)
 		sleep(ctx, duration)
@@ -127,23 +130,27 @@
 	}, false},
 }
 
-// InjectUpstreamFaults lets servers name limits and sends requests with a part that crashes
+// InjectUpstreamFaults lets servers name limits, lets others return beside odd entries, and sends requests with a part that crashes
 // engines, drawn from a seed, while no gateway is disrupted: gateways that were disrupted a
 // short time ago are not bound by the rules on these.
 func (env *Environment) InjectUpstreamFaults(ctx context.Context, seed uint64) error {
 	random := rand.New(rand.NewPCG(seed, 2))
 	var faults sync.WaitGroup
+	var limited []*server
 	for _, servers := range [][]*server{env.servers[:len(env.PlainServers)], env.servers[len(env.PlainServers):]} {
 		s := servers[random.IntN(len(servers))]
 		rate := namedLimits[random.IntN(len(namedLimits))]
+		limited = append(limited, s)
 		faults.Go(func() { env.limitFor(ctx, s, rate, upstreamFaultDuration) })
 	}
+	var oddError error
+	faults.Go(func() { oddError = env.checkUseBesideOddEntries(ctx, seed, upstreamFaultDuration, limited[0]) })
 	faults.Go(func() { env.sendCrashPart(ctx, seed, upstreamFaultDuration) })
 	faults.Wait()
 	if err := env.crashError.Load(); err != nil {
 		return *err
 	}
-	return nil
+	return oddError
 }
 
 // upstreamFaultDuration is how long the faults of InjectUpstreamFaults go on after
