--- a/e2e/gateway/inserted_bytes_test.go
+++ b/e2e/gateway/inserted_bytes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -81,9 +80,7 @@
 		}
 		body += "0\r\n\r\n"
 	}
-	_, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\n%s\r\n\r\n%s",
-		r.Header.Get("Attempt-Id"), framing, body))
-	return err
+	return writeResponse(c, r, "Content-Type: text/event-stream\r\n"+framing, body)
 }
 
 // Guards against bytes of a faulty upstream that reach callers as an event of a stream that
@@ -91,7 +88,10 @@
 var _ = Describe("a text/event-stream into which an upstream inserts bytes", Ordered, ContinueOnFailure, func() {
 	var s *scriptedSite
 
-	BeforeAll(func() { s = newScriptedSite() })
+	BeforeAll(func() {
+		s = newScriptedSite()
+		s.awaitRetries()
+	})
 
 	DescribeTable("is resumed with Last-Event-Id where it may be, and never looks whole otherwise",
 		func(f faultyStream) {
--- a/e2e/gateway/scripted_upstreams_test.go
+++ b/e2e/gateway/scripted_upstreams_test.go
@@ -53,8 +53,8 @@
 // serveConn serves the requests of a connection until it returns an error.
 type serveConn func(c net.Conn, next func() (*http.Request, error)) error
 
-// newScriptedSite starts a gateway and one upstream for each function.
-func newScriptedSite(upstreams ...serveConn) *scriptedSite {
+// newScriptedSite starts a gateway without upstreams.
+func newScriptedSite() *scriptedSite {
 	GinkgoHelper()
 	ctx := context.Background()
 	inner, err := harness.NewGatewayFleet(ctx, harness.GatewayFleetOptions{Gateways: 1, Dir: GinkgoT().TempDir(), Settings: scriptedSettings})
@@ -66,8 +66,6 @@
 	}
 	Expect(s.Put(ctx, standin.ConfigKind, standin.ConfigName, scriptedConfiguration())).To(Succeed())
 	Expect(s.StartAll(ctx)).To(Succeed())
-	Eventually(func() float64 { return s.state(s.gateway).Retries[deskService].Allowed }, specTimeout).Should(BeNumerically(">", 0), "retries")
-	s.replaceUpstreams(upstreams...)
 	return s
 }
 
@@ -129,6 +127,12 @@
 	}
 }
 
+// awaitRetries waits until the gateway may retry requests.
+func (s *scriptedSite) awaitRetries() {
+	GinkgoHelper()
+	Eventually(func() float64 { return s.state(s.gateway).Retries[deskService].Allowed }, specTimeout).Should(BeNumerically(">", 0), "retries")
+}
+
 // replaceUpstreams registers new upstreams in place of those of an earlier call, and waits until
 // the gateway uses them: what it has learnt of earlier ones does not apply to them.
 func (s *scriptedSite) replaceUpstreams(upstreams ...serveConn) {
@@ -202,3 +206,9 @@
 	answer.status, answer.body, answer.broken = resp.StatusCode, string(body), err
 	return answer
 }
+
+// writeResponse writes the response of a run; the header fields state how its body ends.
+func writeResponse(c net.Conn, r *http.Request, fields, body string) error {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\n%s\r\n\r\n%s", r.Header.Get("Attempt-Id"), fields, body)
+	return err
+}
