router: interrupted streams are resumed between two events

Since sidecars check streams, one that was interrupted within an event could not be resumed: an event over 32 KiB is sent in several frames, of which the router may have passed on the first when the session ends, and the resumed stream then begins with the rest of the event. Sidecars of earlier releases send parts of events in any case.

The offset counted all bytes that had arrived.

The router holds an incomplete event of a stream back, up to 8 MiB, until the rest arrives, and passes nothing of it on otherwise.

--- a/router/relay.go
+++ b/router/relay.go
@@ -121,6 +121,7 @@
 // relay copies the response to the caller until the end frame.
 func (a *attempt) relay(st *peer.Stream) attemptResult {
 	var received uint64
+	var events *wholeEvents
 	for {
 		f, err := st.Receive()
 		if err != nil {
@@ -128,13 +129,19 @@
 		}
 		switch b := f.Body.(type) {
 		case *peerpb.Frame_Head:
+			events = newWholeEvents(b.Head)
 			err = a.startResponse(b.Head)
 		case *peerpb.Frame_Data:
 			received += uint64(len(b.Data))
-			err = a.w.Write(b.Data)
-			a.job.relayedBytes += uint64(len(b.Data))
+			err = a.write(events.next(b.Data))
 		case *peerpb.Frame_End:
-			return a.handleEnd(b.End, received)
+			res := a.handleEnd(b.End, received)
+			if res.outcome != peerpb.Outcome_OUTCOME_COMPLETE {
+				return res
+			}
+			if err = a.write(events.rest()); err == nil {
+				return res
+			}
 		default:
 			return a.interrupted("unexpected frame")
 		}
@@ -144,6 +151,15 @@
 	}
 }
 
+// write passes bytes of the response on to the caller.
+func (a *attempt) write(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	a.job.relayedBytes += uint64(len(p))
+	return a.w.Write(p)
+}
+
 // interrupted returns the result of an attempt whose response is incomplete.
 func (a *attempt) interrupted(reason string) attemptResult {
 	res := unknown(reason)
