router: a response head without a status ends the attempt

A corrupted sidecar that sent a head with status 0, or one over 999, made the router's handler panic while it wrote the response; the caller got no answer and the request was not tried again.

The status was passed to the HTTP server as it came.

Such a head, as well as one with a status below 200, now counts as an interrupted attempt.

--- a/router/relay.go
+++ b/router/relay.go
@@ -19,6 +19,9 @@
 // sendTimeout limits the time for sending a request to a sidecar.
 const sendTimeout = 30 * time.Second
 
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
 // attempt is one dispatch of a job to a sidecar.
 type attempt struct {
 	id      string
@@ -129,6 +132,9 @@
 		}
 		switch b := f.Body.(type) {
 		case *peerpb.Frame_Head:
+			if !isFinalStatus(b.Head) {
+				return a.interrupted("response with a status that is none")
+			}
 			events = newWholeEvents(b.Head)
 			err = a.startResponse(b.Head)
 		case *peerpb.Frame_Data:
@@ -160,6 +166,11 @@
 	return a.w.Write(p)
 }
 
+// isFinalStatus reports whether the status of a head is one of a response with a body.
+func isFinalStatus(head *peerpb.ResponseHead) bool {
+	return head.GetStatus() >= http.StatusOK && head.GetStatus() <= maxStatus
+}
+
 // interrupted returns the result of an attempt whose response is incomplete.
 func (a *attempt) interrupted(reason string) attemptResult {
 	res := unknown(reason)
