warmup: the limit of an incarnation that is not registered does not bind

An upstream got a request every four seconds for good after one corrupted gateway had reported a limit of zero for it with a later start time: its responses name no limit, and the end of a limit is concluded for the incarnation of the limit only. The limits that others reported of the registered incarnation were ignored.

Of two incarnations the later one counted, whether it is registered or not.

A limit of a later incarnation than the registered one is kept for the registration to come, does not bind before, and does not replace one that does.

--- a/warmup/limit.go
+++ b/warmup/limit.go
@@ -73,7 +73,10 @@
 // anything: the higher version counts, and of two equal ones the lower rate.
 func (t *Tracker) MergeLimit(now time.Time, n NamedLimit) bool {
 	l := t.limited[n.Upstream.ID]
-	if l != nil && l.Upstream.StartedUnixMs > n.Upstream.StartedUnixMs {
+	if l != nil && l.Upstream.StartedUnixMs > n.Upstream.StartedUnixMs && !t.isAhead(l.Upstream) {
+		return false
+	}
+	if l != nil && t.isAhead(n.Upstream) && !t.isAhead(l.Upstream) {
 		return false
 	}
 	if l != nil && l.Upstream.StartedUnixMs == n.Upstream.StartedUnixMs && !n.supersedes(l.NamedLimit) {
@@ -82,6 +85,13 @@
 	return t.setLimit(now, n)
 }
 
+// isAhead reports whether an incarnation is later than the registered one. Its limit does not
+// bind: no response of the registered one would end it.
+func (t *Tracker) isAhead(u Upstream) bool {
+	started, ok := t.registered[u.ID]
+	return ok && u.StartedUnixMs > started
+}
+
 // supersedes reports whether a limit replaces another one of the same incarnation.
 func (n NamedLimit) supersedes(other NamedLimit) bool {
 	if n.Version != other.Version {
@@ -120,9 +130,9 @@
 // RegisterUpstreams adapts the limits to the registered upstreams: those of earlier
 // incarnations and of upstreams that are gone are forgotten.
 func (t *Tracker) RegisterUpstreams(now time.Time, list []Upstream) {
-	registered := make(map[fleet.UpstreamID]bool, len(list))
+	t.registered = make(map[fleet.UpstreamID]int64, len(list))
 	for _, u := range list {
-		registered[u.ID] = true
+		t.registered[u.ID] = u.StartedUnixMs
 		l := t.limited[u.ID]
 		switch {
 		case l == nil:
@@ -134,7 +144,8 @@
 		}
 	}
 	for id, l := range t.limited {
-		if (l.Ended || !registered[id]) && now.Sub(l.changedAt) > limitRetention {
+		_, registered := t.registered[id]
+		if (l.Ended || !registered || t.isAhead(l.Upstream)) && now.Sub(l.changedAt) > limitRetention {
 			delete(t.limited, id)
 		}
 	}
@@ -143,7 +154,7 @@
 // activeLimit returns the limit of an upstream; nil if it has none.
 func (t *Tracker) activeLimit(id fleet.UpstreamID) *limited {
 	l := t.limited[id]
-	if l == nil || l.Ended {
+	if l == nil || l.Ended || t.isAhead(l.Upstream) {
 		return nil
 	}
 	return l
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -51,6 +51,8 @@
 	periods map[fleet.UpstreamID]*period
 	// limited holds the limits that upstreams name.
 	limited map[fleet.UpstreamID]*limited
+	// registered holds the start times of the registered upstreams.
+	registered map[fleet.UpstreamID]int64
 	// begun lists the periods that TakeBegun has not returned yet.
 	begun []Period
 }
