--- a/router/relay.go
+++ b/router/relay.go
@@ -19,6 +19,9 @@
 // sendTimeout limits the time for sending a request to a sidecar.
 const sendTimeout = 30 * time.Second
 
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
 // attempt is one dispatch of a job to a sidecar.
 type attempt struct {
 	id      string
@@ -121,6 +124,7 @@
 // relay copies the response to the caller until the end frame.
 func (a *attempt) relay(st *peer.Stream) attemptResult {
 	var received uint64
+	var events *wholeEvents
 	for {
 		f, err := st.Receive()
 		if err != nil {
@@ -128,13 +132,22 @@
 		}
 		switch b := f.Body.(type) {
 		case *peerpb.Frame_Head:
+			if !isFinalStatus(b.Head) {
+				return a.interrupted("response with a status that is none")
+			}
+			events = newWholeEvents(b.Head)
 			err = a.startResponse(b.Head)
 		case *peerpb.Frame_Data:
 			received += uint64(len(b.Data))
-			err = a.w.Write(b.Data)
-			a.job.relayedBytes += uint64(len(b.Data))
+			err = a.write(events.next(b.Data))
 		case *peerpb.Frame_End:
-			return a.handleEnd(b.End, received)
+			res := a.handleEnd(b.End, received)
+			if res.outcome != peerpb.Outcome_OUTCOME_COMPLETE {
+				return res
+			}
+			if err = a.write(events.rest()); err == nil {
+				return res
+			}
 		default:
 			return a.interrupted("unexpected frame")
 		}
@@ -144,6 +157,20 @@
 	}
 }
 
+// write passes bytes of the response on to the caller.
+func (a *attempt) write(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	a.job.relayedBytes += uint64(len(p))
+	return a.w.Write(p)
+}
+
+// isFinalStatus reports whether the status of a head is one of a response with a body.
+func isFinalStatus(head *peerpb.ResponseHead) bool {
+	return head.GetStatus() >= http.StatusOK && head.GetStatus() <= maxStatus
+}
+
 // interrupted returns the result of an attempt whose response is incomplete.
 func (a *attempt) interrupted(reason string) attemptResult {
 	res := unknown(reason)
