gateway: a response that can't be resumed is not joined with another run

Cause: whether a request is sent again depended on the route alone. Once a response has begun, only an event stream of a streaming route with resumption can be continued; a large body or an event stream on a safe route can't. Such a request is not sent again, as no answer could be used, and an event stream that comes all the same is not relayed.

The test dialect knows content encodings now, as that of the platform.

--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -84,7 +84,7 @@
 	switch {
 	case h.Get("Unrun") != "", status == http.StatusMisdirectedRequest:
 		return exchange.NotRun
-	case h.Get("Signed-By") == "":
+	case h.Get("Signed-By") == "", h.Get("Content-Encoding") != "":
 		return exchange.Invalid
 	case status >= http.StatusInternalServerError:
 		return exchange.Failed
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -118,7 +118,7 @@
 		return g.relayFailure(ctx, j, id, x)
 	case exchange.Ran:
 	}
-	if isEventStream(header) && status == http.StatusOK {
+	if isEventStream(header) && status == http.StatusOK && (!j.response.started || j.mayContinue()) {
 		return g.relayStream(ctx, j, id, x)
 	}
 	return g.relayWhole(ctx, j, id, x)
@@ -165,9 +165,9 @@
 		return g.classifyBroken(ctx, j, id, x, err)
 	}
 	if j.response.started {
-		// A stream that has started cannot continue with a response of another type.
+		// A response that has started can only be continued as an event stream.
 		g.recordOutcome(j, id, outlier.Failure)
-		return result{kind: broken, status: resp.status, err: eris.New("not an event stream")}
+		return result{kind: broken, status: resp.status, err: eris.New("not the continuation of a stream")}
 	}
 	if err == nil {
 		g.recordOutcome(j, id, outlier.Success)
--- a/gateway/relay_stream.go
+++ b/gateway/relay_stream.go
@@ -11,6 +11,7 @@
 
 	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/outlier"
+	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -158,5 +159,12 @@
 		return
 	}
 	response := s.exchange.Response
+	s.job.response.stream = true
 	s.job.response.writeHead(response.StatusCode, s.gateway.options.Dialect.ResponseHeader(response.Header))
 }
+
+// mayContinue reports whether the stream of another upstream may continue the response that
+// has started. Other responses would be joined from two runs.
+func (j *job) mayContinue() bool {
+	return j.response.stream && j.route.Kind == route.Stream && j.route.Resumable
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -47,6 +47,8 @@
 	// closing reports whether the connection is closed after the response.
 	closing func() bool
 	started bool
+	// stream is set if the response that has started is an event stream.
+	stream bool
 	// request is the context of the caller's request. It ends when the caller
 	// disconnects.
 	request context.Context
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -136,6 +136,9 @@
 	if ctx.Err() != nil || last.kind == complete || last.kind.callerDisconnected() {
 		return false
 	}
+	if j.response.started && !j.mayContinue() {
+		return false
+	}
 	if last.kind == notSent {
 		// No upstream received the request, so the retry spends no budget.
 		return len(j.excluded) < maxUnsentAttempts
