--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -46,6 +46,8 @@
 	// unsoundStreamCounts counts the streams in which something other than the upstream's
 	// events was found, by service.
 	unsoundStreamCounts = expvar.NewMap("gateway_unsound_streams")
+	// secondHeads counts responses that were to be written although another one had started.
+	secondHeads = expvar.NewInt("gateway_second_responses")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -79,7 +79,7 @@
 		defer g.inFlight.Add(-1)
 	}
 	defer markRequestDecided(r.Context())
-	response := newResponseWriter(w, r, g.closesConnections)
+	response := newResponseWriter(w, r, g.closesConnections, g.log)
 	j, refused := g.receive(r, response.control, arrived)
 	defer g.releaseBuffered(j)
 	if refused != nil {
@@ -87,6 +87,7 @@
 		g.logRefusal(j, refused, arrived)
 		return
 	}
+	response.requestID = j.in.ID
 	j.response = response
 	defer func() { _ = response.awaitSent() }() // The server closes a connection whose writes fail.
 	if refused := g.refuseDuringShutdown(j); refused != nil {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
 	"fulmarspindle.example/fulmarspindle/admission"
 )
 
@@ -40,7 +43,12 @@
 	return "no upstream would answer on time"
 }
 
-// responseWriter writes the response to the caller.
+// errResponseStarted reports a response that was to be written although another one has
+// started.
+var errResponseStarted = eris.New("gateway: another response has started")
+
+// responseWriter writes the response to the caller. It is the only one that writes heads and
+// refuses to write a second one.
 type responseWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
@@ -57,14 +65,36 @@
 	conn *callerConn
 	// unread is set if an upstream broke off because the caller did not read.
 	unread bool
+	log    *zap.Logger
+	// requestID identifies the request in logs.
+	requestID string
+}
+
+func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool, log *zap.Logger) *responseWriter {
+	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing, log: log}
 }
 
-func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool) *responseWriter {
-	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing}
+// checkNotStarted returns errResponseStarted if a response has started.
+func (rw *responseWriter) checkNotStarted() error {
+	if rw.started {
+		return errResponseStarted
+	}
+	return nil
+}
+
+// rejectSecond closes the connection instead of writing a second response into the first.
+func (rw *responseWriter) rejectSecond(status int, err error) {
+	secondHeads.Add(1)
+	rw.log.Error("second response rejected", zap.String("request", rw.requestID), zap.Int("status", status), zap.Error(err))
+	rw.abort()
 }
 
-// writeHead writes the status line and the headers.
+// writeHead writes the status line and the headers. It does not return if a response has
+// started.
 func (rw *responseWriter) writeHead(status int, header http.Header) {
+	if err := rw.checkNotStarted(); err != nil {
+		rw.rejectSecond(status, err)
+	}
 	out := rw.w.Header()
 	for name, values := range header {
 		out[name] = values
