gateway: a broken stream to an HTTP/1.0 caller ends with a reset

Such a response has no chunks, so that the regular close with which the gateway breaks off is its end.

abort now makes the close of such a connection a reset, and logs "connection not reset" where it can't.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -65,13 +66,18 @@
 	conn *callerConn
 	// unread is set if an upstream broke off because the caller did not read.
 	unread bool
-	log    *zap.Logger
+	// closeDelimited is set if the end of the connection marks the end of the response.
+	closeDelimited bool
+	log            *zap.Logger
 	// requestID identifies the request in logs.
 	requestID string
 }
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool, log *zap.Logger) *responseWriter {
-	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing, log: log}
+	return &responseWriter{
+		w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing, log: log,
+		closeDelimited: !r.ProtoAtLeast(1, 1),
+	}
 }
 
 // checkNotStarted returns errResponseStarted if a response has started.
@@ -134,5 +140,26 @@
 }
 
 // abort closes the connection before the response is complete, so that the caller does
-// not mistake the response for a complete one.
-func (rw *responseWriter) abort() { panic(http.ErrAbortHandler) }
+// not mistake the response for a complete one. An HTTP/1.0 caller would take a regular close
+// for the end of the response, so its connection is reset.
+func (rw *responseWriter) abort() {
+	if rw.closeDelimited {
+		if err := resetOnClose(rw.request); err != nil {
+			rw.log.Warn("connection not reset", zap.String("request", rw.requestID), zap.Error(err))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetOnClose makes the close of the caller's connection a reset.
+func resetOnClose(request context.Context) error {
+	caller, ok := request.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return eris.New("gateway: no connection of the caller")
+	}
+	conn, ok := caller.Conn.(*net.TCPConn)
+	if !ok {
+		return eris.Errorf("gateway: the caller's connection is a %T", caller.Conn)
+	}
+	return conn.SetLinger(0)
+}
--- a/gateway/resumption_ends_test.go
+++ b/gateway/resumption_ends_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -194,3 +195,27 @@
 	}, servers...)
 	g.Expect(got).To(Equal(brokenAfter(eventsBefore)))
 }
+
+// TestBrokenStreamOfACallerWithoutChunksIsReset guards against a stream to an HTTP/1.0 caller,
+// which only the end of its connection delimits, that broke off and looks whole.
+func TestBrokenStreamOfACallerWithoutChunksIsReset(t *testing.T) {
+	g := NewWithT(t)
+	begun := make(chan struct{})
+	n := startGatewayWith(t, startServer(t, "e1", "engines", closesBetweenEvents.handle(begun)))
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(eventuallyTimeout))
+	_, err = io.WriteString(c, "POST /stream/ HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: 6\r\n\r\nprompt")
+	g.Expect(err).NotTo(HaveOccurred())
+	var raw strings.Builder
+	buf := make([]byte, 4<<10)
+	for !strings.HasSuffix(raw.String(), event(eventsBefore)) {
+		read, err := c.Read(buf)
+		g.Expect(err).NotTo(HaveOccurred())
+		raw.Write(buf[:read])
+	}
+	close(begun)
+	_, err = io.ReadAll(c)
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+}
