--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -52,6 +52,8 @@
 	// unsoundCacheEntries counts the entries of engines' cache lists that were left out, by
 	// service.
 	unsoundCacheEntries = expvar.NewMap("gateway_unsound_cache_entries")
+	// secondHeads counts responses that were to be written although another one had started.
+	secondHeads = expvar.NewInt("gateway_second_responses")
 	// upstreamCounts counts attempts by upstream and result.
 	upstreamCounts = expvar.NewMap("gateway_upstream_attempts")
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -172,9 +172,9 @@
 	}
 	j.service.recordFirstEvent(id)
 	if j.response.started {
-		// A stream that has started cannot continue with a response of another type.
+		// A response that has started can only be continued as an event stream.
 		g.recordOutcome(j, id, outlier.Failure)
-		return result{kind: broken, status: resp.status, err: eris.New("not an event stream")}
+		return result{kind: broken, status: resp.status, err: eris.New("not the continuation of a stream")}
 	}
 	if err == nil {
 		g.recordOutcome(j, id, outlier.Success)
--- a/gateway/relay_stream.go
+++ b/gateway/relay_stream.go
@@ -189,5 +189,6 @@
 		return
 	}
 	response := s.exchange.Response
+	s.job.response.stream = true
 	s.job.response.writeHead(response.StatusCode, s.gateway.options.Dialect.ResponseHeader(response.Header))
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
 	"fulmarspindle.example/fulmarspindle/admission"
 )
 
@@ -40,16 +44,20 @@
 	return "no upstream would answer on time"
 }
 
-// responseWriter writes the response to the caller.
+// errResponseStarted reports a response that was to be written although another one has
+// started.
+var errResponseStarted = eris.New("gateway: another response has started")
+
+// responseWriter writes the response to the caller. It is the only one that writes heads and
+// refuses to write a second one.
 type responseWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
 	// closing reports whether the connection is closed after the response.
 	closing func() bool
 	started bool
-	// closeDelimited is set if the end of the connection may mark the end of the response, as
-	// for callers of HTTP/1.0.
-	closeDelimited bool
+	// stream is set if the response that has started is an event stream.
+	stream bool
 	// request is the context of the caller's request. It ends when the caller
 	// disconnects.
 	request context.Context
@@ -58,14 +66,41 @@
 	conn *callerConn
 	// unread is set if an upstream broke off because the caller did not read.
 	unread bool
+	// closeDelimited is set if the end of the connection marks the end of the response.
+	closeDelimited bool
+	log            *zap.Logger
+	// requestID identifies the request in logs.
+	requestID string
 }
 
-func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool) *responseWriter {
-	return &responseWriter{w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing, closeDelimited: !r.ProtoAtLeast(1, 1)}
+func newResponseWriter(w http.ResponseWriter, r *http.Request, closing func() bool, log *zap.Logger) *responseWriter {
+	return &responseWriter{
+		w: w, control: http.NewResponseController(w), request: r.Context(), closing: closing, log: log,
+		closeDelimited: !r.ProtoAtLeast(1, 1),
+	}
+}
+
+// checkNotStarted returns errResponseStarted if a response has started.
+func (rw *responseWriter) checkNotStarted() error {
+	if rw.started {
+		return errResponseStarted
+	}
+	return nil
 }
 
-// writeHead writes the status line and the headers.
+// rejectSecond closes the connection instead of writing a second response into the first.
+func (rw *responseWriter) rejectSecond(status int, err error) {
+	secondHeads.Add(1)
+	rw.log.Error("second response rejected", zap.String("request", rw.requestID), zap.Int("status", status), zap.Error(err))
+	rw.abort()
+}
+
+// writeHead writes the status line and the headers. It does not return if a response has
+// started.
 func (rw *responseWriter) writeHead(status int, header http.Header) {
+	if err := rw.checkNotStarted(); err != nil {
+		rw.rejectSecond(status, err)
+	}
 	out := rw.w.Header()
 	for name, values := range header {
 		out[name] = values
@@ -105,10 +140,26 @@
 }
 
 // abort closes the connection before the response is complete, so that the caller does
-// not mistake the response for a complete one.
+// not mistake the response for a complete one. An HTTP/1.0 caller would take a regular close
+// for the end of the response, so its connection is reset.
 func (rw *responseWriter) abort() {
 	if rw.closeDelimited {
-		resetOnClose(rw.request)
+		if err := resetOnClose(rw.request); err != nil {
+			rw.log.Warn("connection not reset", zap.String("request", rw.requestID), zap.Error(err))
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// resetOnClose makes the close of the caller's connection a reset.
+func resetOnClose(request context.Context) error {
+	caller, ok := request.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return eris.New("gateway: no connection of the caller")
+	}
+	conn, ok := caller.Conn.(*net.TCPConn)
+	if !ok {
+		return eris.Errorf("gateway: the caller's connection is a %T", caller.Conn)
+	}
+	return conn.SetLinger(0)
+}
--- a/gateway/stream_position.go
+++ b/gateway/stream_position.go
@@ -44,5 +44,5 @@
 	if !j.response.started {
 		return true
 	}
-	return j.route.Kind == route.Stream && j.route.Resumable && !j.position.uncertain
+	return j.response.stream && j.route.Kind == route.Stream && j.route.Resumable && !j.position.uncertain
 }
--- a/upstream/stream_resume_test.go
+++ b/upstream/stream_resume_test.go
@@ -10,7 +10,7 @@
 // because the event before it ended with a carriage return of which the line feed comes now.
 func TestResumedStreamMayBeginWithALineFeed(t *testing.T) {
 	g := NewWithT(t)
-	call := postCall(true, "x")
+	call := postCall("x")
 	call.ResumeOffset = 7
 	got := &recordingSink{}
 	g.Expect(newTestClient(t, streaming("\n"+tokens(1, 2)+doneEvent)).Do(t.Context(), call, got)).To(Succeed())
