caller, sidecar: headers that are no text neither lose requests nor responses

A request with a header that is not valid UTF-8 was answered 502 with an unknown outcome, although it had reached no upstream; its idempotency key stayed claimed. A response with such a header was lost after the request had run.

Messages between processes can't carry the header, which was found out when they were encoded, too late to tell the caller.

Such a request is refused with 400 as not run. In a response other bytes are replaced.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -103,6 +103,7 @@
 		{"no idempotency key", "POST", "/services/p/orders", "", nil, 400},
 		{"long idempotency key", "GET", "/services/p/x", "", http.Header{"Idempotency-Key": {strings.Repeat("k", 256)}}, 400},
 		{"idempotency key that is no text", "POST", "/services/p/orders", "", http.Header{"Idempotency-Key": {"k\xff"}}, 400},
+		{"header that is no text", "GET", "/services/p/x", "", http.Header{"X-Name": {"Jos\xe9"}}, 400},
 		{"invalid timeout", "GET", "/services/p/x", "", http.Header{"Request-Timeout": {"soon"}}, 400},
 		{"timeout below the minimum", "GET", "/services/p/x", "", http.Header{"Request-Timeout": {"1e-20"}}, 400},
 		{"body over the service's limit", "POST", "/services/p/x", strings.Repeat("b", 65), nil, 413},
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -145,3 +145,19 @@
 	h.Write(req.Body)
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
+
+// checkText refuses a request whose path or headers are not valid UTF-8: messages between
+// processes can't carry them.
+func checkText(req *Request) error {
+	if !utf8.ValidString(req.Path) {
+		return NotRun(http.StatusBadRequest, "invalid_request", "the path is not valid UTF-8")
+	}
+	for name, values := range req.Header {
+		for _, value := range values {
+			if !utf8.ValidString(value) {
+				return NotRun(http.StatusBadRequest, "invalid_request", "the header "+name+" is not valid UTF-8")
+			}
+		}
+	}
+	return nil
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -187,6 +187,9 @@
 	}
 	req.MaxWait = service.MaxDuration.Std()
 	req.Header = exchange.EndToEnd(c.Request().Header, unforwardedHeaders)
+	if err := checkText(req); err != nil {
+		return err
+	}
 	req.Digest = requestDigest(req)
 	timeout, err := requestTimeout(c.Request().Header)
 	if err != nil {
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -160,11 +160,21 @@
 func (x *execution) Head(status int, header http.Header) error {
 	stream := strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 	x.meter = x.newMeter(stream)
+	return x.stream.Send(&peerpb.Frame{Body: &peerpb.Frame_Head{Head: responseHead(status, header)}})
+}
+
+// responseHead encodes the head of a response. Messages carry valid UTF-8 only; other bytes of
+// header values are replaced.
+func responseHead(status int, header http.Header) *peerpb.ResponseHead {
 	head := &peerpb.ResponseHead{Status: int32(status)}
 	for name, values := range header {
-		head.Headers = append(head.Headers, &peerpb.Header{Name: name, Values: values})
+		text := make([]string, len(values))
+		for i, value := range values {
+			text[i] = strings.ToValidUTF8(value, "\uFFFD")
+		}
+		head.Headers = append(head.Headers, &peerpb.Header{Name: name, Values: text})
 	}
-	return x.stream.Send(&peerpb.Frame{Body: &peerpb.Frame_Head{Head: head}})
+	return head
 }
 
 // Data implements upstream.Sink.
