gateway, upstream: a malformed response is no crash of its upstream

Requests were suspected of crashing upstreams, and refused after three, because their upstreams had sent a head or a chunk that is none: bytes that are no response broke the attempt like a connection that ends, and the ejection that follows blames the requests which it broke off.

Cause: one error stood for both. upstream.IsMalformed tells them apart, and such attempts count as corrupt, like unsound events. Five of five cases of TestRequestsWithMalformedResponsesAreNotSuspects failed before.

--- a/gateway/corrupt_upstream_test.go
+++ b/gateway/corrupt_upstream_test.go
@@ -80,3 +80,31 @@
 		})
 	}
 }
+
+// TestRequestsWithMalformedResponsesAreNotSuspects guards against requests that are refused as ones
+// that crash upstreams, because their upstreams sent bytes that are no response.
+func TestRequestsWithMalformedResponsesAreNotSuspects(t *testing.T) {
+	for name, response := range map[string]string{
+		"no head":          "\x00\x01garbage\r\n\r\n",
+		"header":           "HTTP/1.1 200 OK\r\ngarbage\r\n\r\n",
+		"length":           signedHead + "Content-Length: -2\r\n\r\n",
+		"chunk":            signedHead + streamType + inChunks + "\r\n" + chunkOf(event(1)) + "garbage\r\n",
+		"end of the chunk": signedHead + streamType + inChunks + "\r\n1\r\nabc\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var engines []*server
+			for i := range 3 {
+				engines = append(engines, startServer(t, fmt.Sprint("e", i), "engines", writeRaw(response, false)))
+			}
+			n := startGateway(t, "g1", storeOf(definition(1), engines...),
+				func(o *gateway.Options) { o.Policy.Admission.Outlier.ConsecutiveBroken = 1 })
+			awaitReady(t, n)
+			for range 3 {
+				resp, _, err := send(n, http.MethodPost, "/stream/", "prompt")
+				g.Expect(err != nil || resp.StatusCode == http.StatusBadGateway).To(BeTrue())
+			}
+			g.Expect(n.State().Suspects).To(BeEmpty())
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -225,7 +225,7 @@
 // classifyBroken returns the result of a response that broke off.
 func (g *Gateway) classifyBroken(ctx context.Context, j *job, id string, x *upstream.Exchange, err error) result {
 	switch {
-	case eventstream.IsCorrupt(err), errors.Is(err, errGap):
+	case eventstream.IsCorrupt(err), upstream.IsMalformed(err), errors.Is(err, errGap):
 		return g.classifyCorrupt(j, id, x, err)
 	case ctx.Err() != nil:
 		j.service.cancelAttempt(id)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -301,7 +301,11 @@
 		g.recordOutcome(j, id, outlier.Unreachable)
 		return result{kind: notSent, err: err}
 	}
-	g.recordOutcome(j, id, outlier.Broken)
+	outcome := outlier.Broken
+	if upstream.IsMalformed(err) {
+		outcome = outlier.Corrupt
+	}
+	g.recordOutcome(j, id, outcome)
 	return result{kind: broken, err: err}
 }
 
--- a/upstream/attribution.go
+++ b/upstream/attribution.go
@@ -100,7 +100,7 @@
 		before := len(c.prefetched)
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, eris.Wrap(errMalformedHead, err.Error())
 		}
 		switch {
 		case resp.StatusCode < http.StatusContinue:
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -77,7 +77,7 @@
 	if writeErr != nil && c.bytesWritten == 0 {
 		return nil, eris.Wrap(ErrNotSent, writeErr.Error())
 	}
-	return nil, eris.Wrap(ErrInterrupted, err.Error())
+	return nil, interrupted(err)
 }
 
 // acquire returns a connection for a request. Nothing has arrived on it right before the
@@ -175,7 +175,7 @@
 		x.bodyRead = true
 		return n, io.EOF
 	default:
-		return n, eris.Wrap(ErrInterrupted, err.Error())
+		return n, interrupted(err)
 	}
 }
 
