--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,7 +11,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/route"
@@ -221,23 +220,3 @@
 // slowWriteTime is how long a caller has to delay a single write to count as the reason
 // for which an upstream broke off a response that is not a stream.
 const slowWriteTime = time.Second
-
-// classifyBroken returns the result of a response that broke off.
-func (g *Gateway) classifyBroken(ctx context.Context, j *job, id string, x *upstream.Exchange, err error) result {
-	switch {
-	case eventstream.IsCorrupt(err), upstream.IsMalformed(err), errors.Is(err, errGap):
-		return g.classifyCorrupt(j, id, x, err)
-	case ctx.Err() != nil:
-		j.service.cancelAttempt(id)
-	default:
-		g.recordOutcome(j, id, outlier.Broken)
-	}
-	return result{kind: broken, status: x.Response.StatusCode, err: err}
-}
-
-// classifyCorrupt returns the result of a response with bytes that are not the upstream's.
-func (g *Gateway) classifyCorrupt(j *job, id string, x *upstream.Exchange, err error) result {
-	x.MarkCorrupt()
-	g.recordOutcome(j, id, outlier.Corrupt)
-	return result{kind: broken, status: x.Response.StatusCode, err: err}
-}
