--- a/peer/check.go
+++ b/peer/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/registry"
 )
 
 // Bounds of the values in messages. What is beyond them comes from a corrupted process or
@@ -18,9 +19,6 @@
 	maxAddressBytes = 253 + len(":65535")
 	// maxRegionsBytes is the length of the longest list of home regions.
 	maxRegionsBytes = 4 << 10
-	// maxRevision is the highest revision of a store. The store's API encodes revisions as
-	// JSON numbers, which are exact up to it.
-	maxRevision = 1 << 53
 	// maxGeneration is the highest configuration generation. Versions are signed in the
 	// store's API.
 	maxGeneration = math.MaxInt64
@@ -96,7 +94,7 @@
 
 // checkRevision replaces a revision that no store has reached by zero, an unknown one.
 func (o leftOut) checkRevision(revision *uint64) {
-	if *revision > maxRevision {
+	if *revision > registry.MaxRevision {
 		o["revision"]++
 		*revision = 0
 	}
@@ -112,7 +110,7 @@
 	if m.Revision <= newest {
 		return
 	}
-	if len(m.GetRegistrations()) > 0 || m.Revision > maxRevision {
+	if len(m.GetRegistrations()) > 0 || m.Revision > registry.MaxRevision {
 		o["revision"]++
 	}
 	m.Revision = newest
--- a/peer/check_load.go
+++ b/peer/check_load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
+	"fulmarspindle.example/fulmarspindle/registry"
 )
 
 // Bounds of load reports.
@@ -31,7 +32,7 @@
 
 func (o leftOut) checkLoadReport(m *peerpb.LoadReport) {
 	o.checkRevision(&m.RegistryRevision)
-	if m.Evacuations != nil && m.Evacuations.Revision > maxRevision {
+	if m.Evacuations != nil && m.Evacuations.Revision > registry.MaxRevision {
 		// Without a revision the set can't be compared with the known one.
 		o["evacuations"]++
 		m.Evacuations = nil
