--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -104,7 +104,7 @@
 		"Transfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
 }
 
-func chunk(c net.Conn, text string) { _, _ = io.WriteString(c, chunkOf(text)) }
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
 
 // chunkOf returns a chunk of a body.
 func chunkOf(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
