upstream: one look at a kept connection before a request

Each request looked at its connection twice, when it was taken from the pool and right before the sending: one system call too many. The first look is left to Check.

Tests of upstream and platform pass.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,22 +50,19 @@
 	}
 }
 
-// get returns an idle connection or dials a new one, and reports whether it is new. Its
-// errors are ErrNotSent and ErrWithdrawn.
+// get returns a kept connection or dials a new one, and reports whether it is new. Whether
+// anything has arrived on it is for its caller to check. Its errors are ErrNotSent and
+// ErrWithdrawn.
 func (p *Pool) get(ctx context.Context) (c *conn, isNew bool, err error) {
 	for {
 		c := p.takeIdle()
 		if c == nil {
 			break
 		}
-		if !time.Now().Before(c.reuseDeadline) {
-			p.discard(c)
-			continue
-		}
-		if c.isIdle() {
+		if time.Now().Before(c.reuseDeadline) {
 			return c, false, nil
 		}
-		p.discardUnsolicited(c)
+		p.discard(c)
 	}
 	if !p.reserve() {
 		return nil, false, eris.Wrap(ErrNotSent, "connection limit reached")
@@ -83,12 +80,17 @@
 // upstream accepts a new one, which is kept in the pool. Its errors are ErrNotSent
 // and ErrWithdrawn.
 func (p *Pool) Check(ctx context.Context) error {
-	c, _, err := p.get(ctx)
-	if err != nil {
-		return err
+	for {
+		c, isNew, err := p.get(ctx)
+		if err != nil {
+			return err
+		}
+		if isNew || c.isIdle() {
+			p.putUnused(c)
+			return nil
+		}
+		p.discardUnsolicited(c)
 	}
-	p.putUnused(c)
-	return nil
 }
 
 // putUnused returns a connection to the pool on which nothing was sent.
