follower, registry: a lost connection of a gateway's own is no outage of the store

Cause, second of two: the first list after any failed call counted as one after an outage of the store, and registry.Replace kept each upstream that was missing from it usable for lapse_grace (2 s), counted from the list. A watch that was cut, a connection that went silent and a lost history (410) were all taken for an outage.

Change: one follower of the store (package follower, no I/O or clock) replaces the three loops of the gateway and their three answers to a failed call. A call that the store did not serve is an outage; a lost connection or a lost history only makes the part be read again at once. After an outage the grace counts from the last call that the store did not serve, not from the list, which may come up to timeout + retry later: a removal from before the outage would stay usable beyond the time in which a gateway is not bound.

Why it works: what was removed is missing from the list at once, unless the store was really away, when entries may have lapsed.

Existing tests call Replace with the end of the outage in place of the flag; what they check is unchanged.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"fulmarspindle.example/fulmarspindle/follower"
 )
 
 const (
@@ -26,7 +28,7 @@
 
 	mu sync.Mutex
 	// routing and upstreams are when the store last responded to the respective watch
-	// of this router; zero if the last call failed.
+	// of this router; zero if it was unavailable to the last call.
 	routing, upstreams time.Time
 	// evacuations is the same for the watch of evacuations. It counts only if
 	// followsEvacuations is set.
@@ -36,13 +38,18 @@
 	peers time.Time
 }
 
-// recordWatch records the result of a store call of one watch.
-func (c *storeContact) recordWatch(watch *time.Time, err error) {
+// recordWatch records the result of a store call of one watch. A lost connection and a lost
+// history do not show that the store is unavailable, but changes may be missing: the last
+// contact stays what it was.
+func (c *storeContact) recordWatch(watch *time.Time, result follower.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	*watch = time.Time{}
-	if err == nil {
+	switch result {
+	case follower.Answered:
 		*watch = time.Now()
+	case follower.Unavailable:
+		*watch = time.Time{}
+	case follower.ConnectionLost, follower.HistoryGone:
 	}
 }
 
--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -26,6 +26,8 @@
 var (
 	// errStoreUnavailable is the error of an unavailable store or engine.
 	errStoreUnavailable = eris.New("store unavailable")
+	// errConnectionLost is the error of a call whose connection to the store was lost.
+	errConnectionLost = eris.New("connection to the store lost")
 	// errHeader reports a malformed header.
 	errHeader = eris.New("bad header")
 )
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -8,7 +8,6 @@
 
 	"fulmarspindle.example/fulmarspindle/evacuation"
 	"fulmarspindle.example/fulmarspindle/fleet"
-	"fulmarspindle.example/fulmarspindle/node"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 )
 
@@ -28,75 +27,45 @@
 // followsEvacuations reports whether evacuations of failure domains are in use.
 func (g *Gateway) followsEvacuations() bool { return g.options.EvacuateWithin > 0 }
 
-// followEvacuations keeps the evacuated failure domains up to date until ctx is canceled.
-func (g *Gateway) followEvacuations(ctx context.Context) {
-	dep := dependency{name: "store evacuations", log: g.log}
-	w := evacuationWatch{gateway: g}
-	for ctx.Err() == nil {
-		if !g.shouldWatchStore() {
-			w.listing = nil
-			node.Pause(ctx, watchCheckInterval)
-			continue
-		}
-		listed, sent := w.listing == nil, time.Now()
-		changed, err := w.next(ctx)
-		dep.report(err)
-		if err == nil {
-			// A report must not claim contact with the store before it has the change.
-			g.applyStoredEvacuations(w.revision, w.listing.Domains(), listed, sent)
-		}
-		g.storeContact.recordWatch(&g.storeContact.evacuations, err)
-		switch {
-		case err == nil && g.evacuationsClaimAhead(w.revision):
-			// A watch does not show that the set of another router is not the store's.
-			w.listing = nil
-		case err != nil:
-			w.listing = nil
-			node.Pause(ctx, g.options.StoreRetry)
-		case changed:
-			node.Pause(ctx, watchBatchPause)
-		}
-	}
-}
-
-// evacuationWatch lists and then watches the evacuations in the store.
-type evacuationWatch struct {
-	gateway *Gateway
-	// listing is nil unless changes after revision can be watched.
+// evacuationsPart are the evacuations in the store.
+type evacuationsPart struct {
+	gateway  *Gateway
 	listing  *evacuation.Listing
 	revision uint64
 }
 
-// next waits for the next state of the store. It reports whether the watch had changes.
-func (w *evacuationWatch) next(ctx context.Context) (bool, error) {
-	if w.listing == nil {
-		return false, w.list(ctx)
-	}
-	changes, revision, err := w.gateway.options.Store.WatchEvacuations(ctx, w.revision)
+func (p *evacuationsPart) read(ctx context.Context, _ time.Time) error {
+	sent := time.Now()
+	list, revision, err := p.gateway.options.Store.ListEvacuations(ctx)
 	if err != nil {
-		return false, err
+		return err
 	}
-	if !w.listing.Apply(changes) {
-		return true, w.list(ctx)
+	known := p.gateway.knownDomains()
+	listing, dropped := evacuation.NewListing(list, func(d fleet.FailureDomainID) bool { return known[d] })
+	if dropped > 0 {
+		p.gateway.log.Error("evacuations left out", zap.Int("left_out", dropped), zap.Uint64("revision", revision))
 	}
-	w.revision = revision
-	return len(changes) > 0, nil
+	p.listing, p.revision = listing, revision
+	p.gateway.applyStoredEvacuations(revision, listing.Domains(), true, sent)
+	return nil
 }
 
-func (w *evacuationWatch) list(ctx context.Context) error {
-	list, revision, err := w.gateway.options.Store.ListEvacuations(ctx)
+func (p *evacuationsPart) watch(ctx context.Context) (bool, error) {
+	sent := time.Now()
+	changes, revision, err := p.gateway.options.Store.WatchEvacuations(ctx, p.revision)
 	if err != nil {
-		return err
+		return false, err
 	}
-	known := w.gateway.knownDomains()
-	listing, dropped := evacuation.NewListing(list, func(d fleet.FailureDomainID) bool { return known[d] })
-	if dropped > 0 {
-		w.gateway.log.Error("evacuations left out", zap.Int("left_out", dropped), zap.Uint64("revision", revision))
+	if !p.listing.Apply(changes) {
+		return true, p.read(ctx, time.Time{})
 	}
-	w.listing, w.revision = listing, revision
-	return nil
+	p.revision = revision
+	p.gateway.applyStoredEvacuations(revision, p.listing.Domains(), false, sent)
+	return len(changes) > 0, nil
 }
 
+func (p *evacuationsPart) mustReread() bool { return p.gateway.evacuationsClaimAhead(p.revision) }
+
 // knownDomains returns the failure domains in the settings and those of registered
 // upstreams.
 func (g *Gateway) knownDomains() map[fleet.FailureDomainID]bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,10 +161,10 @@
 
 // start launches the background goroutines.
 func (g *Gateway) start(peerListener net.Listener) {
-	go g.followRouting(g.background)
-	go g.followUpstreams(g.background)
+	go g.follow(g.background, "store configuration", &g.storeContact.routing, &routingPart{gateway: g})
+	go g.follow(g.background, "store registrations", &g.storeContact.upstreams, &registrationsPart{gateway: g})
 	if g.followsEvacuations() {
-		go g.followEvacuations(g.background)
+		go g.follow(g.background, "store evacuations", &g.storeContact.evacuations, &evacuationsPart{gateway: g})
 		time.AfterFunc(g.options.EvacuateWithin, g.refreshServices)
 	}
 	go g.suspects.parts.load(g.background)
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -9,6 +9,7 @@
 	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/follower"
 	"fulmarspindle.example/fulmarspindle/placement"
 	"fulmarspindle.example/fulmarspindle/quarantine"
 	"fulmarspindle.example/fulmarspindle/registry"
@@ -47,6 +48,8 @@
 // Store provides the operators' configuration and the registered upstreams. Revisions
 // order all changes in the store.
 type Store interface {
+	// Classify returns what the error of one of the other methods shows of the store.
+	Classify(err error) follower.Result
 	ReadRouting(ctx context.Context) (route.Definition, uint64, error)
 	// WatchRouting waits for a change after revision. The definition is nil if there
 	// was none.
--- a/gateway/support_test.go
+++ b/gateway/support_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net"
@@ -17,6 +18,7 @@
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/evacuation"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/follower"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/quarantine"
@@ -70,6 +72,20 @@
 	s.entries = append(s.entries, registry.Entry{Upstream: u, Revision: s.revision, Removed: removed})
 }
 
+// Classify treats every error but errConnectionLost as one of an outage.
+func (*memoryStore) Classify(err error) follower.Result { return classify(err) }
+
+func classify(err error) follower.Result {
+	switch {
+	case err == nil:
+		return follower.Answered
+	case errors.Is(err, errConnectionLost):
+		return follower.ConnectionLost
+	default:
+		return follower.Unavailable
+	}
+}
+
 func (s *memoryStore) ReadRouting(context.Context) (route.Definition, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -183,6 +199,8 @@
 // unavailableStore fails every call.
 type unavailableStore struct{}
 
+func (unavailableStore) Classify(err error) follower.Result { return classify(err) }
+
 func (unavailableStore) ReadRouting(context.Context) (route.Definition, uint64, error) {
 	return route.Definition{}, 0, errStoreUnavailable
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -62,7 +62,7 @@
 // Options configure a Registry.
 type Options struct {
 	// LapseGrace is how long an upstream whose registration lapsed during an outage
-	// of the store remains usable after the outage.
+	// of the store remains usable after the store was last seen unavailable.
 	LapseGrace time.Duration
 	// TombstoneTTL is how long the entry of a removed upstream is kept.
 	TombstoneTTL time.Duration
@@ -95,8 +95,10 @@
 
 // Replace applies the complete list of the store at revision, unless it is older than
 // the changes already applied. Upstreams missing from the list are removed: at once, or
-// after LapseGrace if the list follows an outage of the store and they are not draining.
-func (r *Registry) Replace(now time.Time, list []Entry, revision uint64, afterOutage bool) {
+// LapseGrace after outageEnd if the list follows an outage of the store, which is not zero
+// then, and they are not draining. The grace counts from the outage and not from the list,
+// because an upstream that was removed for good must not stay usable longer for a late list.
+func (r *Registry) Replace(now time.Time, list []Entry, revision uint64, outageEnd time.Time) {
 	if revision < r.revision {
 		return
 	}
@@ -113,8 +115,8 @@
 		rec.Removed = true
 		rec.Revision = revision
 		rec.updatedAt = now
-		if afterOutage && !rec.Upstream.Draining {
-			rec.usableUntil = now.Add(r.options.LapseGrace)
+		if !outageEnd.IsZero() && !rec.Upstream.Draining {
+			rec.usableUntil = outageEnd.Add(r.options.LapseGrace)
 		}
 	}
 	r.expireTombstones(now)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -43,7 +43,7 @@
 func TestDrainingAndRemovedUpstreamsAreNotUsable(t *testing.T) {
 	g := NewWithT(t)
 	r := newRegistry()
-	r.Replace(start, []registry.Entry{registered("a", 1), registered("b", 2), registered("c", 3)}, 3, false)
+	r.Replace(start, []registry.Entry{registered("a", 1), registered("b", 2), registered("c", 3)}, 3, time.Time{})
 	g.Expect(usable(r, start)).To(Equal([]string{"a", "b", "c"}))
 	g.Expect(r.Apply(start, draining("a", 4))).To(BeTrue())
 	g.Expect(r.Apply(start, removed("b", 5))).To(BeTrue())
@@ -58,23 +58,23 @@
 	r.Apply(start, draining("a", 9))
 	g.Expect(r.Apply(start, registered("a", 8))).To(BeFalse())
 	g.Expect(r.Apply(start, registered("a", 9))).To(BeFalse())
-	r.Replace(start, []registry.Entry{registered("a", 8)}, 8, false)
+	r.Replace(start, []registry.Entry{registered("a", 8)}, 8, time.Time{})
 	g.Expect(usable(r, start)).To(BeEmpty())
 }
 
 func TestStaleListIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	r := newRegistry()
-	r.Replace(start, []registry.Entry{registered("a", 5)}, 7, false)
-	r.Replace(start, nil, 6, false)
+	r.Replace(start, []registry.Entry{registered("a", 5)}, 7, time.Time{})
+	r.Replace(start, nil, 6, time.Time{})
 	g.Expect(usable(r, start)).To(Equal([]string{"a"}))
 }
 
 func TestUpstreamLapsedDuringOutageIsUsableForTheGrace(t *testing.T) {
 	g := NewWithT(t)
 	r := newRegistry()
-	r.Replace(start, []registry.Entry{registered("a", 1), registered("b", 2), draining("c", 3)}, 3, false)
-	r.Replace(start, []registry.Entry{registered("b", 2)}, 9, true)
+	r.Replace(start, []registry.Entry{registered("a", 1), registered("b", 2), draining("c", 3)}, 3, time.Time{})
+	r.Replace(start, []registry.Entry{registered("b", 2)}, 9, start)
 	g.Expect(usable(r, start)).To(Equal([]string{"a", "b"}))
 	wake, ok := r.NextWake(start)
 	g.Expect(ok).To(BeTrue())
@@ -87,11 +87,26 @@
 	g.Expect(usable(r, wake)).To(Equal([]string{"a", "b"}))
 }
 
+// Guards against an upstream that was removed for good before an outage and stays usable longer
+// because the list after the outage came late.
+func TestLapseGraceCountsFromTheEndOfTheOutage(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegistry()
+	r.Replace(start, []registry.Entry{registered("a", 1)}, 1, time.Time{})
+	listed := start.Add(grace / 2)
+	r.Replace(listed, nil, 2, start)
+	g.Expect(usable(r, listed)).To(Equal([]string{"a"}))
+	wake, ok := r.NextWake(listed)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(wake).To(Equal(start.Add(grace)))
+	g.Expect(usable(r, wake)).To(BeEmpty())
+}
+
 func TestUpstreamMissingWithoutOutageIsRemovedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	r := newRegistry()
-	r.Replace(start, []registry.Entry{registered("a", 1)}, 1, false)
-	r.Replace(start, nil, 2, false)
+	r.Replace(start, []registry.Entry{registered("a", 1)}, 1, time.Time{})
+	r.Replace(start, nil, 2, time.Time{})
 	g.Expect(usable(r, start)).To(BeEmpty())
 }
 
@@ -99,7 +114,7 @@
 	g := NewWithT(t)
 	source, outdated := newRegistry(), newRegistry()
 	for _, r := range []*registry.Registry{source, outdated} {
-		r.Replace(start, []registry.Entry{registered("a", 1), registered("b", 2)}, 2, false)
+		r.Replace(start, []registry.Entry{registered("a", 1), registered("b", 2)}, 2, time.Time{})
 	}
 	source.Apply(start, draining("a", 3))
 	source.Apply(start, removed("b", 4))
@@ -113,10 +128,10 @@
 func TestRemovalsExpireAfterTombstoneTTL(t *testing.T) {
 	g := NewWithT(t)
 	r := newRegistry()
-	r.Replace(start, []registry.Entry{registered("a", 1)}, 1, false)
-	r.Replace(start, nil, 2, false)
+	r.Replace(start, []registry.Entry{registered("a", 1)}, 1, time.Time{})
+	r.Replace(start, nil, 2, time.Time{})
 	g.Expect(r.Entries()).To(HaveLen(1))
-	r.Replace(start.Add(2*time.Minute), nil, 3, false)
+	r.Replace(start.Add(2*time.Minute), nil, 3, time.Time{})
 	g.Expect(r.Entries()).To(BeEmpty())
 }
 
