--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -44,6 +44,12 @@
 	slowResponseFraction = 0.125
 	// watchLatencyMargin is how long after its timeout the store may respond to a watch.
 	watchLatencyMargin = 700 * time.Millisecond
+	// storeReadTime is the time that a gateway needs to read the store on a new connection
+	// after it has noticed that one went silent.
+	storeReadTime = 200 * time.Millisecond
+	// minStoreWatchTimeout bounds the calls to the store where changes must be in force
+	// very soon.
+	minStoreWatchTimeout = 200 * time.Millisecond
 	// storeFallbackTime is the time that a gateway needs to query the store itself.
 	storeFallbackTime = 1300 * time.Millisecond
 	bytesPerMB        = 1 << 20
@@ -70,7 +76,7 @@
 	defer flush()
 	store, err := platform.NewClient(platform.Options{
 		URL: settings.Platform.URL, Timeout: settings.Platform.Timeout.Std(),
-		WatchTimeout: settings.Platform.WatchTimeout.Std(), Log: log.Logger,
+		WatchTimeout: storeWatchTimeout(settings.Platform), Log: log.Logger,
 	})
 	if err != nil {
 		return err
@@ -129,16 +135,29 @@
 	}
 }
 
-// maxPeerStoreAge returns how long after the last response of the store gateways rely on
-// each other for changes. It is zero if a gateway that queries the store itself after that
-// time could not apply a change within ApplyWithin, or an evacuation within EvacuateWithin.
-func maxPeerStoreAge(p config.GatewayPlatform) time.Duration {
-	maxAge := p.WatchTimeout.Std() + watchLatencyMargin
-	within := p.ApplyWithin.Std()
+// changeWithin returns the time within which every change in the store must be in force.
+func changeWithin(p config.GatewayPlatform) time.Duration {
+	within := min(p.ApplyWithin.Std(), p.DrainWithin.Std())
 	if p.EvacuateWithin > 0 {
 		within = min(within, p.EvacuateWithin.Std())
 	}
-	if maxAge+storeFallbackTime > within {
+	return within
+}
+
+// storeWatchTimeout returns how long a watch of the store waits for changes. A connection that
+// goes silent right after a watch was sent must be noticed, and what has changed must be read
+// again, in the time within which changes must be in force.
+func storeWatchTimeout(p config.GatewayPlatform) time.Duration {
+	latest := changeWithin(p) - platform.MinWatchSlack - storeReadTime
+	return min(p.WatchTimeout.Std(), max(latest, minStoreWatchTimeout))
+}
+
+// maxPeerStoreAge returns how long after the last response of the store gateways rely on
+// each other for changes. It is zero if a gateway that queries the store itself after that
+// time could not apply a change in time.
+func maxPeerStoreAge(p config.GatewayPlatform) time.Duration {
+	maxAge := storeWatchTimeout(p) + watchLatencyMargin
+	if maxAge+storeFallbackTime > changeWithin(p) {
 		return 0
 	}
 	return maxAge
--- a/cmd/fulmarspindle/gateway_test.go
+++ b/cmd/fulmarspindle/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -28,3 +29,27 @@
 		})
 	}
 }
+
+// Guards against a silent connection to the store that is noticed after the changes which it
+// hides must be in force, and against more calls to the store than that needs.
+func TestWatchesEndInTimeForTheChangesTheyHide(t *testing.T) {
+	second := config.Duration(time.Second)
+	cases := map[string]struct {
+		apply, drain, evacuate config.Duration
+		want                   time.Duration
+	}{
+		"ample":            {apply: 4 * second, drain: 4 * second, want: 2 * time.Second},
+		"just enough":      {apply: 5 * second / 2, drain: 5 * second / 2, want: 2 * time.Second},
+		"drain first":      {apply: 4 * second, drain: 2 * second, want: 1500 * time.Millisecond},
+		"apply first":      {apply: 2 * second, drain: 4 * second, want: 1500 * time.Millisecond},
+		"evacuation first": {apply: 4 * second, drain: 4 * second, evacuate: 2 * second, want: 1500 * time.Millisecond},
+		"hardly any":       {apply: second / 2, drain: 4 * second, want: minStoreWatchTimeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := config.DefaultGatewaySettings().Platform
+			p.ApplyWithin, p.DrainWithin, p.EvacuateWithin = c.apply, c.drain, c.evacuate
+			NewWithT(t).Expect(storeWatchTimeout(p)).To(Equal(c.want))
+		})
+	}
+}
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -47,16 +47,20 @@
 	URL     string   `yaml:"url" validate:"http_url"`
 	Timeout Duration `yaml:"timeout,omitempty" validate:"gt=0"`
 	// WatchTimeout is the long-poll timeout of a watch: the store responds after it
-	// if nothing has changed.
+	// if nothing has changed. It is shortened where ApplyWithin, DrainWithin or
+	// EvacuateWithin need a silent connection to be noticed sooner.
 	WatchTimeout Duration `yaml:"watch_timeout,omitempty" validate:"gt=0"`
 	// ApplyWithin is the time within which changes must be in force. Gateways of
 	// large fleets learn of changes from each other, but only if this leaves enough
 	// time to query the store when they don't.
 	ApplyWithin Duration `yaml:"apply_within,omitempty" validate:"gt=0"`
+	// DrainWithin is the time within which an upstream that leaves must get no more
+	// requests.
+	DrainWithin Duration `yaml:"drain_within,omitempty" validate:"gt=0"`
 	// RetryDelay is the delay before a failed call is retried.
 	RetryDelay Duration `yaml:"retry,omitempty" validate:"gt=0"`
 	// LapseGrace is how long an upstream whose registration lapsed during an outage
-	// of the store remains usable after the outage.
+	// of the store remains usable after the store was last seen unavailable.
 	LapseGrace Duration `yaml:"lapse_grace,omitempty"`
 	// EvacuateWithin is the time within which an evacuation of a failure domain must be
 	// in force. Zero means that evacuations are not followed.
@@ -199,7 +203,7 @@
 		ReportInterval: Duration(100 * time.Millisecond),
 		Platform: GatewayPlatform{
 			Timeout: Duration(time.Second), WatchTimeout: Duration(2 * time.Second),
-			ApplyWithin: Duration(4 * time.Second), RetryDelay: Duration(300 * time.Millisecond), LapseGrace: Duration(2 * time.Second),
+			ApplyWithin: Duration(4 * time.Second), DrainWithin: Duration(4 * time.Second), RetryDelay: Duration(300 * time.Millisecond), LapseGrace: Duration(2 * time.Second),
 		},
 		Limits: GatewayLimits{
 			HeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
--- a/config/gateway_test.go
+++ b/config/gateway_test.go
@@ -40,7 +40,7 @@
 		"listen.front": "10.1.0.33:8783", "listen.readyAddress": "10.1.0.33:8780", "listen.control": "10.1.0.33:8785",
 		"ip": "10.1.0.33", "portRange.0": "7400", "seeds|json": `["10.1.0.33:8785","10.2.0.18:8785"]`,
 		"platform.address": "10.200.1.7:8781", "limits.maxFds": "4100", "limits.memoryMb": "284", "limits.cpuShare": "0.304",
-		"bounds.graceS": "8", "bounds.configApplyMs": "2500", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
+		"bounds.graceS": "8", "bounds.configApplyMs": "2500", "bounds.drainMs": "2400", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
 		"bounds.quotaWindowS": "4",
 	}
 	maps.Copy(values, extra)
@@ -83,6 +83,8 @@
 		Expect(settings.Regions).To(HaveKeyWithValue(fleet.FailureDomainID("south-a"), fleet.RegionID("south")))
 		Expect(settings.Peers).To(HaveLen(2))
 		Expect(settings.Stop.Grace.Std()).To(Equal(8 * time.Second))
+		Expect(settings.Platform.ApplyWithin.Std()).To(Equal(2500 * time.Millisecond))
+		Expect(settings.Platform.DrainWithin.Std()).To(Equal(2400 * time.Millisecond))
 		Expect(settings.Retry.Slack).To(Equal(52.0))
 		Expect(settings.Admission.Window.Std()).To(Equal(4 * time.Second))
 		Expect(settings.Platform.EvacuateWithin.Std()).To(BeZero())
--- a/e2e/faultproxy/conn.go
+++ b/e2e/faultproxy/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	target *net.TCPConn
 	done   chan struct{}
 	once   sync.Once
+	// silent is set once data and the ends of the connections are dropped.
+	silent atomic.Bool
 }
 
 func newProxyConn(link *Link, source string, client, target *net.TCPConn) *proxyConn {
@@ -45,6 +48,9 @@
 	})
 }
 
+// silence drops all data from now on, and the ends of both connections.
+func (p *proxyConn) silence() { p.silent.Store(true) }
+
 // run forwards data in both directions until both have ended.
 func (p *proxyConn) run() {
 	var wg sync.WaitGroup
@@ -54,7 +60,7 @@
 }
 
 // forward copies src to dst. EOF from src shuts down the write side of dst; an
-// error resets both connections.
+// error resets both connections. Neither happens on a silent connection.
 func (p *proxyConn) forward(dst, src *net.TCPConn, toTarget bool) {
 	chunks := make(chan chunk, maxQueuedChunks)
 	var wg sync.WaitGroup
@@ -83,12 +89,18 @@
 			return
 		}
 		if err != nil {
-			p.reset()
+			p.resetUnlessSilent()
 			return
 		}
 	}
 }
 
+func (p *proxyConn) resetUnlessSilent() {
+	if !p.silent.Load() {
+		p.reset()
+	}
+}
+
 // write writes chunks to dst until the channel is closed, and then shuts down
 // the write side of dst.
 func (p *proxyConn) write(dst *net.TCPConn, chunks <-chan chunk, toTarget bool) {
@@ -120,8 +132,11 @@
 	if !p.waitUntilDue(c.readAt) {
 		return false
 	}
+	if p.silent.Load() {
+		return true
+	}
 	if _, err := dst.Write(c.data); err != nil {
-		p.reset()
+		p.resetUnlessSilent()
 		return false
 	}
 	return true
@@ -129,7 +144,7 @@
 
 // closeWrite shuts down the write side of dst once the EOF is due.
 func (p *proxyConn) closeWrite(dst *net.TCPConn) {
-	if p.waitUntilDue(time.Now()) {
+	if p.waitUntilDue(time.Now()) && !p.silent.Load() {
 		_ = dst.CloseWrite()
 	}
 }
--- a/e2e/faultproxy/link.go
+++ b/e2e/faultproxy/link.go
@@ -131,6 +131,22 @@
 	l.resetLocked(sources)
 }
 
+// Silence makes the connections that are open now go silent for good, without closing
+// them: what arrives on them is acknowledged and dropped. New connections work. It returns
+// how many went silent.
+func (l *Link) Silence(sources ...string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for p := range l.conns {
+		if len(sources) == 0 || slices.Contains(sources, p.source) {
+			p.silence()
+			count++
+		}
+	}
+	return count
+}
+
 // Heal removes the faults of the given sources, or all faults if none are
 // given. Delays stay in force.
 func (l *Link) Heal(sources ...string) error {
--- a/e2e/faultproxy/link_test.go
+++ b/e2e/faultproxy/link_test.go
@@ -115,6 +115,18 @@
 		receive(fresh, "fresh")
 	})
 
+	It("silences only open connections, and keeps them open when either end closes", func() {
+		conn := dial()
+		expectEcho(conn, "hello")
+		Expect(link.Silence()).To(Equal(1))
+		send(conn, "lost")
+		Expect(conn.CloseWrite()).To(Succeed())
+		Expect(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		_, err := conn.Read(make([]byte, 1))
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeTrue())
+		expectEcho(dial(), "fresh")
+	})
+
 	It("delays each direction", func() {
 		const delay = 40 * time.Millisecond
 		conn := dial()
