gateway: a planned stop answers every request that it has read

Cause: refuseDuringShutdown looked at a request only once the withdrawal (3 s) was over, and the end of the grace period closed the connections of what was left.

Change, from SIGTERM on and for each attempt, not only the first (package shutdown, pure): - a request is taken if its deadline is before the last moment for an answer, or if requests of its route have lately ended within the time that is left. Others are refused at once as not run, with a Retry-After of 50 ms if another gateway accepts them, else until the end; - what is taken gets no later deadline than that moment, at the upstream too; - 200 ms before the connections are closed, the requests in flight are ended: 503 with Retry-After if none has run, 502 if it may have, a begun stream breaks off visibly; - a stream that has begun may go on at another upstream at any time, as a refusal would break it off at once. The estimate of what requests lately took is that of the store's answers, moved to package latency.

Why it works: no request is in the hands of the gateway any more when the connections are closed.

--- a/e2e/gateway/gateway_test.go
+++ b/e2e/gateway/gateway_test.go
@@ -143,6 +143,33 @@
 		Expect(s.Gateways[0].Wait(ctx)).To(Succeed())
 	})
 
+	// Guards against a request that is cut without an answer at the end of the grace period
+	// (LOST), also where further signals come during the stop.
+	It("answers what an upstream does not before it exits, with SIGHUP and a second SIGTERM in between", func() {
+		s := newSite(1)
+		s.blocked.Store(true)
+		DeferCleanup(func() { s.blocked.Store(false) })
+		gateway := s.Gateways[0]
+		statuses := make(chan int, 2)
+		post := func() {
+			status, _ := s.postOrder(gateway)
+			statuses <- status
+		}
+		go post()
+		Eventually(s.received.Load, specTimeout).Should(BeEquivalentTo(1))
+		gateway.Terminate()
+		Expect(syscall.Kill(gateway.PID(), syscall.SIGHUP)).To(Succeed())
+		gateway.Terminate()
+		go post()
+		Eventually(statuses, specTimeout).Should(Receive(Equal(503)), "nothing is known of how long such requests take")
+		Eventually(statuses, specTimeout).Should(Receive(Equal(502)), "the request may have run")
+		Expect(s.received.Load()).To(BeEquivalentTo(1))
+		Eventually(gateway.Done(), specTimeout).Should(BeClosed())
+		ctx, cancel := context.WithTimeout(context.Background(), specTimeout)
+		defer cancel()
+		Expect(gateway.Wait(ctx)).To(Succeed())
+	})
+
 	It("reloads its settings at SIGHUP and keeps serving, also with an invalid file", func() {
 		s := newSite(1)
 		gateway := s.Gateways[0]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
+	"fulmarspindle.example/fulmarspindle/shutdown"
 	"fulmarspindle.example/fulmarspindle/upstream"
 	"fulmarspindle.example/fulmarspindle/warmup"
 )
@@ -32,8 +33,11 @@
 	table    atomic.Pointer[route.Table]
 	policy   atomic.Pointer[Policy]
 	draining atomic.Bool
-	// shutdownAt is the deadline of the graceful shutdown; nil until draining starts.
-	shutdownAt atomic.Pointer[time.Time]
+	// shutdown is the plan of the graceful shutdown; nil until draining starts.
+	shutdown atomic.Pointer[shutdown.Plan]
+	// requestsEnd is canceled by endRequests when the requests in flight must be answered.
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 	// servingDuringShutdown is set while this process is shutting down but keeps
 	// serving new requests because no other router can. inFlight counts the requests
 	// that arrived before that.
@@ -97,6 +101,7 @@
 		reportNow:     make(chan struct{}, 1),
 		background:    ctx,
 	}
+	g.requestsEnd, g.endRequests = context.WithCancel(ctx)
 	g.evacuations = evacuations{begunAt: make(map[fleet.FailureDomainID]time.Time), waitingSince: time.Now()}
 	g.storeContact.followsEvacuations = g.followsEvacuations()
 	g.policy.Store(&options.Policy)
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -90,11 +89,7 @@
 	response.requestID = j.in.ID
 	j.response = response
 	defer func() { _ = response.awaitSent() }() // The server closes a connection whose writes fail.
-	if refused := g.refuseDuringShutdown(j); refused != nil {
-		g.sendRefusal(j, refused)
-		return
-	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), j.expires, errDeadline)
+	ctx, cancel := g.requestContext(r.Context(), j)
 	defer cancel()
 	g.serve(ctx, j)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -41,6 +41,10 @@
 func (g *Gateway) sendUntilFinal(ctx context.Context, j *job) {
 	var last result
 	for {
+		if refused := g.refuseDuringShutdown(j); refused != nil {
+			g.concludeRefused(j, last, refused)
+			return
+		}
 		if refused := g.suspects.refusal(j); refused != nil {
 			g.concludeRefused(j, last, refused)
 			return
@@ -163,9 +167,13 @@
 		g.breakOff(j, "upstream_failed")
 	case last.response != nil:
 		last.response.send(j.response)
+	case errors.Is(context.Cause(ctx), errStopping):
+		g.sendRefusal(j, g.stoppingRefusal(j, g.shutdown.Load()))
 	case j.mayHaveRun == 0:
 		g.sendRefusal(j, notRun("not_run", "no upstream took the request", g.policy.Load().Admission.Outlier.BaseEjection))
 	case ctx.Err() != nil:
+		// It takes at least as long as it went on.
+		j.service.recordDuration(j.route.Name, time.Since(j.arrived))
 		g.sendRefusal(j, &refusal{status: http.StatusGatewayTimeout, code: "timeout", message: "the request ran out of time"})
 	default:
 		g.sendRefusal(j, unknownOutcome("upstream_failed", "the upstream broke off; the request may have run"))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -9,6 +9,7 @@
 
 	"fulmarspindle.example/fulmarspindle/admission"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/latency"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
@@ -29,6 +30,8 @@
 	mu        sync.Mutex
 	scheduler *admission.Scheduler
 	budget    *retry.Budget
+	// durations are the estimates of how long the requests of each route take.
+	durations map[string]latency.Estimator
 }
 
 // report returns this router's load; full selects all of it, not only changes.
@@ -78,6 +81,7 @@
 		reportNow:   reportNow,
 		scheduler:   admission.NewScheduler(policy.Admission, capacity),
 		budget:      retry.NewBudget(policy.Retry, started),
+		durations:   make(map[string]latency.Estimator),
 	}
 }
 
--- a/gateway/slow_callers.go
+++ b/gateway/slow_callers.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -177,5 +178,6 @@
 	if err := j.response.awaitSent(); err != nil {
 		g.breakOff(j, "caller_gone")
 	}
+	j.service.recordDuration(j.route.Name, time.Since(j.arrived))
 	j.countCompleteMetrics(last)
 }
