sighup: SIGHUP that comes while a gateway starts does not end it

Cause: the gateway asked for the signal only once its command ran, some ms after the start.

Change: a package that imports only the standard library asks for the signal when it is initialized, which is before the libraries are. Commands without settings to reload restore the default action.

--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -3,10 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/admission"
@@ -19,6 +16,7 @@
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/retry"
+	"fulmarspindle.example/fulmarspindle/sighup"
 	"fulmarspindle.example/fulmarspindle/slowcaller"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
@@ -59,9 +57,6 @@
 
 // serveGateway runs a gateway until ctx ends.
 func serveGateway(ctx context.Context, path string) error {
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
 	settings, err := config.LoadGatewaySettings(path)
 	if err != nil {
 		return err
@@ -105,7 +100,7 @@
 	options.Engines = platform.NewEngineClient(settings.Platform.Timeout.Std())
 	g := gateway.New(background, options)
 	reloader := settingsReloader{path: path, initial: settings, log: log, gateway: g}
-	go reloader.run(background, sighups)
+	go reloader.run(background, sighup.Received())
 	return g.Run(ctx, listeners)
 }
 
--- a/cmd/fulmarspindle/main.go
+++ b/cmd/fulmarspindle/main.go
@@ -18,6 +18,7 @@
 	"fulmarspindle.example/fulmarspindle/operator"
 	"fulmarspindle.example/fulmarspindle/platform"
 	"fulmarspindle.example/fulmarspindle/router"
+	"fulmarspindle.example/fulmarspindle/sighup"
 	"fulmarspindle.example/fulmarspindle/telemetry"
 )
 
@@ -119,6 +120,9 @@
 
 // runCommand runs the subcommand that was given.
 func runCommand(ctx context.Context, args *arguments) error {
+	if args.Gateway == nil {
+		sighup.Reset()
+	}
 	switch {
 	case args.Serve != nil:
 		return serveRouter(ctx, args.Serve.Settings)
