soak: connections that go silent, servers that leave, planned stops under long requests

New faults: the open connections of one gateway, or of all, to the platform go silent; the open sessions of a gateway go silent; a server's entry is removed while it goes on serving. New load: requests that may run once and take up to 6 s, where the grace period is 5 s. New checks: nothing arrives at a server later than 3 s after its entry was removed; no request that a calmly stopping gateway has passed on is left without an answer.

--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -31,6 +31,7 @@
 	orderPath  = "/order/"
 	draftPath  = "/draft/"
 	homePath   = "/home/"
+	longPath   = "/long/"
 	homeRegion = "r1"
 )
 
@@ -48,6 +49,11 @@
 	// crashError is the first error of the return of a server that crashed.
 	crashError atomic.Pointer[error]
 	exits      exits
+	// leaver registers and leaves again and again.
+	leaver *plainServer
+	// stops are the planned stops that have ended.
+	stopsMu sync.Mutex
+	stops   []plannedStop
 	// unnamed listens at the address of odd entries.
 	unnamed net.Listener
 
@@ -124,6 +130,9 @@
 	if err := env.serveUnnamed(fmt.Sprintf("%s:%d", host, upstreamPort+len(env.servers))); err != nil {
 		return err
 	}
+	if err := env.addLeaver(fmt.Sprintf("%s:%d", host, upstreamPort+len(env.servers)+1)); err != nil {
+		return err
+	}
 	if err := env.Put(ctx, standin.ConfigKind, standin.ConfigName, env.configuration()); err != nil {
 		return err
 	}
@@ -172,6 +181,7 @@
 			route("order", orderPath, standin.UnsafeRoute, deskService),
 			route("home", homePath, standin.SafeRoute, deskService),
 			route("draft", draftPath, standin.StreamingRoute, modelService),
+			route("long", longPath, standin.UnsafeRoute, deskService),
 		},
 		Services: []standin.ServiceConfig{
 			{Name: deskService, MaxConnections: 200},
@@ -179,7 +189,8 @@
 		},
 		Limits: standin.Limits{MaxBodyBytes: 4096},
 	}
-	home, draft := &c.Routes[2], &c.Routes[3]
+	home, draft, long := &c.Routes[2], &c.Routes[3], &c.Routes[4]
+	long.TimeoutMs, long.TargetLatencyMs = longTimeout.Milliseconds(), longTimeout.Milliseconds()
 	home.AllowedRegions = []string{homeRegion}
 	draft.TargetLatencyMs, draft.TargetGapMs = env.options.Objective.Milliseconds(), 500
 	draft.StickySessions, draft.ResumeStreams = true, true
@@ -245,6 +256,9 @@
 	for _, s := range env.servers {
 		s.Close()
 	}
+	if env.leaver != nil {
+		env.leaver.Close()
+	}
 	if env.unnamed != nil {
 		_ = env.unnamed.Close()
 	}
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -41,7 +41,12 @@
 	}, true},
 	{"stop", func(ctx context.Context, env *Environment, g *harness.Gateway, _ time.Duration) error {
 		env.exits.expect(g.Process)
+		end := env.recordStop(g)
 		g.Terminate()
+		if err := g.Wait(ctx); ctx.Err() != nil {
+			return err
+		}
+		end()
 		return env.restart(ctx, g)
 	}, true},
 	{"pause", func(ctx context.Context, env *Environment, g *harness.Gateway, duration time.Duration) error {
@@ -71,6 +76,23 @@
 		sleep(ctx, duration)
 		return env.Heal()
 	}, true},
+	{"silence of the open connections to the platform", func(_ context.Context, _ *Environment, g *harness.Gateway, _ time.Duration) error {
+		g.PlatformLink.Silence()
+		return nil
+	}, true},
+	{"silence of the open connections to the platform, at all gateways", func(_ context.Context, env *Environment, _ *harness.Gateway, _ time.Duration) error {
+		for _, other := range env.Gateways {
+			other.PlatformLink.Silence()
+		}
+		return nil
+	}, true},
+	{"silence of the open sessions", func(_ context.Context, _ *Environment, g *harness.Gateway, _ time.Duration) error {
+		g.Link.Silence()
+		return nil
+	}, true},
+	{"server that leaves", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		return env.leave(ctx, duration/4)
+	}, false},
 	{"reset", func(_ context.Context, _ *Environment, g *harness.Gateway, _ time.Duration) error {
 		g.Link.Reset()
 		return nil
--- /dev/null
+++ b/e2e/soak/leaving.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fulmarspindle.example/fulmarspindle/e2e/harness"
+	"fulmarspindle.example/fulmarspindle/e2e/standin"
+)
+
+// drainWithin is the time in which a server whose entry was removed gets no more requests.
+const drainWithin = 3 * time.Second
+
+// addLeaver adds the server that registers and leaves again and again. Other faults leave it
+// alone.
+func (env *Environment) addLeaver(address string) error {
+	p := &plainServer{serviceTime: 10 * time.Millisecond, slots: make(chan struct{}, plainSlots)}
+	p.server = server{
+		service: deskService, name: "leaver", slotLimit: plainSlots, handler: p, address: address, failureDomain: harness.FailureDomain(0),
+		recorder: env.Recorder, rules: env.Rules,
+	}
+	env.leaver = p
+	return p.serve()
+}
+
+// leave registers the leaving server as a new instance and removes its entry after a while. The
+// server goes on serving, and must get no requests from drainWithin after the removal on.
+func (env *Environment) leave(ctx context.Context, registered time.Duration) error {
+	s := &env.leaver.server
+	if !s.restarting.TryLock() {
+		return nil
+	}
+	defer s.restarting.Unlock()
+	s.Close()
+	s.restarts.Add(1)
+	if err := s.serve(); err != nil {
+		return err
+	}
+	if err := duringOutages(ctx, func() error { return env.register(ctx, s, 0) }); err != nil {
+		return err
+	}
+	sleep(ctx, registered)
+	if err := duringOutages(ctx, func() error { return env.Delete(ctx, standin.ServersKind, s.id()) }); err != nil {
+		return err
+	}
+	env.Rules.beginLeaving(s.id())
+	sleep(ctx, drainWithin+stableWindow/2)
+	return nil
+}
+
+// beginLeaving records the acknowledgement that a server's entry was removed.
+func (r *Rules) beginLeaving(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving == nil {
+		r.leaving = make(map[string]time.Time)
+	}
+	r.leaving[server] = time.Now()
+}
+
+// left describes an arrival at a server that has left; it is empty if there is none.
+func (r *Rules) left(a Arrival) string {
+	acknowledged, ok := r.leaving[a.Server]
+	if !ok {
+		return ""
+	}
+	deadline, due := r.deadline(a.Gateway, acknowledged, drainWithin)
+	if !due || !a.ReceivedAt.After(deadline) {
+		return ""
+	}
+	return fmt.Sprintf("%s arrived at %s at %s, whose entry was removed at %s; gateway %s had to know from %s",
+		a.AttemptID, a.Server, a.ReceivedAt.Format(timeLayout), acknowledged.Format(timeLayout), a.Gateway, deadline.Format(timeLayout))
+}
--- a/e2e/soak/random_test.go
+++ b/e2e/soak/random_test.go
@@ -43,9 +43,11 @@
 		w.Gateways = addresses
 		return w
 	}
+	long := desk("team-1", longPath+"1", 3)
+	long.Objective, long.Deadline, long.FirstByteTimeout = longTimeout, longTimeout+time.Second, longTimeout+time.Second
 	return []*Workload{
 		desk("team-1", lookupPath+"1", 60), desk("team-2", orderPath+"1", 30),
-		desk("team-3", homePath+"1", 20), desk(homeTeam, lookupPath+"1", 20), desk(homeTeam, orderPath+"1", 10),
+		long, desk("team-3", homePath+"1", 20), desk(homeTeam, lookupPath+"1", 20), desk(homeTeam, orderPath+"1", 10),
 		model("team-1", 60), model("team-2", 8), model("team-3", 8), model(homeTeam, 8),
 	}
 }
@@ -67,6 +69,7 @@
 	Expect(DuplicateExecution(arrivals)).To(BeEmpty(), description)
 	Expect(FalseRefusal(requests, arrivals)).To(BeEmpty(), description)
 	Expect(AnswerViolation(requests, arrivals)).To(BeEmpty(), description)
+	Expect(LostRequest(requests, arrivals, env.calmStops())).To(BeEmpty(), description)
 }
 
 var _ = Describe("gateways under random faults", func() {
--- a/e2e/soak/recorder.go
+++ b/e2e/soak/recorder.go
@@ -54,6 +54,8 @@
 	Cost float64
 	// Objective is the latency objective of the time to the first byte.
 	Objective time.Duration
+	// Patience is the time after which the caller gives up.
+	Patience time.Duration
 }
 
 // delayedIn reports whether, in the second that starts at from, the request was refused
--- a/e2e/soak/rules.go
+++ b/e2e/soak/rules.go
@@ -8,7 +8,7 @@
 )
 
 // Rules checks at each arrival, while a run lasts, that requests stay in their home
-// regions, that evacuated upstreams receive nothing, and that cold ones receive no more
+// regions, that evacuated upstreams and those that have left receive nothing, and that cold ones receive no more
 // than the bound. It also records what other checks report meanwhile. It is safe for concurrent use.
 type Rules struct {
 	// Region returns the region of a failure domain.
@@ -31,6 +31,9 @@
 	gaps map[string][]*gap
 	// disruptions lists for each gateway when it was disrupted in any way.
 	disruptions map[string][]*gap
+	// leaving maps the servers whose entries were removed to the time of the platform's
+	// acknowledgement.
+	leaving map[string]time.Time
 	// parts are the prompt parts that crash upstreams.
 	parts     map[string]*partCrashes
 	violation string
@@ -71,6 +74,9 @@
 	if r.violation == "" {
 		r.violation = r.evacuated(a, failureDomain)
 	}
+	if r.violation == "" {
+		r.violation = r.left(a)
+	}
 	if r.violation == "" && float64(coldArrivals) > r.ColdBound {
 		r.violation = fmt.Sprintf("%s is number %d within a second at a cold upstream of %s in %s at %s; allowed %.2f",
 			a.AttemptID, coldArrivals, a.Service, failureDomain, a.ReceivedAt.Format(timeLayout), r.ColdBound)
@@ -94,7 +100,7 @@
 	if !ok {
 		return ""
 	}
-	deadline, due := r.deadline(a.Gateway, acknowledged)
+	deadline, due := r.deadline(a.Gateway, acknowledged, r.EvacuateWithin)
 	if !due || !a.ReceivedAt.After(deadline) {
 		return ""
 	}
@@ -102,17 +108,17 @@
 		a.AttemptID, failureDomain, a.ReceivedAt.Format(timeLayout), acknowledged.Format(timeLayout), a.Gateway, deadline.Format(timeLayout))
 }
 
-// deadline returns the time from which an evacuation must be in force at a gateway. It
-// returns false while a gap lasts that began before.
-func (r *Rules) deadline(gateway string, acknowledged time.Time) (time.Time, bool) {
-	deadline := acknowledged.Add(r.EvacuateWithin)
+// deadline returns the time from which a change that must be in force within a time must be so
+// at a gateway. It returns false while a gap lasts that began before.
+func (r *Rules) deadline(gateway string, acknowledged time.Time, within time.Duration) (time.Time, bool) {
+	deadline := acknowledged.Add(within)
 	for _, g := range r.gaps[gateway] {
 		switch {
 		case g.begin.After(deadline):
 		case g.end.IsZero():
 			return time.Time{}, false
 		case g.end.After(acknowledged):
-			deadline = later(deadline, g.end.Add(r.EvacuateWithin))
+			deadline = later(deadline, g.end.Add(within))
 		}
 	}
 	return deadline, true
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -106,7 +106,7 @@
 	id := r.Header.Get(headerAttemptID)
 	a := Arrival{
 		Service: s.service, Server: s.id(), AttemptID: id, Team: r.Header.Get(headerTeam), Path: r.URL.Path, Gateway: gatewayOf(id),
-		ReceivedAt: time.Now(), Cost: requestCost(r.Header), NonIdempotent: strings.HasPrefix(r.URL.Path, orderPath),
+		ReceivedAt: time.Now(), Cost: requestCost(r.Header), NonIdempotent: strings.HasPrefix(r.URL.Path, orderPath) || strings.HasPrefix(r.URL.Path, longPath),
 	}
 	a.ResumedAfter, _ = strconv.Atoi(r.Header.Get(headerLastEventID))
 	_, coldArrivals := s.cold.Receive(a.ReceivedAt)
@@ -167,7 +167,7 @@
 		sendEndlessHeaders(w)
 		return
 	}
-	sleep(context.Background(), p.serviceTime)
+	sleep(context.Background(), p.timeOf(r))
 	p.setResponseHeaders(w, r)
 	if p.shouldFail() {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -176,6 +176,21 @@
 	_, _ = io.WriteString(w, plainAnswer(a.AttemptID))
 }
 
+// longTimeout is the timeout of requests that take up to maxLongTime, some of them longer than
+// a gateway's grace period.
+const (
+	longTimeout = 8 * time.Second
+	maxLongTime = 6 * time.Second
+)
+
+// timeOf returns how long a request takes.
+func (p *plainServer) timeOf(r *http.Request) time.Duration {
+	if strings.HasPrefix(r.URL.Path, longPath) {
+		return time.Duration(rand.Int64N(int64(maxLongTime)))
+	}
+	return p.serviceTime
+}
+
 // sleep reports whether d passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/e2e/soak/workload.go
+++ b/e2e/soak/workload.go
@@ -99,7 +99,7 @@
 func (w *Workload) attempt(client *http.Client, gateway string, prompt int, expires time.Time, recorder *Recorder) (time.Duration, bool) {
 	sent := Request{
 		Service: w.Service, Team: w.Team, AttemptID: attemptID(gateway), SentAt: time.Now(),
-		Cost: w.cost(), Objective: w.Objective, Pieces: w.OutputTokens,
+		Cost: w.cost(), Objective: w.Objective, Pieces: w.OutputTokens, Patience: min(w.FirstByteTimeout, time.Until(expires)),
 	}
 	defer func() {
 		sent.EndedAt = time.Now()
