gateway: a retry during a stop is judged by the request's own deadline

The deadline of a request was cut to the last moment for an answer when its first attempt was taken. A later attempt then counted as one that ends in time whatever such requests usually take. The cut now applies to what the upstream is told only. Found by reading; no test shows it.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -259,7 +259,7 @@
 
 func (g *Gateway) upstreamMessage(j *job, d admission.Decision) *upstream.Request {
 	out := exchange.Outbound{
-		Upstream: d.Upstream.ID, Team: j.team, Deadline: time.Until(j.expires), ResumeAfter: j.resumeAfter(),
+		Upstream: d.Upstream.ID, Team: j.team, Deadline: time.Until(g.attemptDeadline(j)), ResumeAfter: j.resumeAfter(),
 		CopyFrom: d.CopyFrom,
 	}
 	return &upstream.Request{
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -77,19 +77,26 @@
 	}
 }
 
-// refuseDuringShutdown refuses a request that is not expected to be answered before this process
-// ends, and limits the time of one that is. It returns nil if the request may be sent.
+// refuseDuringShutdown refuses an attempt that is not expected to be answered before this process
+// ends. It returns nil if the request may be sent.
 func (g *Gateway) refuseDuringShutdown(j *job) *refusal {
 	plan := g.shutdown.Load()
 	if plan == nil {
 		return nil
 	}
 	r := shutdown.Request{Expires: j.expires, Usual: j.service.usualDuration(j.route.Name), Begun: j.response.started}
-	if !plan.Takes(time.Now(), r) {
-		return g.stoppingRefusal(j, plan)
+	if plan.Takes(time.Now(), r) {
+		return nil
+	}
+	return g.stoppingRefusal(j, plan)
+}
+
+// attemptDeadline returns when an attempt ends at the latest.
+func (g *Gateway) attemptDeadline(j *job) time.Time {
+	if plan := g.shutdown.Load(); plan != nil {
+		return plan.Deadline(j.expires)
 	}
-	j.expires = plan.Deadline(j.expires)
-	return nil
+	return j.expires
 }
 
 // stoppingRefusal returns the refusal of a request that can't be served because this process
