--- a/follower/follower.go
+++ b/follower/follower.go
@@ -39,12 +39,12 @@
 	BatchPause time.Duration
 }
 
-// Follower follows a part of the store. The zero position reads the whole part.
+// Follower follows a part of the store. It is not safe for concurrent use.
 type Follower struct {
 	options Options
 	// watchable is set while the changes since the last answer can be watched.
 	watchable bool
-	// rereadAt is when the last read without a pause began.
+	// rereadAt is when a read was last due without a pause; zero if none was.
 	rereadAt time.Time
 	// outageEnd is when a call last found the store unavailable; zero if the store has
 	// answered since.
