--- a/e2e/soak/fair_test.go
+++ b/e2e/soak/fair_test.go
@@ -9,23 +9,12 @@
 )
 
 const (
-	// streamObjective is the latency objective of the time to the first byte.
-	streamObjective = 400 * time.Millisecond
 	// fairnessDuration is how long fairness is checked, from fairnessDelay after the
 	// start of the load.
 	fairnessDuration = 10 * time.Second
 	fairnessDelay    = 3 * time.Second
 )
 
-// draftWorkload sends the streaming requests of a team through one gateway.
-func draftWorkload(env *Environment, team string, rate float64, gateway int) *Workload {
-	return &Workload{
-		Service: modelService, Team: team, Path: draftPath + "1", Rate: rate, Gateways: env.CallerAddresses(gateway),
-		Objective: streamObjective, Deadline: 5 * time.Second, FirstByteTimeout: time.Second,
-		SharedTokens: 2000, UniqueTokens: 2000, OutputTokens: 4, SharedPrefixes: 2,
-	}
-}
-
 var _ = Describe("teams whose demand exceeds the capacity", func() {
 	// Guards against requests that count towards their team's service although they
 	// were never sent upstream, as their callers had left before the gateway read them.
--- a/e2e/soak/workload.go
+++ b/e2e/soak/workload.go
@@ -58,6 +58,18 @@
 	CrashPart string
 }
 
+// streamObjective is the latency objective of the time to the first byte of streams.
+const streamObjective = 400 * time.Millisecond
+
+// draftWorkload sends the streaming requests of a team through one gateway.
+func draftWorkload(env *Environment, team string, rate float64, gateway int) *Workload {
+	return &Workload{
+		Service: modelService, Team: team, Path: draftPath + "1", Rate: rate, Gateways: env.CallerAddresses(gateway),
+		Objective: streamObjective, Deadline: 5 * time.Second, FirstByteTimeout: time.Second,
+		SharedTokens: 2000, UniqueTokens: 2000, OutputTokens: 4, SharedPrefixes: 2,
+	}
+}
+
 // cost returns the cost of a request: an output token counts as two prompt tokens.
 func (w *Workload) cost() float64 {
 	return float64(w.SharedTokens+w.UniqueTokens) + 2*float64(w.OutputTokens)
