follower, platform: a 429 of the store is no outage

Another way to the first list that keeps what was removed: the store refuses calls of a gateway that makes too many (429) and serves the servers that renew their entries. Each such answer began an outage; the list after it kept a removed upstream for lapse_grace.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -26,6 +26,9 @@
 	ConnectionLost
 	// HistoryGone reports that the store no longer keeps the changes to be watched.
 	HistoryGone
+	// RateLimited reports that the store serves others and refused the call. Those who renew
+	// their objects are not affected.
+	RateLimited
 	// Unavailable reports that the store could not be reached or did not serve the call.
 	Unavailable
 )
@@ -83,6 +86,8 @@
 		return 0
 	case ConnectionLost, HistoryGone:
 		return f.reread(now)
+	case RateLimited:
+		return f.options.RetryDelay
 	default:
 		f.outageEnd = now
 		return f.options.RetryDelay
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// Guards against an outage that is assumed because this process makes too many calls.
+func TestRateLimitIsNoOutage(t *testing.T) {
+	g := NewWithT(t)
+	f := newFollower()
+	f.Record(start, follower.Answered, false)
+	g.Expect(f.Record(start, follower.RateLimited, false)).To(Equal(retryDelay))
+	g.Expect(f.Next()).To(Equal(follower.Read))
+	g.Expect(f.OutageEnd()).To(BeZero())
+}
+
 // Guards against entries that lapsed while the store was unavailable and are dropped by the
 // first list after it.
 func TestUnavailableStoreIsAnOutageUntilItAnswers(t *testing.T) {
@@ -81,7 +91,7 @@
 				lastFailure = time.Time{}
 			case follower.Unavailable:
 				lastFailure = now
-			case follower.ConnectionLost, follower.HistoryGone:
+			case follower.ConnectionLost, follower.HistoryGone, follower.RateLimited:
 			}
 			if (f.Next() == follower.Watch) != (result == follower.Answered) {
 				t.Fatalf("next call %v after result %v", f.Next(), result)
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -49,7 +49,7 @@
 		*watch = time.Now()
 	case follower.Unavailable:
 		*watch = time.Time{}
-	case follower.ConnectionLost, follower.HistoryGone:
+	case follower.ConnectionLost, follower.HistoryGone, follower.RateLimited:
 	}
 }
 
