config: a key hash of another process that is too long does not end a router

Callers would have seen their routers end, again after each restart.

Cause: each key hash was decoded into a buffer of 32 bytes, and its length looked at afterwards. The adopter builds the index from shards of the store and of other routers, which are decoded but not validated.

Change: the hash is decoded to its own length and compared then, so that the buffer always suffices.

No other call of hex.Decode or of a base64 decoder is in the product.

--- a/config/adopter_test.go
+++ b/config/adopter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,6 +89,26 @@
 		Expect(adopter.Generation()).To(BeZero())
 	})
 
+	// Guards against a router that ends by itself on a malformed key hash of another process.
+	DescribeTable("rejects a key hash that is no SHA-256 hash and keeps its configuration",
+		func(keyHash string) {
+			adopter.Step(now, received(generation(1), "a"))
+			inv := sampleInventory()
+			inv.Teams[0].KeyHashes = []string{keyHash}
+			actions := adopter.Step(now, received(encode(inv, 2), "b"))
+			Expect(actions).NotTo(BeEmpty())
+			Expect(actions[0].(config.Reject).Err).To(MatchError(config.ErrInvalid))
+			Expect(adopter.Encoded()).To(Equal(generation(1)))
+		},
+		Entry("a byte too long", strings.Repeat("a", 66)),
+		Entry("much too long", strings.Repeat("0", 4096)),
+		Entry("too long and not hexadecimal behind the hash", strings.Repeat("0", 64)+"xyz"),
+		Entry("a byte too short", strings.Repeat("a", 62)),
+		Entry("half a byte too long", strings.Repeat("a", 65)),
+		Entry("empty", ""),
+		Entry("not hexadecimal", strings.Repeat("g", 64)),
+	)
+
 	It("is behind when a known generation is not adopted in time, and catches up when it is", func() {
 		adopter.Step(now, received(generation(1), "a"))
 		_, ok := adopter.NextWake()
--- a/config/index.go
+++ b/config/index.go
@@ -66,11 +66,11 @@
 
 func (x *Index) addTeam(team Team) error {
 	for _, keyHash := range team.KeyHashes {
-		key := teamKey{team: team.ID}
-		n, err := hex.Decode(key.hash[:], []byte(keyHash))
-		if err != nil || n != sha256.Size {
+		hash, err := hex.DecodeString(keyHash)
+		if err != nil || len(hash) != sha256.Size {
 			return eris.Wrapf(ErrInvalid, "team %s: key hash", team.ID)
 		}
+		key := teamKey{hash: [sha256.Size]byte(hash), team: team.ID}
 		x.teamKeys[key.hash] = key
 	}
 	return nil
