--- a/config/snapshot_fuzz_test.go
+++ b/config/snapshot_fuzz_test.go
@@ -55,7 +55,7 @@
 		f.Add(shard.Data)
 	}
 	f.Add([]byte("null"))
-	f.Add([]byte(`{"teams":[{"id":"long","key_hashes":["`+strings.Repeat("0", 66)+`"]}]}`))
+	f.Add([]byte(`{"teams":[{"id":"long","key_hashes":["` + strings.Repeat("0", 66) + `"]}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		head := config.Head{Generation: 1, Shards: []config.Hash{config.HashOf(data)}}
 		inventory, err := config.Join(head, map[config.Hash][]byte{config.HashOf(data): data})
