upstream: one silent connection replaces the others that were idle meanwhile

Change: once a request has ended without a byte of a response, after twice its objective or at its deadline, the connections to that upstream that were idle all that while are closed. Nothing is ended sooner and nothing is sent again, as a silent connection can't be told from a slow upstream before. Connections that brought a response since are kept, and all of them if the caller left earlier.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,6 +37,10 @@
 	prefetched []byte
 	// reuseDeadline is the time from which the connection must not be reused.
 	reuseDeadline time.Time
+	// lastResponse is when a request last got its whole response; zero if none did.
+	lastResponse time.Time
+	// received is set once bytes have arrived after the current request.
+	received bool
 	// bytesWritten counts the bytes written of the current request.
 	bytesWritten int64
 	// closeCause is why the connection is closed after the current request; empty if it
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -31,6 +31,8 @@
 	// ShouldSend, if set, is called before anything is sent, because dialing may have
 	// taken long. If it returns false, nothing is sent.
 	ShouldSend func() bool
+	// SilentAt is when the connection counts as silent if no byte of a response has arrived.
+	SilentAt time.Time
 }
 
 // Exchange is a request whose response head was received. Close must be called. The body
@@ -59,7 +61,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c.bytesWritten = 0
+	c.bytesWritten, c.received = 0, false
+	sent := time.Now()
 	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), smallBody: len(r.Body) <= writeBufferSize}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { c.Close() })
 	x.send(r)
@@ -77,6 +80,9 @@
 	if writeErr != nil && c.bytesWritten == 0 {
 		return nil, eris.Wrap(ErrNotSent, writeErr.Error())
 	}
+	if ctx.Err() != nil && !c.received && !time.Now().Before(r.SilentAt) {
+		p.discardUnusedSince(sent)
+	}
 	return nil, interrupted(err)
 }
 
@@ -215,6 +221,7 @@
 		return
 	}
 	x.conn.requests++
+	x.conn.lastResponse = time.Now()
 	x.pool.put(x.conn)
 }
 
