node, platform: a router whose watch went silent has the configuration in time

Callers of fulmarspindle serve would see: a configuration that its router should have within 19 s comes after 30 s and more, if the connection of its watch goes silent and the router that accepted the change does not tell it (it is gone, or parted from it).

Cause: a watch waited 30 s, and only its end shows that its connection is silent. The loop also treated a lost connection as a failure of the platform and paused 0.5 s.

--- a/node/configadopter.go
+++ b/node/configadopter.go
@@ -12,6 +12,7 @@
 
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/follower"
 	"fulmarspindle.example/fulmarspindle/peer"
 	"fulmarspindle.example/fulmarspindle/peer/peerpb"
 	"fulmarspindle.example/fulmarspindle/platform"
@@ -109,46 +110,50 @@
 
 // WatchHead watches the head object of the platform until ctx ends.
 func (a *ConfigAdopter) WatchHead(ctx context.Context) {
+	f := follower.New(follower.Options{RetryDelay: platformRetryDelay})
 	var since platform.Version
-	synced := false
 	for ctx.Err() == nil {
-		if !synced {
-			// A watch needs a version whose history the platform still has; the version
-			// of a list is recent enough.
-			_, version, err := a.opts.Store.List(ctx, config.HeadKey)
-			since = version
-			synced = err == nil && a.readHead(ctx)
-			if !synced {
-				Pause(ctx, platformRetryDelay)
-				continue
-			}
-		}
-		entries, version, err := a.opts.Store.Watch(ctx, config.HeadKey, since)
+		next, err := a.followHead(ctx, f.Next(), since)
 		if err != nil {
-			synced = false
-			Pause(ctx, platformRetryDelay)
-			continue
+			a.opts.Log.Debug("reading the configuration head failed", zap.Error(err))
+		} else {
+			since = next
 		}
-		since = version
-		if len(entries) > 0 {
-			synced = a.readHead(ctx)
+		if pause := f.Record(time.Now(), platform.Classify(err), false); pause > 0 {
+			Pause(ctx, pause)
 		}
 	}
 }
 
-// readHead reads the head object. It reports whether the read succeeded; a missing head
-// counts as success.
-func (a *ConfigAdopter) readHead(ctx context.Context) bool {
+// followHead makes a call of the follower and returns the version from which to watch next.
+func (a *ConfigAdopter) followHead(ctx context.Context, call follower.Call, since platform.Version) (platform.Version, error) {
+	if call == follower.Read {
+		// A watch needs a version whose history the platform still has; the version of a
+		// list is recent enough.
+		_, version, err := a.opts.Store.List(ctx, config.HeadKey)
+		if err != nil {
+			return 0, err
+		}
+		return version, a.readHead(ctx)
+	}
+	entries, version, err := a.opts.Store.Watch(ctx, config.HeadKey, since)
+	if err != nil || len(entries) == 0 {
+		return version, err
+	}
+	return version, a.readHead(ctx)
+}
+
+// readHead reads the head object and adopts it. There may be none yet.
+func (a *ConfigAdopter) readHead(ctx context.Context) error {
 	object, err := a.opts.Store.Get(ctx, config.HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return true
+		return nil
 	}
 	if err != nil {
-		a.opts.Log.Debug("reading the configuration head failed", zap.Error(err))
-		return false
+		return err
 	}
 	a.step(config.HeadReceived{Head: object.Value})
-	return true
+	return nil
 }
 
 // step passes an event to the adopter and performs the resulting actions.
