--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -35,7 +35,7 @@
 
 func newStoppingSite(t *testing.T) *stoppingSite {
 	t.Helper()
-	site := &stoppingSite{client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}}
+	site := &stoppingSite{}
 	handle := func(s *server, c net.Conn, r *http.Request) {
 		site.reached.Store(r.Header.Get("Request-Id"), true)
 		if strings.HasPrefix(r.URL.Path, "/stream/") {
@@ -53,13 +53,20 @@
 		respondDone(s, c, r)
 	}
 	site.upstream = startServer(t, "i-1", "plain", handle)
+	return startStoppingSite(t, site, site.upstream)
+}
+
+// startStoppingSite starts the gateway of a site with the given upstreams.
+func startStoppingSite(t *testing.T, site *stoppingSite, upstreams ...*server) *stoppingSite {
+	t.Helper()
+	site.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
 	d := definition(1)
 	for i := range d.Routes {
 		d.Routes[i].Timeout, d.Routes[i].Objective, d.Routes[i].Anonymous = time.Minute, 0, true
 		d.Routes[i].Split = []route.WeightedService{{Service: "plain", Weight: 1}}
 		d.Routes[i].Generative = false
 	}
-	site.node = startGateway(t, "g1", storeOf(d, site.upstream), func(o *gateway.Options) {
+	site.node = startGateway(t, "g1", storeOf(d, upstreams...), func(o *gateway.Options) {
 		o.Grace, o.Withdrawal, o.DefaultTimeout = stopGrace, stopWithdrawal, time.Minute
 	})
 	awaitReady(t, site.node)
@@ -225,3 +232,35 @@
 	_, reached = s.reached.Load("too late/unsafe/")
 	g.Expect(reached).To(BeFalse())
 }
+
+// Guards against a retry late in a stop that counts as one which ends in time because its first
+// attempt was taken: such requests usually take longer than the time that is left.
+func TestStopJudgesARetryByTheTimeThatIsLeft(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const usual, refusedAfter = 800 * time.Millisecond, 2900 * time.Millisecond
+	var refusing atomic.Bool
+	handle := func(s *server, c net.Conn, r *http.Request) {
+		if !refusing.Load() {
+			time.Sleep(usual)
+			respondDone(s, c, r)
+			return
+		}
+		time.Sleep(refusedAfter)
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	first, second := startServer(t, "i-1", "plain", handle), startServer(t, "i-2", "plain", handle)
+	site := startStoppingSite(t, &stoppingSite{upstream: first}, first, second)
+	for range 3 {
+		site.sendAll("before")
+	}
+	refusing.Store(true)
+	before := first.count() + second.count()
+	site.stop()
+	g.Eventually(site.Ready, eventuallyTimeout).Should(BeFalse())
+	a := site.send("late retry", "POST", "/unsafe/")
+	g.Expect(a.status).To(Equal(503))
+	g.Expect(a.retryAfter).NotTo(BeEmpty())
+	g.Expect(first.count()+second.count()).To(Equal(before+1), "it reaches no other upstream")
+	g.Eventually(site.done, eventuallyTimeout).Should(BeClosed())
+}
