--- a/admission/candidates.go
+++ b/admission/candidates.go
@@ -17,8 +17,9 @@
 
 // engineCandidates returns the preferred engines of a prompt and the engine with the
 // largest cached part of it. A prompt that no engine has cached may also go to any engine with
-// free cache memory, because it evicts nothing there. Engines that name a limit do not count
-// as preferred ones: others keep the prompt too, as they have to take most of its requests.
+// free cache memory, because it evicts nothing there. Engines that name a limit or are paused do
+// not count as preferred ones: others keep the prompt too, as they have to take most of its
+// requests.
 func (s *Scheduler) engineCandidates(now time.Time, r Request, usable []fleet.UpstreamID) []candidate {
 	order := s.preferredEngines(r.Prompt.SharedKey(), usable)
 	preferred := placement.PreferredEngineCount(r.Prompt, s.options.Replicas, len(order))
@@ -44,7 +45,7 @@
 		}
 		s.planCopy(&c, r, source, sourceTokens)
 		out = append(out, c)
-		if !s.limited(id) {
+		if !s.reduced(id) {
 			rank++
 		}
 	}
@@ -53,13 +54,14 @@
 
 // bestCacheHit returns the engine with the largest cached part of a prompt and the number
 // of cached tokens. It returns nil if no engine has any of it. Where engines can't copy from
-// each other, those that name a limit are left out, as few requests can be sent to them.
+// each other, those that name a limit or are paused are left out, as few requests can be sent to
+// them.
 func (s *Scheduler) bestCacheHit(r Request, usable []fleet.UpstreamID) (*upstream, int) {
 	var best *upstream
 	most := 0
 	for _, id := range usable {
 		u := s.upstreams[id]
-		if s.capacity.TransferRate == 0 && s.limited(id) {
+		if s.capacity.TransferRate == 0 && s.reduced(id) {
 			continue
 		}
 		if cached := u.cache.CachedTokens(r.Prompt); cached > most {
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -34,8 +34,9 @@
 	// engine has cached or is the preferred one to cache.
 	cacheMiss bool
 	// passedOver is set if the candidate is acceptable but for a limit on requests to it,
-	// because it is cold or names one. overLimit is set in the latter case.
+	// because it is paused, names one or is cold. The first two are paused and overLimit.
 	passedOver bool
+	paused     bool
 	overLimit  bool
 	// ranked is set if candidates are tried in placement order instead of by cost.
 	ranked bool
@@ -66,19 +67,19 @@
 	if len(candidates) == 0 {
 		return nil, Decision{Reason: s.unavailable(r), RetryAfter: s.options.Outlier.BaseEjection}
 	}
+	s.passOverPaused(now, candidates)
 	limit := s.waitLimit(r, ratio)
 	b := bounds{
 		limit: limit, busy: s.meanQueueTime(now, usable) > limit/busyWaitDivisor, now: now, fastest: fastestFactor(candidates),
 		mostEjected: s.mostEjected(now), holdback: limitHoldback(ratio),
 	}
 	if best := s.best(r, candidates, b); best != nil {
-		return best, Decision{PassedOver: countCold(candidates), OverLimit: countOverLimit(candidates)}
+		return best, passedOverCounts(candidates)
 	}
 	fallback := s.cheapest(candidates, b)
-	refused := Decision{
-		Reason: Overloaded, RetryAfter: s.refusalDelay(b, candidates, s.retryAfter(fallback, limit)), Predicted: fallback.predicted,
-		PassedOver: countCold(candidates), OverLimit: countOverLimit(candidates), SpeedFactor: fallback.upstream.factor,
-	}
+	refused := passedOverCounts(candidates)
+	refused.Reason, refused.RetryAfter = Overloaded, s.refusalDelay(b, candidates, s.retryAfter(fallback, limit))
+	refused.Predicted, refused.SpeedFactor = fallback.predicted, fallback.upstream.factor
 	b.limit = s.waitLimit(r, 0)
 	if limit < b.limit && !fallback.passedOver && s.onTime(r, fallback, b) {
 		refused.Reason = OverShare
@@ -134,18 +135,20 @@
 // count as busy and have no capacity left for prefilling shared parts on a second engine.
 const busyWaitDivisor = 8
 
-// meanQueueTime returns the mean queueing time over the engines that a request may use.
+// meanQueueTime returns the mean queueing time over the engines that a request may use and that
+// are not paused.
 func (s *Scheduler) meanQueueTime(now time.Time, usable []fleet.UpstreamID) time.Duration {
-	if len(usable) == 0 {
-		return 0
-	}
-	total := time.Duration(0)
+	total, count := time.Duration(0), 0
 	for _, id := range usable {
+		if s.warming.Paused(now, id) {
+			continue
+		}
 		u := s.upstreams[id]
 		speed := s.speedOf(u)
 		total += speed.prefillTime(u.backlog(now, speed.Rate))
+		count++
 	}
-	return total / time.Duration(len(usable))
+	return total / time.Duration(max(count, 1))
 }
 
 // The waiting limit of a team falls linearly from MaxWait or ReturnWait to OverShareWait as
--- a/admission/eligible.go
+++ b/admission/eligible.go
@@ -40,7 +40,7 @@
 // eligible reports whether a request may be sent to an upstream at all, whatever its load
 // and health. It also decides which engines cached parts may be copied from.
 func (s *Scheduler) eligible(u *upstream, r Request) bool {
-	return !u.evacuated && s.inHomeRegion(u, r) && !slices.Contains(r.Exclude, u.ID)
+	return !u.evacuated && !s.leaving(u.ID) && s.inHomeRegion(u, r) && !slices.Contains(r.Exclude, u.ID)
 }
 
 // inHomeRegion reports whether an upstream is in a home region of a request. An upstream
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -54,8 +54,7 @@
 	return warmup.Upstream{ID: u.ID, Region: s.options.Regions[u.Domain], StartedUnixMs: u.StartedUnixMs}
 }
 
-// limited reports whether an upstream names a limit. Since it takes only part of its usual
-// load, prompts are placed as if it were not there.
+// limited reports whether an upstream names a limit.
 func (s *Scheduler) limited(id fleet.UpstreamID) bool {
 	_, _, limited := s.warming.Limit(id)
 	return limited
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -139,6 +139,8 @@
 	// OverLimit is the number of upstreams that were acceptable, but name a limit that does
 	// not let this router send to them now.
 	OverLimit int
+	// Paused is the number of upstreams that were acceptable, but have asked for a pause.
+	Paused int
 }
 
 // Scheduler decides on the admission of requests to one service at one router.
@@ -169,7 +171,7 @@
 	// unreportedTokens is the prefill work in tokens not yet reported to the other
 	// routers.
 	unreportedTokens int
-	// warming holds the cold upstreams.
+	// warming holds what upstreams say of themselves that limits the requests to them.
 	warming *warmup.Tracker
 }
 
@@ -274,7 +276,7 @@
 	return Decision{
 		Admitted: true, Upstream: best.upstream.Upstream, CopyFrom: best.copyFrom,
 		Predicted: best.predicted, Prefill: best.prefill, SpeedFactor: best.upstream.factor, ShareRatio: ratio,
-		Cold: s.cold(now, best.upstream.ID), PassedOver: refused.PassedOver, OverLimit: refused.OverLimit,
+		Cold: s.cold(now, best.upstream.ID), PassedOver: refused.PassedOver, OverLimit: refused.OverLimit, Paused: refused.Paused,
 	}
 }
 
@@ -351,6 +353,7 @@
 		s.refundUnstarted(now, a)
 	}
 	a.upstream.end(now, a)
+	s.warming.RecordEnd(a.upstream.ID, a.sent)
 	return s.observe(now, a.sent, a.upstream, outcome)
 }
 
@@ -378,6 +381,7 @@
 		delete(s.inFlight, id)
 		s.refundUnstarted(now, a)
 		a.upstream.end(now, a)
+		s.warming.RecordEnd(a.upstream.ID, a.sent)
 	}
 }
 
--- a/admission/view.go
+++ b/admission/view.go
@@ -35,6 +35,10 @@
 	Cold *ColdView `json:"cold,omitempty"`
 	// Limit is nil if the upstream names no limit.
 	Limit *LimitView `json:"limit,omitempty"`
+	// Leaving is nil if the upstream has not said that it leaves, and Pause if it has asked for
+	// none.
+	Leaving *LeavingView `json:"leaving,omitempty"`
+	Pause   *PauseView   `json:"pause,omitempty"`
 	// SpeedFactor is an engine's prefill rate relative to PrefillRate, and
 	// SpeedObservations the number of recent observations behind it. Both are zero for
 	// plain upstreams.
@@ -80,6 +84,8 @@
 			Evacuated:     u.evacuated,
 			Cold:          s.coldView(now, id),
 			Limit:         s.limitView(id),
+			Leaving:       s.leavingView(now, id),
+			Pause:         s.pauseView(now, id),
 		}
 		s.viewSpeed(now, &upstreamView, u)
 		view.Upstreams[id] = upstreamView
--- a/admission/warming.go
+++ b/admission/warming.go
@@ -85,9 +85,12 @@
 }
 
 // withinLimits reports whether the limits on requests to a candidate allow this router to send
-// to it now: it is not cold and names no limit, or this router is one of its senders and has a
-// slot. It records the result in the candidate.
+// to it now: it is not paused, and it is not cold and names no limit, or this router is one of its
+// senders and has a slot. It records the result in the candidate.
 func (s *Scheduler) withinLimits(b bounds, c *candidate) bool {
+	if c.paused {
+		return false
+	}
 	c.overLimit = !s.warming.WithinLimit(b.now, c.upstream.ID, b.holdback)
 	c.passedOver = c.overLimit || !s.warming.MaySend(b.now, c.upstream.ID) && !s.wronglyEjected(b, c)
 	return !c.passedOver
@@ -124,9 +127,11 @@
 	return countCandidates(candidates, func(c *candidate) bool { return c.overLimit })
 }
 
-// countCold returns the number of candidates that were passed over because they are cold.
-func countCold(candidates []candidate) int {
-	return countPassedOver(candidates) - countOverLimit(candidates)
+// passedOverCounts returns a decision with the numbers of candidates that were passed over, by
+// reason.
+func passedOverCounts(candidates []candidate) Decision {
+	paused, overLimit := countPaused(candidates), countOverLimit(candidates)
+	return Decision{PassedOver: countPassedOver(candidates) - overLimit - paused, OverLimit: overLimit, Paused: paused}
 }
 
 // refusalDelay returns the time until a refused request is predicted to be admitted: until
@@ -140,7 +145,8 @@
 	for i := range candidates {
 		if candidates[i].passedOver {
 			id := candidates[i].upstream.ID
-			untilSlot := max(s.warming.NextSend(b.now, id).Sub(b.now), s.warming.NextWithinLimit(b.now, id, b.holdback).Sub(b.now))
+			untilSlot := max(s.warming.NextSend(b.now, id).Sub(b.now), s.warming.NextWithinLimit(b.now, id, b.holdback).Sub(b.now),
+				s.warming.NextResume(b.now, id).Sub(b.now))
 			delay = min(delay, untilSlot)
 		}
 	}
--- a/cmd/fulmarspindle/gateway.go
+++ b/cmd/fulmarspindle/gateway.go
@@ -97,7 +97,8 @@
 	}
 	options := gatewayOptions(settings)
 	options.Store, options.Log = store, log.Logger
-	options.Engines = platform.NewEngineClient(settings.Platform.Timeout.Std())
+	engines := platform.NewEngineClient(settings.Platform.Timeout.Std())
+	options.Engines, options.Health = engines, engines
 	g := gateway.New(background, options)
 	reloader := settingsReloader{path: path, initial: settings, log: log, gateway: g}
 	go reloader.run(background, sighup.Received())
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -50,13 +50,25 @@
 
 // RequestLimit is a limit on requests that an upstream names in its responses.
 type RequestLimit struct {
-	// Named is set if the response names a limit.
-	Named bool
+	// Named is set if the response names a limit, and Malformed if that can't be read.
+	Named     bool
+	Malformed bool
 	// Rate is the number of requests per second that the upstream takes from all routers
 	// together.
 	Rate float64
 }
 
+// SelfReport is what an upstream says of itself in the head of a response.
+type SelfReport struct {
+	// ColdRemaining is how much longer the upstream is cold; zero if it does not say.
+	ColdRemaining time.Duration
+	Limit         RequestLimit
+	// Leaving is set if the upstream ends soon and must get no new requests.
+	Leaving bool
+	// Pause is for how long the upstream wants no requests from this router; zero for none.
+	Pause time.Duration
+}
+
 // Outcome is the result of a request as read from the head of the response.
 type Outcome int
 
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -71,7 +71,7 @@
 // markReportedCold begins the cold period that a response of the job's upstream states, if
 // it states one.
 func (g *Gateway) markReportedCold(j *job, status int, header http.Header) {
-	remaining := g.options.Dialect.ColdRemaining(header)
+	remaining := j.selfReport.ColdRemaining
 	if remaining <= 0 || status == http.StatusMisdirectedRequest {
 		return
 	}
@@ -106,12 +106,13 @@
 	}
 }
 
-// coldFields returns log fields for decisions in which cold or limited upstreams took part.
+// coldFields returns log fields for decisions in which cold, limited or paused upstreams took part.
 func coldFields(d *admission.Decision) []zap.Field {
-	if !d.Cold && d.PassedOver == 0 && d.OverLimit == 0 {
+	if !d.Cold && d.PassedOver == 0 && d.OverLimit == 0 && d.Paused == 0 {
 		return nil
 	}
-	return []zap.Field{zap.Bool("cold", d.Cold), zap.Int("cold_passed_over", d.PassedOver), zap.Int("over_limit", d.OverLimit)}
+	return []zap.Field{zap.Bool("cold", d.Cold), zap.Int("cold_passed_over", d.PassedOver), zap.Int("over_limit", d.OverLimit),
+		zap.Int("paused", d.Paused)}
 }
 
 // coldRemainingToWire encodes a cold time in milliseconds, rounded up.
--- a/gateway/dialect_test.go
+++ b/gateway/dialect_test.go
@@ -17,6 +17,12 @@
 // limitHeader names the limit of an upstream.
 const limitHeader = "Limit"
 
+// leavingHeader says that an upstream leaves, and pauseHeader how long it wants no requests.
+const (
+	leavingHeader = "Leaving"
+	pauseHeader   = "Pause"
+)
+
 // partsHeader lists the parts of a prompt by name.
 const partsHeader = "Parts"
 
@@ -95,18 +101,26 @@
 	return exchange.Ran
 }
 
-func (plainDialect) ColdRemaining(http.Header) time.Duration { return 0 }
-
-func (plainDialect) RequestLimit(h http.Header) (exchange.RequestLimit, error) {
+func (plainDialect) SelfReport(_ int, h http.Header) (exchange.SelfReport, error) {
+	report := exchange.SelfReport{Leaving: h.Get(leavingHeader) != ""}
+	if value := h.Get(pauseHeader); value != "" {
+		pause, err := time.ParseDuration(value)
+		if err != nil {
+			return report, eris.Wrap(errHeader, err.Error())
+		}
+		report.Pause = pause
+	}
 	value := h.Get(limitHeader)
 	if value == "" {
-		return exchange.RequestLimit{}, nil
+		return report, nil
 	}
 	rate, err := strconv.ParseFloat(value, 64)
 	if err != nil {
-		return exchange.RequestLimit{}, eris.Wrap(errHeader, err.Error())
+		report.Limit.Malformed = true
+		return report, eris.Wrap(errHeader, err.Error())
 	}
-	return exchange.RequestLimit{Named: true, Rate: rate}, nil
+	report.Limit = exchange.RequestLimit{Named: true, Rate: rate}
+	return report, nil
 }
 
 func (plainDialect) StreamContract() eventstream.Contract {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,8 @@
 
 	// checks holds the poolKeys of upstreams with a connection check in progress.
 	checks sync.Map
+	// malformedReports holds the poolKeys of upstreams whose reports were found malformed.
+	malformedReports sync.Map
 
 	retryDetector *retryDetector
 	readiness     *readiness
@@ -175,6 +177,9 @@
 	go g.suspects.parts.load(g.background)
 	go g.peers.followMembers(g.background)
 	go g.peers.sendReports(g.background)
+	if g.options.Health != nil {
+		go g.checkLeaving(g.background)
+	}
 	go func() {
 		if err := g.peers.network.Serve(g.background, peerListener); err != nil {
 			g.log.Error("peer listener failed", zap.Error(err))
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"fulmarspindle.example/fulmarspindle/evacuation"
 	"fulmarspindle.example/fulmarspindle/eventstream"
@@ -27,12 +26,9 @@
 	AttributeResponse(in exchange.Inbound, status int, header http.Header) exchange.Attribution
 	// ClassifyResponse derives the outcome from the status and headers of a response.
 	ClassifyResponse(status int, header http.Header) exchange.Outcome
-	// ColdRemaining returns how much longer the upstream is cold according to its
-	// response; zero if the response does not say.
-	ColdRemaining(header http.Header) time.Duration
-	// RequestLimit returns the limit that the upstream names in its response. The error
-	// reports a malformed one.
-	RequestLimit(header http.Header) (exchange.RequestLimit, error)
+	// SelfReport returns what the upstream says of itself in the head of a response. The error
+	// reports what is malformed, which counts as not said.
+	SelfReport(status int, header http.Header) (exchange.SelfReport, error)
 	// StreamContract returns what the events of upstreams' streams look like.
 	StreamContract() eventstream.Contract
 	// ResponseHeader returns the response headers that are relayed to the caller.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -23,13 +23,8 @@
 	if outcome == exchange.Invalid || status == http.StatusMisdirectedRequest {
 		return
 	}
-	limit, err := g.options.Dialect.RequestLimit(header)
-	if err != nil {
-		g.log.Warn("limit of an upstream not readable", zap.String("request", j.in.ID), zap.String("service", string(j.upstream.Service)),
-			zap.String("upstream", string(j.upstream.ID)), zap.Error(err))
-		return
-	}
-	if !limit.Named && outcome == exchange.NotRun {
+	limit := j.selfReport.Limit
+	if limit.Malformed || !limit.Named && outcome == exchange.NotRun {
 		return
 	}
 	changed, ok := j.service.observeLimit(j.upstream, j.sentAt, limit)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,12 @@
 	// service.
 	limitCounts     = expvar.NewMap("gateway_upstream_limit_changes")
 	overLimitCounts = expvar.NewMap("gateway_limit_passed_over")
+	// leavingCounts counts the upstreams that said that they leave, pauseCounts the pauses that
+	// upstreams asked for, and pausedPassedOverCounts the times that an otherwise acceptable
+	// upstream was passed over because of one, all by service.
+	leavingCounts          = expvar.NewMap("gateway_upstreams_leaving")
+	pauseCounts            = expvar.NewMap("gateway_upstream_pauses")
+	pausedPassedOverCounts = expvar.NewMap("gateway_pause_passed_over")
 	// crashCounts counts the upstreams that were found to be failing by service.
 	crashCounts = expvar.NewMap("gateway_upstream_crashes")
 	// blamedParts is the number of prompt parts that are blamed for crashes, and
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -30,7 +30,10 @@
 	// Engines may be nil; cache contents are then inferred only from the prompts that
 	// were sent.
 	Engines CacheLister
-	Log     *zap.Logger
+	// Health may be nil; an upstream that has said that it leaves then counts as leaving until
+	// it starts again.
+	Health HealthChecker
+	Log    *zap.Logger
 
 	// ReadyPath is the path of the load balancer's health check on the ready address.
 	ReadyPath string
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -56,6 +56,8 @@
 	// of retries taken from the budget.
 	reached int
 	retries int
+	// selfReport is what the upstream said of itself in the response to the last attempt.
+	selfReport exchange.SelfReport
 	// sentAt is when the last attempt was begun, and answerBegun is set once its response
 	// has. closeDelimited is set if only the end of the connection marks the end of the
 	// response.
--- a/gateway/registrations.go
+++ b/gateway/registrations.go
@@ -101,6 +101,7 @@
 		if !usable[key] {
 			pool.Close()
 			delete(g.pools, key)
+			g.malformedReports.Delete(key)
 		}
 	}
 	if wake, ok := g.registry.NextWake(now); ok {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -241,7 +241,7 @@
 	j.answerBegun.Store(false)
 	message := g.upstreamMessage(j, d)
 	message.ShouldSend = func() bool {
-		return !callerDisconnected(ctx) && !g.isEvacuated(d.Upstream.Domain) && !g.suspects.parts.blocks(j)
+		return !callerDisconnected(ctx) && !g.isEvacuated(d.Upstream.Domain) && !g.suspects.parts.blocks(j) && j.service.maySend(d.Upstream)
 	}
 	x, err := g.pool(d.Upstream).Do(sendCtx, message)
 	if errors.Is(err, upstream.ErrWithdrawn) {
@@ -266,6 +266,7 @@
 		Method: j.method, URI: j.in.URI, Host: j.in.Host, Body: j.body,
 		Header: g.options.Dialect.RequestHeader(j.in, out),
 		Attribute: func(status int, header http.Header) exchange.Attribution {
+			g.observeHead(j, d.Upstream, status, header)
 			return g.options.Dialect.AttributeResponse(j.in, status, header)
 		},
 		SilentAt: j.silentAt(),
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -155,6 +155,7 @@
 	d := s.scheduler.Admit(time.Now(), r)
 	s.countCold(d)
 	s.countOverLimit(d)
+	s.countPaused(d)
 	if s.scheduler.ReportUrgent() {
 		notify(s.reportNow)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -96,6 +96,8 @@
 	// MaxConnections is the number of connections that one upstream accepts from all
 	// routers together; zero means no limit.
 	MaxConnections int
+	// HealthPath is the path of the upstreams' health check; empty if there is none.
+	HealthPath string
 	// Engine is nil for services without model engines.
 	Engine *Engine
 	// ColdStart is how long an upstream is cold after a start, and ColdRate the number
--- a/warmup/limit.go
+++ b/warmup/limit.go
@@ -127,8 +127,8 @@
 	l.sender = t.fleet.isSenderAmong(candidates, l.Upstream.ID, senders)
 }
 
-// RegisterUpstreams adapts the limits to the registered upstreams: those of earlier
-// incarnations and of upstreams that are gone are forgotten.
+// RegisterUpstreams adapts what upstreams say of themselves to the registered ones: what earlier
+// incarnations and upstreams that are gone have said is forgotten.
 func (t *Tracker) RegisterUpstreams(now time.Time, list []Upstream) {
 	t.registered = make(map[fleet.UpstreamID]int64, len(list))
 	for _, u := range list {
@@ -149,6 +149,8 @@
 			delete(t.limited, id)
 		}
 	}
+	t.expireLeaving(now)
+	t.expirePauses(now)
 }
 
 // activeLimit returns the limit of an upstream; nil if it has none.
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -41,9 +41,11 @@
 	Sender bool
 }
 
-// Tracker tracks the cold upstreams of one service at one router, and those that name a
-// limit, and paces the requests that this router sends to them. Invariant: while an upstream is
-// cold or limited, two sends of this router to it are at least one interval of the plan apart.
+// Tracker tracks what the upstreams of one service say of themselves that keeps this router from
+// sending them requests: that they are cold, name a limit, ask for a pause or leave. It paces the
+// requests to the cold and the limited ones. Invariants: while an upstream is cold or limited, two
+// sends of this router to it are at least one interval of the plan apart; none is admitted while it
+// is paused or leaves.
 type Tracker struct {
 	limits  Limits
 	plan    Plan
@@ -51,6 +53,10 @@
 	periods map[fleet.UpstreamID]*period
 	// limited holds the limits that upstreams name.
 	limited map[fleet.UpstreamID]*limited
+	// leaving holds the upstreams that have said that they leave, and pauses the pauses that
+	// upstreams have asked for.
+	leaving map[fleet.UpstreamID]*Leaving
+	pauses  map[fleet.UpstreamID]*Pause
 	// registered holds the start times of the registered upstreams.
 	registered map[fleet.UpstreamID]int64
 	// begun lists the periods that TakeBegun has not returned yet.
@@ -70,7 +76,8 @@
 func NewTracker(limits Limits) *Tracker {
 	return &Tracker{
 		limits: limits, plan: NewPlan(limits), periods: make(map[fleet.UpstreamID]*period),
-		limited: make(map[fleet.UpstreamID]*limited),
+		limited: make(map[fleet.UpstreamID]*limited), leaving: make(map[fleet.UpstreamID]*Leaving),
+		pauses: make(map[fleet.UpstreamID]*Pause),
 	}
 }
 
@@ -183,8 +190,9 @@
 }
 
 // RecordSend takes this router's slot for a request to an upstream, if the upstream is
-// cold or names a limit.
+// cold, names a limit or was paused.
 func (t *Tracker) RecordSend(now time.Time, id fleet.UpstreamID) {
+	t.recordTrial(now, id)
 	if l := t.activeLimit(id); l != nil {
 		l.lastSend = now
 	}
