warmup: a test of pauses of several incarnations

The property test did not find the mutant that lets a late refusal of an earlier incarnation replace the pause of the one which runs; this test does.

--- a/warmup/pause_test.go
+++ b/warmup/pause_test.go
@@ -82,6 +82,21 @@
 	g.Expect(tracker.MayResume(end, u.ID)).To(BeTrue(), "the pause is over")
 }
 
+// Guards against a late refusal of an earlier incarnation that ends the pause of the one which runs,
+// and against a pause that outlives its incarnation.
+func TestPauseBelongsToAnIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	old, next := incarnation(1), incarnation(2)
+	tracker := newRegisteredTracker(old)
+	tracker.ObservePause(start, old, time.Minute)
+	tracker.RegisterUpstreams(start, []warmup.Upstream{next})
+	g.Expect(tracker.MayResume(start, "u1")).To(BeTrue(), "it started again")
+	tracker.ObservePause(start, next, 2*time.Second)
+	g.Expect(tracker.ObservePause(start, old, time.Minute)).To(BeFalse())
+	g.Expect(tracker.MayResume(start.Add(time.Second), "u1")).To(BeFalse())
+	g.Expect(tracker.MayResume(start.Add(2*time.Second), "u1")).To(BeTrue())
+}
+
 // Guards, for the load of many gateways whose pauses end at the same moment, against their first
 // requests arriving together, and before the end.
 func TestGatewaysResumeSpreadOverTime(t *testing.T) {
