soak: servers that say that they leave, and that ask for pauses

New faults: the leaving server says so in its answers before its entry is removed; a plain server refuses a fifth of its requests with a pause of up to 4 s. New checks: no arrival of a gateway later than 3 s after it was told that the server leaves, at most two in a pause from half a second after the refusal on.

--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -89,7 +89,11 @@
 		return nil
 	}, true},
 	{"server that leaves", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
-		return env.leave(ctx, duration/4, duration%2 == 0)
+		return env.leave(ctx, duration/4, leavings[int(duration)%len(leavings)])
+	}, false},
+	{"server that asks for pauses", func(ctx context.Context, env *Environment, _ *harness.Gateway, duration time.Duration) error {
+		env.pushBackFor(ctx, env.PlainServers[int(duration)%len(env.PlainServers)], duration)
+		return nil
 	}, false},
 	{"reset", func(_ context.Context, _ *Environment, g *harness.Gateway, _ time.Duration) error {
 		g.Link.Reset()
--- a/e2e/soak/leaving.go
+++ b/e2e/soak/leaving.go
@@ -24,10 +24,25 @@
 	return p.serve()
 }
 
-// leave registers the leaving server as a new instance and removes its entry after a while, at
-// times just after the gateways' open connections to the platform went silent. The server goes
-// on serving, and must get no requests from drainWithin after the removal on.
-func (env *Environment) leave(ctx context.Context, registered time.Duration, silently bool) error {
+// leaving is how a server leaves.
+type leaving int
+
+const (
+	// plainly removes its entry.
+	plainly leaving = iota
+	// silently removes it just after the gateways' open connections to the platform went silent.
+	silently
+	// announced lets the server say in its responses that it leaves, and removes its entry later.
+	announced
+)
+
+// leavings are all ways to leave.
+var leavings = []leaving{plainly, silently, announced}
+
+// leave registers the leaving server as a new instance and removes its entry after a while. The
+// server goes on serving. It must get no requests from drainWithin after the removal on, and none
+// of a gateway from drainWithin after it has told that one.
+func (env *Environment) leave(ctx context.Context, registered time.Duration, how leaving) error {
 	s := &env.leaver.server
 	if !s.restarting.TryLock() {
 		return nil
@@ -35,6 +50,7 @@
 	defer s.restarting.Unlock()
 	s.Close()
 	s.restarts.Add(1)
+	s.notices.say(false, false)
 	if err := s.serve(); err != nil {
 		return err
 	}
@@ -42,8 +58,13 @@
 		return err
 	}
 	sleep(ctx, registered)
-	if silently {
+	switch how {
+	case plainly:
+	case silently:
 		env.silencePlatform()
+	case announced:
+		s.notices.say(true, false)
+		sleep(ctx, drainWithin+stableWindow)
 	}
 	if err := duringOutages(ctx, func() error { return env.Delete(ctx, standin.ServersKind, s.id()) }); err != nil {
 		return err
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -43,6 +43,8 @@
 	// limit is what the server names in its responses; limiting is held while it does.
 	limit    namedLimit
 	limiting sync.Mutex
+	// notices are what else the server says of itself.
+	notices notices
 	// restarting is held while the server returns as a new instance.
 	restarting sync.Mutex
 	// restarts is the number of instances before this one.
@@ -89,10 +91,16 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		defer s.notices.announce(w, s.listener(r))()
 		s.handler.ServeHTTP(w, r)
 	})
 }
 
+// listener returns the gateway that gets the response to a request.
+func (s *server) listener(r *http.Request) listener {
+	return listener{server: s.id(), gateway: gatewayOf(r.Header.Get(headerAttemptID))}
+}
+
 func (s *server) Close() {
 	if s.http != nil {
 		_ = s.http.Close()
@@ -112,6 +120,7 @@
 	_, coldArrivals := s.cold.Receive(a.ReceivedAt)
 	s.rules.check(a, s.failureDomain, coldArrivals)
 	s.rules.checkLimit(a, &s.limit)
+	s.rules.checkNotices(a, &s.notices)
 	return s.recorder.addArrival(a)
 }
 
@@ -151,7 +160,7 @@
 
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := p.recordArrival(r)
-	if rand.Int64N(1000) < p.refusedPermille.Load() {
+	if p.notices.askForPause(w, p.listener(r)) || rand.Int64N(1000) < p.refusedPermille.Load() {
 		p.refuse(w)
 		return
 	}
