--- a/gateway/cut_head_test.go
+++ b/gateway/cut_head_test.go
@@ -66,11 +66,7 @@
 		}
 		c.Close()
 	})
-	d := definition(1)
-	for i := range d.Routes {
-		d.Routes[i].Split[0].Service, d.Routes[i].Anonymous, d.Routes[i].Generative = "plain", true, false
-	}
-	site.node = startGateway(t, "g1", storeOf(d, site.upstream), func(o *gateway.Options) {
+	site.node = startGateway(t, "g1", storeOf(plainDefinition(), site.upstream), func(o *gateway.Options) {
 		o.Policy.Admission.Outlier.ConsecutiveBroken, o.Policy.Admission.Outlier.Smoothing = 1<<30, 0
 		o.Policy.Retry.Slack = 1 << 20
 	})
--- a/gateway/definition_test.go
+++ b/gateway/definition_test.go
@@ -34,3 +34,14 @@
 		Limits: route.Limits{BodyBytes: 1 << 12},
 	}
 }
+
+// plainDefinition is a configuration whose routes all go to the service plain.
+func plainDefinition() route.Definition {
+	d := definition(1)
+	for i := range d.Routes {
+		d.Routes[i].Anonymous, d.Routes[i].Generative = true, false
+		d.Routes[i].Split = []route.WeightedService{{Service: "plain", Weight: 1}}
+	}
+	d.Services[0].HealthPath = "/health"
+	return d
+}
--- a/gateway/self_report_test.go
+++ b/gateway/self_report_test.go
@@ -18,20 +18,8 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/gateway"
 	"fulmarspindle.example/fulmarspindle/registry"
-	"fulmarspindle.example/fulmarspindle/route"
 )
 
-// plainDefinition is a configuration whose routes all go to the service plain.
-func plainDefinition() route.Definition {
-	d := definition(1)
-	for i := range d.Routes {
-		d.Routes[i].Anonymous, d.Routes[i].Generative = true, false
-		d.Routes[i].Split = []route.WeightedService{{Service: "plain", Weight: 1}}
-	}
-	d.Services[0].HealthPath = "/health"
-	return d
-}
-
 // reply is what a caller got.
 type reply struct {
 	status     int
--- a/gateway/silent_upstream_test.go
+++ b/gateway/silent_upstream_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarspindle.example/fulmarspindle/gateway"
-	"fulmarspindle.example/fulmarspindle/route"
 )
 
 // silenceableSite is a gateway whose connections to its only upstream can go silent: they still
@@ -40,11 +38,9 @@
 			respondDone(s, c, r)
 		}
 	})
-	d := definition(1)
+	d := plainDefinition()
 	for i := range d.Routes {
-		d.Routes[i].Timeout, d.Routes[i].Objective, d.Routes[i].Anonymous = timeout, 0, true
-		d.Routes[i].Split = []route.WeightedService{{Service: "plain", Weight: 1}}
-		d.Routes[i].Generative = false
+		d.Routes[i].Timeout, d.Routes[i].Objective = timeout, 0
 	}
 	site.node = startGateway(t, "g1", storeOf(d, site.upstream), func(o *gateway.Options) { o.DefaultTimeout = timeout })
 	awaitReady(t, site.node)
@@ -60,22 +56,6 @@
 	s.silent = slices.Clone(s.upstream.conns)
 }
 
-func (s *silenceableSite) send(t *testing.T, id, method, path string) int {
-	t.Helper()
-	req, err := http.NewRequest(method, s.url+path, strings.NewReader("order"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set("Request-Id", id)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	resp.Body.Close()
-	return resp.StatusCode
-}
-
 // timesRun returns how often a request reached the upstream.
 func (s *silenceableSite) timesRun(id string) int {
 	s.mu.Lock()
@@ -94,14 +74,14 @@
 			s := newSilenceableSite(t, time.Second)
 			var wg sync.WaitGroup
 			for i := range 6 {
-				wg.Go(func() { s.send(t, "before"+strconv.Itoa(i), method, path) })
+				wg.Go(func() { callPath(t, s.node, method, path, "before"+strconv.Itoa(i)) })
 			}
 			wg.Wait()
 			s.silence()
-			g.Expect(s.send(t, "on a silent connection", method, path)).To(Equal(http.StatusGatewayTimeout))
+			g.Expect(callPath(t, s.node, method, path, "on a silent connection").status).To(Equal(http.StatusGatewayTimeout))
 			for i := range 6 {
 				id := "after" + strconv.Itoa(i)
-				g.Expect(s.send(t, id, method, path)).To(Equal(http.StatusOK), id)
+				g.Expect(callPath(t, s.node, method, path, id).status).To(Equal(http.StatusOK), id)
 				g.Expect(s.timesRun(id)).To(Equal(1), id)
 			}
 			g.Expect(s.timesRun("on a silent connection")).To(Equal(1))
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -13,7 +13,6 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarspindle.example/fulmarspindle/gateway"
-	"fulmarspindle.example/fulmarspindle/route"
 )
 
 const (
@@ -60,11 +59,9 @@
 func startStoppingSite(t *testing.T, site *stoppingSite, upstreams ...*server) *stoppingSite {
 	t.Helper()
 	site.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
-	d := definition(1)
+	d := plainDefinition()
 	for i := range d.Routes {
-		d.Routes[i].Timeout, d.Routes[i].Objective, d.Routes[i].Anonymous = time.Minute, 0, true
-		d.Routes[i].Split = []route.WeightedService{{Service: "plain", Weight: 1}}
-		d.Routes[i].Generative = false
+		d.Routes[i].Timeout, d.Routes[i].Objective = time.Minute, 0
 	}
 	site.node = startGateway(t, "g1", storeOf(d, upstreams...), func(o *gateway.Options) {
 		o.Grace, o.Withdrawal, o.DefaultTimeout = stopGrace, stopWithdrawal, time.Minute
