e2e/gateway: twenty servers that leave or ask for pauses, before five gateways

Each says so at a time of its own, by the platform's headers, while the store says that it is ready.

--- a/e2e/gateway/servers_test.go
+++ b/e2e/gateway/servers_test.go
@@ -100,6 +100,7 @@
 	req.Host = serverSiteHost
 	req.Header.Set("Attempt-Id", fmt.Sprint("a", lastAttempt.Add(1)))
 	req.Header.Set("Key", key)
+	req.Header.Set(gatewayHeader, g.Name)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return 0, err.Error()
