--- a/e2e/gateway/gateway_test.go
+++ b/e2e/gateway/gateway_test.go
@@ -160,6 +160,9 @@
 		gateway.Terminate()
 		Expect(syscall.Kill(gateway.PID(), syscall.SIGHUP)).To(Succeed())
 		gateway.Terminate()
+		// A request that arrives before the first signal is handled is rightly taken.
+		states := &serverSite{GatewayFleet: s.GatewayFleet, client: http.DefaultClient}
+		Eventually(func() bool { return states.state(gateway).Draining }, specTimeout).Should(BeTrue())
 		go post()
 		Eventually(statuses, specTimeout).Should(Receive(Equal(503)), "nothing is known of how long such requests take")
 		Eventually(statuses, specTimeout).Should(Receive(Equal(502)), "the request may have run")
