--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -221,7 +221,7 @@
 		return
 	}
 	x.conn.requests++
-	x.conn.lastResponse = time.Now()
+	x.conn.aliveAt = time.Now()
 	x.pool.put(x.conn)
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -148,7 +148,7 @@
 	p.discard(c)
 }
 
-// discardUnusedSince closes the idle connections that have brought no response since a time.
+// discardUnusedSince closes the idle connections that have shown no life since a time.
 // Open connections tend to go silent together, when something between the upstream and this
 // process loses its state, and a request on a silent connection waits until its deadline.
 func (p *Pool) discardUnusedSince(since time.Time) {
@@ -157,7 +157,7 @@
 	p.idle = nil
 	var suspects []*conn
 	for _, c := range idle {
-		if c.lastResponse.Before(since) {
+		if c.aliveAt.Before(since) {
 			suspects = append(suspects, c)
 		} else {
 			p.idle = append(p.idle, c)
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -130,6 +130,17 @@
 			g.Expect(s.opened.Load()).To(Equal(before))
 			<-done
 		},
+		"if they were opened since the request was sent": func(g *WithT, s *silenceable, p *upstream.Pool) {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				unanswered(g, p, "slow", 4*silenceAfter)
+			}()
+			g.Eventually(p.IdleConnections).Should(Equal(1))
+			unanswered(g, p, "slow", silenceAfter/5) // Takes the other kept one.
+			g.Expect(p.Check(context.Background())).To(Succeed())
+			<-done
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
