--- a/admission/notices.go
+++ b/admission/self_report.go
@@ -23,8 +23,8 @@
 	RemainingMs int64 `json:"remaining_ms"`
 }
 
-// Notice is what the head of a response changed in what is known of its upstream.
-type Notice struct {
+// ReportChange is what a report changed in what is known of its upstream.
+type ReportChange struct {
 	// Leaving is set if the upstream has said for the first time that it leaves.
 	Leaving bool
 	// Paused is set if the upstream has begun or prolonged a pause.
@@ -34,18 +34,18 @@
 // ObserveReport records what an upstream said in a response to a request that was sent at a time,
 // as far as it keeps requests from it altogether. The upstream is the one that the request was
 // sent to, which may have been replaced since.
-func (s *Scheduler) ObserveReport(now, sent time.Time, to registry.Upstream, report exchange.SelfReport) Notice {
+func (s *Scheduler) ObserveReport(now, sent time.Time, to registry.Upstream, report exchange.SelfReport) ReportChange {
 	u := s.incarnation(to)
-	var notice Notice
+	var change ReportChange
 	if report.Leaving {
-		notice.Leaving = s.warming.MarkLeaving(now, u)
+		change.Leaving = s.warming.MarkLeaving(now, u)
 	}
 	if report.Pause > 0 {
-		notice.Paused = s.warming.ObservePause(now, u, report.Pause)
+		change.Paused = s.warming.ObservePause(now, u, report.Pause)
 	} else {
 		s.warming.ObserveResponse(u, sent)
 	}
-	return notice
+	return change
 }
 
 // MaySend reports whether a request that was admitted to an upstream may still be sent: the
--- a/e2e/soak/leaving.go
+++ b/e2e/soak/leaving.go
@@ -50,7 +50,7 @@
 	defer s.restarting.Unlock()
 	s.Close()
 	s.restarts.Add(1)
-	s.notices.say(false, false)
+	s.selfReport.say(false, false)
 	if err := s.serve(); err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 	case silently:
 		env.silencePlatform()
 	case announced:
-		s.notices.say(true, false)
+		s.selfReport.say(true, false)
 		sleep(ctx, drainWithin+stableWindow)
 	}
 	if err := duringOutages(ctx, func() error { return env.Delete(ctx, standin.ServersKind, s.id()) }); err != nil {
--- a/e2e/soak/notices.go
+++ b/e2e/soak/self_report.go
@@ -33,8 +33,8 @@
 	arrivals    int
 }
 
-// notices are what a server says of itself in its responses. It is safe for concurrent use.
-type notices struct {
+// selfReport is what a server says of itself in its responses. It is safe for concurrent use.
+type selfReport struct {
 	mu sync.Mutex
 	// leaving and pausing are set while the server says that it leaves, and asks for pauses.
 	leaving, pausing bool
@@ -45,54 +45,54 @@
 
 // announce adds to a response what the server says of itself in all of them. The returned function
 // records that it has been sent.
-func (n *notices) announce(w http.ResponseWriter, to listener) (sent func()) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.leaving {
+func (s *selfReport) announce(w http.ResponseWriter, to listener) (sent func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving {
 		return func() {}
 	}
 	w.Header().Set(headerLeaving, "1")
 	return func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		if n.toldLeaving == nil {
-			n.toldLeaving = make(map[listener]time.Time)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.toldLeaving == nil {
+			s.toldLeaving = make(map[listener]time.Time)
 		}
-		if _, told := n.toldLeaving[to]; !told {
-			n.toldLeaving[to] = time.Now()
+		if _, told := s.toldLeaving[to]; !told {
+			s.toldLeaving[to] = time.Now()
 		}
 	}
 }
 
 // askForPause decides at random whether a request is refused with a pause, and adds that to its
 // response.
-func (n *notices) askForPause(w http.ResponseWriter, of listener) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.pausing || rand.Int64N(1000) >= pausePermille {
+func (s *selfReport) askForPause(w http.ResponseWriter, of listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.pausing || rand.Int64N(1000) >= pausePermille {
 		return false
 	}
 	length := time.Duration(rand.Int64N(int64(maxPause))).Round(time.Millisecond)
 	w.Header().Set(headerRetryAfter, strconv.FormatFloat(length.Seconds(), 'f', -1, 64))
-	if n.toldPauses == nil {
-		n.toldPauses = make(map[listener][]*toldPause)
+	if s.toldPauses == nil {
+		s.toldPauses = make(map[listener][]*toldPause)
 	}
 	now := time.Now()
-	n.toldPauses[of] = append(n.toldPauses[of], &toldPause{from: now.Add(pauseSlack), until: now.Add(length)})
+	s.toldPauses[of] = append(s.toldPauses[of], &toldPause{from: now.Add(pauseSlack), until: now.Add(length)})
 	return true
 }
 
 // arrive describes an arrival that what the server has told the gateway forbids; it is empty if
 // nothing does. disturbed reports whether the gateway was disrupted between two times.
-func (n *notices) arrive(a Arrival, disturbed func(from, to time.Time) bool) string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+func (s *selfReport) arrive(a Arrival, disturbed func(from, to time.Time) bool) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	from := listener{server: a.Server, gateway: a.Gateway}
-	if told, ok := n.toldLeaving[from]; ok && a.ReceivedAt.Sub(told) > drainWithin && !disturbed(told, a.ReceivedAt) {
+	if told, ok := s.toldLeaving[from]; ok && a.ReceivedAt.Sub(told) > drainWithin && !disturbed(told, a.ReceivedAt) {
 		return fmt.Sprintf("%s arrived at %s at %s, which told gateway %s at %s that it leaves",
 			a.AttemptID, a.Server, a.ReceivedAt.Format(timeLayout), a.Gateway, told.Format(timeLayout))
 	}
-	for _, p := range n.toldPauses[from] {
+	for _, p := range s.toldPauses[from] {
 		if a.ReceivedAt.Before(p.from) || !a.ReceivedAt.Before(p.until) || disturbed(p.from.Add(-pauseSlack), a.ReceivedAt) {
 			continue
 		}
@@ -106,17 +106,17 @@
 }
 
 // say sets what the server says of itself.
-func (n *notices) say(leaving, pausing bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.leaving, n.pausing = leaving, pausing
+func (s *selfReport) say(leaving, pausing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.pausing = leaving, pausing
 }
 
-// checkNotices checks an arrival at a server that may have told the gateway to send none.
-func (r *Rules) checkNotices(a Arrival, n *notices) {
+// checkReports checks an arrival at a server that may have told the gateway to send none.
+func (r *Rules) checkReports(a Arrival, s *selfReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	violation := n.arrive(a, func(from, to time.Time) bool { return r.disruptedBetween(a.Gateway, from, to) })
+	violation := s.arrive(a, func(from, to time.Time) bool { return r.disruptedBetween(a.Gateway, from, to) })
 	if violation != "" && r.violation == "" {
 		r.violation = violation
 	}
@@ -135,7 +135,7 @@
 
 // pushBackFor lets a plain server ask for pauses for some time.
 func (env *Environment) pushBackFor(ctx context.Context, p *plainServer, duration time.Duration) {
-	p.notices.say(false, true)
+	p.selfReport.say(false, true)
 	sleep(ctx, duration)
-	p.notices.say(false, false)
+	p.selfReport.say(false, false)
 }
--- a/e2e/soak/notices_test.go
+++ b/e2e/soak/self_report_test.go
@@ -23,7 +23,7 @@
 		"of a disrupted gateway":    {from: "g", after: drainWithin + time.Second, gap: &gap{begin: time.Now().Add(time.Second)}},
 		"disrupted before the news": {from: "g", after: drainWithin + time.Second, gap: &gap{begin: noon, end: noon}, broken: true},
 	} {
-		rules, n := newTestRules(), &notices{}
+		rules, n := newTestRules(), &selfReport{}
 		if c.gap != nil {
 			rules.disruptions = map[string][]*gap{"g": {c.gap}}
 		}
@@ -31,7 +31,7 @@
 		response := httptest.NewRecorder()
 		n.announce(response, listener{server: "s", gateway: "g"})()
 		NewWithT(t).Expect(response.Header().Get(headerLeaving)).To(Equal("1"))
-		rules.checkNotices(Arrival{Gateway: c.from, Server: "s", ReceivedAt: time.Now().Add(c.after)}, n)
+		rules.checkReports(Arrival{Gateway: c.from, Server: "s", ReceivedAt: time.Now().Add(c.after)}, n)
 		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), name)
 	}
 }
@@ -50,10 +50,10 @@
 		"three at once":    {after: pauseSlack - time.Millisecond, arrivals: 3},
 		"three at the end": {after: length, arrivals: 3},
 	} {
-		rules, n := newTestRules(), &notices{}
+		rules, n := newTestRules(), &selfReport{}
 		n.toldPauses = map[listener][]*toldPause{{server: "s", gateway: "g"}: {{from: noon.Add(pauseSlack), until: noon.Add(length)}}}
 		for range c.arrivals {
-			rules.checkNotices(Arrival{Gateway: "g", Server: "s", ReceivedAt: noon.Add(c.after)}, n)
+			rules.checkReports(Arrival{Gateway: "g", Server: "s", ReceivedAt: noon.Add(c.after)}, n)
 		}
 		NewWithT(t).Expect(rules.Violation() != "").To(Equal(c.broken), name)
 	}
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -43,8 +43,8 @@
 	// limit is what the server names in its responses; limiting is held while it does.
 	limit    namedLimit
 	limiting sync.Mutex
-	// notices are what else the server says of itself.
-	notices notices
+	// selfReport is what else the server says of itself.
+	selfReport selfReport
 	// restarting is held while the server returns as a new instance.
 	restarting sync.Mutex
 	// restarts is the number of instances before this one.
@@ -91,7 +91,7 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		defer s.notices.announce(w, s.listener(r))()
+		defer s.selfReport.announce(w, s.listener(r))()
 		s.handler.ServeHTTP(w, r)
 	})
 }
@@ -120,7 +120,7 @@
 	_, coldArrivals := s.cold.Receive(a.ReceivedAt)
 	s.rules.check(a, s.failureDomain, coldArrivals)
 	s.rules.checkLimit(a, &s.limit)
-	s.rules.checkNotices(a, &s.notices)
+	s.rules.checkReports(a, &s.selfReport)
 	return s.recorder.addArrival(a)
 }
 
@@ -160,7 +160,7 @@
 
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := p.recordArrival(r)
-	if p.notices.askForPause(w, p.listener(r)) || rand.Int64N(1000) < p.refusedPermille.Load() {
+	if p.selfReport.askForPause(w, p.listener(r)) || rand.Int64N(1000) < p.refusedPermille.Load() {
 		p.refuse(w)
 		return
 	}
--- a/gateway/self_report.go
+++ b/gateway/self_report.go
@@ -45,18 +45,18 @@
 // observeReport applies what an upstream says of itself in a response to a request that was sent
 // at a time.
 func (g *Gateway) observeReport(s *service, u registry.Upstream, sent time.Time, report exchange.SelfReport, request string) {
-	notice := s.observeReport(u, sent, report)
-	if notice.Leaving {
+	change := s.observeReport(u, sent, report)
+	if change.Leaving {
 		leavingCounts.Add(string(s.id), 1)
-		g.logNotice("upstream leaves", s, u, zap.String("request", request))
+		g.logReport("upstream leaves", s, u, zap.String("request", request))
 	}
-	if notice.Paused {
+	if change.Paused {
 		pauseCounts.Add(string(s.id), 1)
-		g.logNotice("upstream paused", s, u, zap.String("request", request), zap.Duration("pause", report.Pause))
+		g.logReport("upstream paused", s, u, zap.String("request", request), zap.Duration("pause", report.Pause))
 	}
 }
 
-func (g *Gateway) logNotice(message string, s *service, u registry.Upstream, fields ...zap.Field) {
+func (g *Gateway) logReport(message string, s *service, u registry.Upstream, fields ...zap.Field) {
 	g.log.Info(message, append(fields, zap.String("service", string(s.id)), zap.String("upstream", string(u.ID)),
 		zap.Int64("started_ms", u.StartedUnixMs))...)
 }
@@ -71,7 +71,7 @@
 		zap.String("upstream", string(u.ID)), zap.Error(err))
 }
 
-func (s *service) observeReport(u registry.Upstream, sent time.Time, report exchange.SelfReport) admission.Notice {
+func (s *service) observeReport(u registry.Upstream, sent time.Time, report exchange.SelfReport) admission.ReportChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.scheduler.ObserveReport(time.Now(), sent, u, report)
@@ -128,6 +128,6 @@
 		return
 	}
 	if s.markServing(asked, u) {
-		g.logNotice("upstream serves after all", s, u)
+		g.logReport("upstream serves after all", s, u)
 	}
 }
--- a/warmup/pause_test.go
+++ b/warmup/pause_test.go
@@ -158,8 +158,8 @@
 	g.Expect(leaves()).To(BeFalse())
 }
 
-// noticeModel is what the property test expects of the tracker.
-type noticeModel struct {
+// reportModel is what the property test expects of the tracker.
+type reportModel struct {
 	registered int64
 	// leaving holds the incarnations that have said that they leave, and pausedUntil the ends of
 	// the pauses that incarnations have asked for.
@@ -174,10 +174,10 @@
 // Guards, for every interleaving of responses, registrations, restarts, requests and the clock,
 // against requests to an incarnation that leaves or is paused, against more than one after a pause
 // before it is answered, and against an upstream that gets none although nothing speaks against it.
-func TestNoticesInEveryInterleaving(t *testing.T) {
+func TestReportsInEveryInterleaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tracker := newRegisteredTracker(incarnation(1))
-		model := &noticeModel{registered: 1, leaving: map[int64]bool{}, pausedUntil: map[int64]time.Time{}}
+		model := &reportModel{registered: 1, leaving: map[int64]bool{}, pausedUntil: map[int64]time.Time{}}
 		now := start
 		actions := map[string]func(){
 			"clock": func() { now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
