--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -130,7 +130,7 @@
 			g.Expect(s.opened.Load()).To(Equal(before))
 			<-done
 		},
-		"if they were opened since the request was sent": func(g *WithT, s *silenceable, p *upstream.Pool) {
+		"if they were opened since the request was sent": func(g *WithT, _ *silenceable, p *upstream.Pool) {
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
