gateway, upstream: new tests don't depend on how fast the machine is

Their bounds stay; a caller leaves when the test says so in place of a short deadline, pauses are longer than the test needs, and Retry-After is held between the times before and after the call.

--- a/gateway/self_report_test.go
+++ b/gateway/self_report_test.go
@@ -196,18 +196,20 @@
 func TestUpstreamThatAsksForAPauseGetsNoRequestsMeanwhile(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	const length = 1500 * time.Millisecond
+	// milliseconds is the precision of Retry-After in seconds.
+	const length, milliseconds = 4 * time.Second, 0.001
 	s := startPausing(t, "i-1", length)
 	n := startGateway(t, "g1", storeOf(plainDefinition(), s.server), nil)
 	awaitReady(t, n)
 	g.Expect(callPath(t, n, "POST", "/unsafe/", "first").status).To(Equal(503))
-	asked := s.lastRefusal()
+	asked, heardBy := s.lastRefusal(), time.Now()
 	s.full.Store(false)
-	for i := range 20 {
+	for i := range 10 {
+		most := time.Until(heardBy.Add(length)).Seconds()
 		got := callPath(t, n, "GET", "/safe/", "in the pause "+strconv.Itoa(i))
 		g.Expect(got.status).To(Equal(503))
-		left := time.Until(asked.Add(length)).Seconds()
-		g.Expect(got.retryAfter).To(BeNumerically("~", left, 0.2))
+		least := time.Until(asked.Add(length)).Seconds()
+		g.Expect(got.retryAfter).To(And(BeNumerically(">=", least-milliseconds), BeNumerically("<=", most+milliseconds)))
 	}
 	g.Expect(n.State().Services["plain"].Upstreams["i-1"].Pause).NotTo(BeNil())
 	var wg sync.WaitGroup
@@ -232,7 +234,7 @@
 func TestRequestsGoElsewhereDuringAPause(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	paused := startPausing(t, "i-1", 3*time.Second)
+	paused := startPausing(t, "i-1", time.Minute)
 	others := startServer(t, "i-2", "plain", respondDone)
 	n := startGateway(t, "g1", storeOf(plainDefinition(), paused.server, others), nil)
 	awaitReady(t, n)
--- a/gateway/silent_upstream_test.go
+++ b/gateway/silent_upstream_test.go
@@ -71,7 +71,7 @@
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			s := newSilenceableSite(t, time.Second)
+			s := newSilenceableSite(t, 3*time.Second)
 			var wg sync.WaitGroup
 			for i := range 6 {
 				wg.Go(func() { callPath(t, s.node, method, path, "before"+strconv.Itoa(i)) })
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -16,7 +16,7 @@
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
-// silenceAfter is how long the test's upstream may take to begin a response.
+// silenceAfter is how long the tests' upstream may take to begin a response.
 const silenceAfter = 50 * time.Millisecond
 
 // silenceable is an upstream whose open connections can go silent: they still take bytes, and
@@ -25,7 +25,7 @@
 	address string
 	// silenced is the number of the last connection that is silent.
 	silenced, opened atomic.Int64
-	// together is how many requests are answered at once.
+	// together is how many requests arrive before any of them is answered.
 	together sync.WaitGroup
 }
 
@@ -70,16 +70,22 @@
 	g.Expect(s.opened.Load()).To(BeEquivalentTo(n))
 }
 
-// unanswered sends a request whose caller waits for the given time and gets no response.
-func unanswered(g *WithT, p *upstream.Pool, id string, patience time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	r := newRequest(id)
-	r.SilentAt = time.Now().Add(silenceAfter)
+// unanswered sends a request that gets no response until its caller leaves. Its connection counts as
+// silent from a time on.
+func unanswered(ctx context.Context, g *WithT, p *upstream.Pool, silentAt time.Time) {
+	r := newRequest("slow")
+	r.SilentAt = silentAt
 	_, err := p.Do(ctx, r) //nolint:bodyclose // There is no response.
 	g.Expect(err).To(MatchError(upstream.ErrInterrupted))
 }
 
+// canceledAfter returns a context that is canceled once its connection counts as silent.
+func canceledAfter(d time.Duration) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(d, cancel)
+	return ctx
+}
+
 // Guards against a request for each kept connection that is lost when all of them have gone
 // silent.
 func TestOneSilentConnectionReplacesTheIdleOnes(t *testing.T) {
@@ -90,7 +96,7 @@
 			p := newPool(t, s.address)
 			s.keep(g, p, kept)
 			s.silence()
-			unanswered(g, p, "1", 2*silenceAfter)
+			unanswered(canceledAfter(2*silenceAfter), g, p, time.Now().Add(silenceAfter))
 			// Four connections are allowed: the silent ones don't count any longer.
 			s.together.Add(4)
 			var answered atomic.Int64
@@ -112,34 +118,40 @@
 	}
 }
 
+// sendUnanswered sends a request on one of two kept connections, which counts as silent at once. The
+// returned function makes its caller leave.
+func sendUnanswered(g *WithT, p *upstream.Pool) (leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		unanswered(ctx, g, p, time.Now())
+	}()
+	g.Eventually(p.IdleConnections).Should(Equal(1))
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // Guards against idle connections that are closed although nothing speaks against them.
 func TestIdleConnectionsAreKept(t *testing.T) {
 	for name, leave := range map[string]func(*WithT, *silenceable, *upstream.Pool){
 		"after a caller that leaves early": func(g *WithT, _ *silenceable, p *upstream.Pool) {
-			unanswered(g, p, "slow", silenceAfter/5)
+			unanswered(canceledAfter(silenceAfter), g, p, time.Now().Add(time.Hour))
 		},
 		"if they were used since the request was sent": func(g *WithT, s *silenceable, p *upstream.Pool) {
-			done := make(chan struct{})
+			leave := sendUnanswered(g, p)
 			before := s.opened.Load()
-			go func() {
-				defer close(done)
-				unanswered(g, p, "slow", 4*silenceAfter)
-			}()
-			g.Eventually(p.IdleConnections).Should(Equal(1))
 			g.Expect(roundTrip(p, "used")).To(Equal("body"))
 			g.Expect(s.opened.Load()).To(Equal(before))
-			<-done
+			leave()
 		},
 		"if they were opened since the request was sent": func(g *WithT, _ *silenceable, p *upstream.Pool) {
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				unanswered(g, p, "slow", 4*silenceAfter)
-			}()
-			g.Eventually(p.IdleConnections).Should(Equal(1))
-			unanswered(g, p, "slow", silenceAfter/5) // Takes the other kept one.
+			leave := sendUnanswered(g, p)
+			unanswered(canceledAfter(silenceAfter), g, p, time.Now().Add(time.Hour)) // Takes the other kept one.
 			g.Expect(p.Check(context.Background())).To(Succeed())
-			<-done
+			leave()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
