--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -19,12 +19,17 @@
 // silenceAfter is how long the tests' upstream may take to begin a response.
 const silenceAfter = 50 * time.Millisecond
 
+// waitTime is how long the tests wait for what happens in the background.
+const waitTime = 10 * time.Second
+
 // silenceable is an upstream whose open connections can go silent: they still take bytes, and
 // answer nothing. New ones work. It answers a request to "slow" on no connection.
 type silenceable struct {
 	address string
 	// silenced is the number of the last connection that is silent.
 	silenced, opened atomic.Int64
+	// slow counts the requests to "slow" that have arrived.
+	slow atomic.Int64
 	// together is how many requests arrive before any of them is answered.
 	together sync.WaitGroup
 }
@@ -38,7 +43,11 @@
 			if err != nil {
 				return
 			}
-			if id == "slow" || number <= s.silenced.Load() {
+			if id == "slow" {
+				s.slow.Add(1)
+				continue
+			}
+			if number <= s.silenced.Load() {
 				continue
 			}
 			if id == "together" {
@@ -118,16 +127,16 @@
 	}
 }
 
-// sendUnanswered sends a request on one of two kept connections, which counts as silent at once. The
-// returned function makes its caller leave.
-func sendUnanswered(g *WithT, p *upstream.Pool) (leave func()) {
+// sendUnanswered sends a request on one of the kept connections, which counts as silent at once, and
+// waits until it has arrived. The returned function makes its caller leave.
+func (s *silenceable) sendUnanswered(g *WithT, p *upstream.Pool) (leave func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		unanswered(ctx, g, p, time.Now())
 	}()
-	g.Eventually(p.IdleConnections).Should(Equal(1))
+	g.Eventually(s.slow.Load, waitTime).Should(BeEquivalentTo(1))
 	return func() {
 		cancel()
 		<-done
@@ -141,16 +150,17 @@
 			unanswered(canceledAfter(silenceAfter), g, p, time.Now().Add(time.Hour))
 		},
 		"if they were used since the request was sent": func(g *WithT, s *silenceable, p *upstream.Pool) {
-			leave := sendUnanswered(g, p)
+			leave := s.sendUnanswered(g, p)
 			before := s.opened.Load()
 			g.Expect(roundTrip(p, "used")).To(Equal("body"))
 			g.Expect(s.opened.Load()).To(Equal(before))
 			leave()
 		},
-		"if they were opened since the request was sent": func(g *WithT, _ *silenceable, p *upstream.Pool) {
-			leave := sendUnanswered(g, p)
+		"if they were opened since the request was sent": func(g *WithT, s *silenceable, p *upstream.Pool) {
+			leave := s.sendUnanswered(g, p)
 			unanswered(canceledAfter(silenceAfter), g, p, time.Now().Add(time.Hour)) // Takes the other kept one.
 			g.Expect(p.Check(context.Background())).To(Succeed())
+			g.Eventually(s.opened.Load, waitTime).Should(BeEquivalentTo(3))
 			leave()
 		},
 	} {
