warmup: no look-up for upstreams that say nothing of themselves

Cause: each admission looked up each upstream among those that leave or are paused, and copied what it found.

--- a/admission/self_report.go
+++ b/admission/self_report.go
@@ -73,15 +73,13 @@
 }
 
 func (s *Scheduler) leaving(id fleet.UpstreamID) bool {
-	_, leaving := s.warming.Leaving(id)
-	return leaving
+	return s.warming.IsLeaving(id)
 }
 
 // reduced reports whether an upstream names a limit or has asked for a pause. Since it takes less
 // than its usual load, prompts are placed as if it were not there.
 func (s *Scheduler) reduced(id fleet.UpstreamID) bool {
-	_, paused := s.warming.Pause(id)
-	return paused || s.limited(id)
+	return s.warming.HasPause(id) || s.limited(id)
 }
 
 func (s *Scheduler) leavingView(now time.Time, id fleet.UpstreamID) *LeavingView {
--- a/warmup/leaving.go
+++ b/warmup/leaving.go
@@ -38,6 +38,15 @@
 	return true
 }
 
+// IsLeaving reports whether an upstream has said that it leaves.
+func (t *Tracker) IsLeaving(id fleet.UpstreamID) bool {
+	if len(t.leaving) == 0 {
+		return false
+	}
+	_, leaving := t.Leaving(id)
+	return leaving
+}
+
 // Leaving returns the upstream with an identifier if it has said that it leaves.
 func (t *Tracker) Leaving(id fleet.UpstreamID) (Leaving, bool) {
 	l := t.leaving[id]
--- a/warmup/pause.go
+++ b/warmup/pause.go
@@ -76,6 +76,9 @@
 }
 
 func (t *Tracker) activePause(id fleet.UpstreamID) *Pause {
+	if len(t.pauses) == 0 {
+		return nil
+	}
 	p := t.pauses[id]
 	if p == nil || t.isBehind(p.Upstream) || t.isAhead(p.Upstream) {
 		return nil
@@ -83,6 +86,9 @@
 	return p
 }
 
+// HasPause reports whether an upstream has asked for a pause that is not known to be over.
+func (t *Tracker) HasPause(id fleet.UpstreamID) bool { return t.activePause(id) != nil }
+
 // Paused reports whether an upstream wants no requests now.
 func (t *Tracker) Paused(now time.Time, id fleet.UpstreamID) bool {
 	p := t.activePause(id)
