upstream: taken back: one silent connection replaces the others that were idle meanwhile

Tried in: connections to an upstream that were idle while a request ended without a byte were closed. In tests it limited a silence to one request.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -269,20 +269,9 @@
 			g.observeHead(j, d.Upstream, status, header)
 			return g.options.Dialect.AttributeResponse(j.in, status, header)
 		},
-		SilentAt: j.silentAt(),
 	}
 }
 
-// silentAt returns when an attempt that is sent now has waited for so long that its connection
-// counts as silent.
-func (j *job) silentAt() time.Time {
-	hanging := time.Now().Add(hangObjectiveFactor * j.objective())
-	if hanging.After(j.expires) {
-		return j.expires
-	}
-	return hanging
-}
-
 func (g *Gateway) logDecision(j *job, message string, d admission.Decision) {
 	fields := []zap.Field{zap.String("request", j.in.ID), zap.Int64("configuration", j.version), zap.String("upstream", string(d.Upstream.ID)),
 		zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom)}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,10 +37,6 @@
 	prefetched []byte
 	// reuseDeadline is the time from which the connection must not be reused.
 	reuseDeadline time.Time
-	// aliveAt is when the connection was opened or last brought a whole response.
-	aliveAt time.Time
-	// received is set once bytes have arrived after the current request.
-	received bool
 	// bytesWritten counts the bytes written of the current request.
 	bytesWritten int64
 	// closeCause is why the connection is closed after the current request; empty if it
@@ -81,7 +77,7 @@
 }
 
 func newConn(c net.Conn) *conn {
-	out := &conn{Conn: c, aliveAt: time.Now()}
+	out := &conn{Conn: c}
 	out.reader = bufio.NewReaderSize(out, readBufferSize)
 	return out
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -31,8 +31,6 @@
 	// ShouldSend, if set, is called before anything is sent, because dialing may have
 	// taken long. If it returns false, nothing is sent.
 	ShouldSend func() bool
-	// SilentAt is when the connection counts as silent if no byte of a response has arrived.
-	SilentAt time.Time
 }
 
 // Exchange is a request whose response head was received. Close must be called. The body
@@ -61,8 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.bytesWritten, c.received = 0, false
-	sent := time.Now()
+	c.bytesWritten = 0
 	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), smallBody: len(r.Body) <= writeBufferSize}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { c.Close() })
 	x.send(r)
@@ -80,9 +77,6 @@
 	if writeErr != nil && c.bytesWritten == 0 {
 		return nil, eris.Wrap(ErrNotSent, writeErr.Error())
 	}
-	if ctx.Err() != nil && !c.received && !time.Now().Before(r.SilentAt) {
-		p.discardUnusedSince(sent)
-	}
 	return nil, interrupted(err)
 }
 
@@ -221,7 +215,6 @@
 		return
 	}
 	x.conn.requests++
-	x.conn.aliveAt = time.Now()
 	x.pool.put(x.conn)
 }
 
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -63,7 +63,6 @@
 	n, err := c.Conn.Read(c.prefetched[length : length+headReadBytes])
 	c.prefetched = c.prefetched[:length+n]
 	if n > 0 {
-		c.received = true
 		return nil
 	}
 	return err
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -25,8 +25,6 @@
 	closedUnattributed closeCause = "unattributed_response"
 	// closedCorrupt means that a response held bytes that are not the upstream's.
 	closedCorrupt closeCause = "corrupt_response"
-	// closedSuspect means that another connection to the upstream went silent.
-	closedSuspect closeCause = "other_silent"
 )
 
 func countClosed(cause closeCause) { connectionsClosed.Add(string(cause), 1) }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -148,28 +148,6 @@
 	p.discard(c)
 }
 
-// discardUnusedSince closes the idle connections that have shown no life since a time.
-// Open connections tend to go silent together, when something between the upstream and this
-// process loses its state, and a request on a silent connection waits until its deadline.
-func (p *Pool) discardUnusedSince(since time.Time) {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	var suspects []*conn
-	for _, c := range idle {
-		if c.aliveAt.Before(since) {
-			suspects = append(suspects, c)
-		} else {
-			p.idle = append(p.idle, c)
-		}
-	}
-	p.mu.Unlock()
-	for _, c := range suspects {
-		countClosed(closedSuspect)
-		p.discard(c)
-	}
-}
-
 // put returns a connection to the pool for the next request, or closes it if the
 // pool is closed.
 func (p *Pool) put(c *conn) {
