gateway: log which start a notice is tied to, and why it ended

`upstream changed` and `request sent` name the start of the upstream, and a notice or pause that ends leaves a line with its cause. No decision changes.

Evidence: go test ./warmup ./admission ./gateway pass.

--- a/admission/self_report.go
+++ b/admission/self_report.go
@@ -6,6 +6,7 @@
 	"fulmarspindle.example/fulmarspindle/exchange"
 	"fulmarspindle.example/fulmarspindle/fleet"
 	"fulmarspindle.example/fulmarspindle/registry"
+	"fulmarspindle.example/fulmarspindle/warmup"
 )
 
 // LeavingView is what is known of an upstream that has said that it leaves.
@@ -72,6 +73,10 @@
 	return s.warming.MarkServing(asked, s.incarnation(u))
 }
 
+// TakeEndedReports returns what upstreams said of themselves that has ended since the previous
+// call.
+func (s *Scheduler) TakeEndedReports() []warmup.Ended { return s.warming.TakeEnded() }
+
 func (s *Scheduler) leaving(id fleet.UpstreamID) bool {
 	return s.warming.IsLeaving(id)
 }
--- a/gateway/registrations.go
+++ b/gateway/registrations.go
@@ -78,7 +78,7 @@
 
 func (g *Gateway) logRegistration(entry registry.Entry, source string) {
 	g.log.Info("upstream changed", zap.String("upstream", string(entry.Upstream.ID)), zap.String("service", string(entry.Upstream.Service)),
-		zap.Bool("draining", entry.Upstream.Draining), zap.Bool("removed", entry.Removed), zap.Uint64("revision", entry.Revision), zap.String("source", source))
+		zap.Int64("started_ms", entry.Upstream.StartedUnixMs), zap.Bool("draining", entry.Upstream.Draining), zap.Bool("removed", entry.Removed), zap.Uint64("revision", entry.Revision), zap.String("source", source))
 }
 
 // updateServices passes each service its usable upstreams and closes the pools of the
--- a/gateway/self_report.go
+++ b/gateway/self_report.go
@@ -77,6 +77,16 @@
 	return s.scheduler.ObserveReport(time.Now(), sent, u, report)
 }
 
+// logEndedReports logs what upstreams said of themselves that no longer keeps requests from them.
+// The caller holds mu.
+func (s *service) logEndedReports() {
+	for _, e := range s.scheduler.TakeEndedReports() {
+		s.log.Info("report of an upstream ended", zap.String("service", string(s.id)), zap.String("upstream", string(e.Upstream.ID)),
+			zap.String("said", string(e.Said)), zap.String("cause", string(e.Cause)), zap.Duration("age", time.Since(e.HeardAt)),
+			zap.Int64("started_ms", e.Upstream.StartedUnixMs), zap.Int64("registered_started_ms", e.RegisteredStartUnixMs))
+	}
+}
+
 // maySend reports whether a request that was admitted to an upstream may still be sent there.
 func (s *service) maySend(u registry.Upstream) bool {
 	s.mu.Lock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -274,7 +274,7 @@
 
 func (g *Gateway) logDecision(j *job, message string, d admission.Decision) {
 	fields := []zap.Field{zap.String("request", j.in.ID), zap.Int64("configuration", j.version), zap.String("upstream", string(d.Upstream.ID)),
-		zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom)}
+		zap.Int64("started_ms", d.Upstream.StartedUnixMs), zap.Int("prefill", d.Prefill), zap.String("copy_from", d.CopyFrom)}
 	g.log.Info(message, append(fields, g.decisionFields(j, &d)...)...)
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -122,6 +122,7 @@
 	defer s.mu.Unlock()
 	s.scheduler.SetUpstreams(list)
 	s.scheduler.RegisterLimited(time.Now())
+	s.logEndedReports()
 	s.markRegisteredCold()
 }
 
--- a/warmup/leaving.go
+++ b/warmup/leaving.go
@@ -97,7 +97,8 @@
 // registered and have not been heard for a while.
 func (t *Tracker) expireLeaving(now time.Time) {
 	for id, l := range t.leaving {
-		if t.hasEnded(now, l.Upstream, l.HeardAt) {
+		if cause, ended := t.hasEnded(now, l.Upstream, l.HeardAt); ended {
+			t.recordEnd(SaidLeaving, l.Upstream, l.HeardAt, cause)
 			delete(t.leaving, id)
 		}
 	}
@@ -105,7 +106,10 @@
 
 // hasEnded reports whether an incarnation that was last heard at a time has started again or
 // been gone for a while.
-func (t *Tracker) hasEnded(now time.Time, u Upstream, heardAt time.Time) bool {
+func (t *Tracker) hasEnded(now time.Time, u Upstream, heardAt time.Time) (EndCause, bool) {
+	if t.isBehind(u) {
+		return StartedAgain, true
+	}
 	_, registered := t.registered[u.ID]
-	return t.isBehind(u) || !registered && now.Sub(heardAt) > limitRetention
+	return Forgotten, !registered && now.Sub(heardAt) > limitRetention
 }
--- a/warmup/pause.go
+++ b/warmup/pause.go
@@ -142,7 +142,8 @@
 // expirePauses forgets the pauses of upstreams that have started again or are gone.
 func (t *Tracker) expirePauses(now time.Time) {
 	for id, p := range t.pauses {
-		if t.hasEnded(now, p.Upstream, p.Until) {
+		if cause, ended := t.hasEnded(now, p.Upstream, p.Until); ended {
+			t.recordEnd(SaidPause, p.Upstream, p.HeardAt, cause)
 			delete(t.pauses, id)
 		}
 	}
--- a/warmup/pause_test.go
+++ b/warmup/pause_test.go
@@ -249,3 +249,20 @@
 		}
 	})
 }
+
+// Guards against a notice or a pause of an upstream that ends without a trace of why.
+func TestEndOfAReportIsRecorded(t *testing.T) {
+	g := NewWithT(t)
+	old, next := incarnation(1), incarnation(2)
+	tracker := newRegisteredTracker(old)
+	tracker.MarkLeaving(start, old)
+	tracker.ObservePause(start, old, time.Minute)
+	tracker.RegisterUpstreams(start, []warmup.Upstream{old})
+	g.Expect(tracker.TakeEnded()).To(BeEmpty())
+	tracker.RegisterUpstreams(start, []warmup.Upstream{next})
+	ended := warmup.Ended{Said: warmup.SaidLeaving, Upstream: old, HeardAt: start, Cause: warmup.StartedAgain, RegisteredStartUnixMs: 2}
+	pause := ended
+	pause.Said = warmup.SaidPause
+	g.Expect(tracker.TakeEnded()).To(ConsistOf(ended, pause))
+	g.Expect(tracker.TakeEnded()).To(BeEmpty())
+}
--- a/warmup/tracker.go
+++ b/warmup/tracker.go
@@ -59,8 +59,10 @@
 	pauses  map[fleet.UpstreamID]*Pause
 	// registered holds the start times of the registered upstreams.
 	registered map[fleet.UpstreamID]int64
-	// begun lists the periods that TakeBegun has not returned yet.
+	// begun lists the periods that TakeBegun has not returned yet, and ended what TakeEnded has
+	// not.
 	begun []Period
+	ended []Ended
 }
 
 type period struct {
