--- a/e2e/gateway/self_report_test.go
+++ b/e2e/gateway/self_report_test.go
@@ -45,6 +45,8 @@
 // talker is a server that says in its answers that it leaves, or asks for pauses.
 type talker struct {
 	id string
+	// registration is its sound entry.
+	registration standin.Registration
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -85,14 +87,14 @@
 	now := time.Now()
 	t.served[from]++
 	if told, ok := t.told[from]; ok && now.Sub(told) > leaveWithin {
-		t.violation = fmt.Sprintf("%s sends to %s %v after it was told that it leaves", from, t.id, now.Sub(told))
+		t.report(fmt.Sprintf("%s sends to %s %v after it was told that it leaves", from, t.id, now.Sub(told)))
 	}
 	for _, p := range t.pauses[from] {
 		if now.Before(p.from) || !now.Before(p.until) {
 			continue
 		}
 		if p.requests++; p.requests > maxPausedRequests {
-			t.violation = fmt.Sprintf("%s sends request %d to %s, %v before the end of its pause", from, p.requests, t.id, p.until.Sub(now))
+			t.report(fmt.Sprintf("%s sends request %d to %s, %v before the end of its pause", from, p.requests, t.id, p.until.Sub(now)))
 		}
 	}
 	if !t.pausing || t.random.IntN(4) > 0 {
@@ -103,6 +105,13 @@
 	return pause
 }
 
+// report records a violation, unless there is one. The caller holds mu.
+func (t *talker) report(violation string) {
+	if t.violation == "" {
+		t.violation = violation
+	}
+}
+
 // announce reports whether the server says that it leaves, and records that it tells a gateway.
 func (t *talker) announce(to string) bool {
 	t.mu.Lock()
@@ -142,7 +151,8 @@
 		server := &http.Server{Handler: t}
 		go func() { _ = server.Serve(ln) }()
 		DeferCleanup(server.Close)
-		Expect(s.Put(context.Background(), standin.ServersKind, t.id, scriptedRegistration(ln.Addr().String()))).To(Succeed())
+		t.registration = scriptedRegistration(ln.Addr().String())
+		Expect(s.Put(context.Background(), standin.ServersKind, t.id, t.registration)).To(Succeed())
 		list = append(list, t)
 	}
 	return list
