warmup: what upstreams say counts until a later incarnation has started

Callers' requests reached a server later than 2.5 s after it had told that gateway in an answer that it leaves (DRAIN), once the server's entry stated no start or an earlier one, and so did requests in a pause (BUDGET).

Cause: a report was tied to the registered start by equality. Limits, which other gateways tell, must not bind an earlier incarnation; reports, which this gateway heard itself, were treated alike (isAhead). The class: what a gateway was told is taken back by news that says less.

Fix: a report counts for the incarnation that the request was sent to and for all that had started when it was sent; only one that started after both ends it. Where that can't be told, the health check decides, so that none is lost for good. What registered upstreams said is never dropped.

Tests changed, as strict: starts in them are now times before or after the requests (1 and 2 ms after 1970 were before all of them); the one for the health check asks where it decides, and that it does not where it is known who gave the notice.

--- a/admission/self_report.go
+++ b/admission/self_report.go
@@ -39,12 +39,12 @@
 	u := s.incarnation(to)
 	var change ReportChange
 	if report.Leaving {
-		change.Leaving = s.warming.MarkLeaving(now, u)
+		change.Leaving = s.warming.MarkLeaving(now, sent, u)
 	}
 	if report.Pause > 0 {
-		change.Paused = s.warming.ObservePause(now, u, report.Pause)
+		change.Paused = s.warming.ObservePause(now, sent, u, report.Pause)
 	} else {
-		s.warming.ObserveResponse(u, sent)
+		s.warming.ObserveResponse(u.ID, sent)
 	}
 	return change
 }
@@ -55,8 +55,8 @@
 	return !s.leaving(id) && !s.warming.Paused(now, id)
 }
 
-// TakeLeavingChecks returns the upstreams that have said that they leave, are still registered and
-// have not been heard or asked for an interval. They count as asked now.
+// TakeLeavingChecks returns the registered upstreams that may have said, or another incarnation of
+// them, that they leave, and have not been heard or asked for an interval. They count as asked now.
 func (s *Scheduler) TakeLeavingChecks(now time.Time, interval time.Duration) []registry.Upstream {
 	var due []registry.Upstream
 	for _, u := range s.warming.TakeLeavingChecks(now, interval) {
--- a/gateway/self_report.go
+++ b/gateway/self_report.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// leavingCheckInterval is how often an upstream that has said that it leaves, and stays
-	// registered, is asked whether it serves after all.
+	// leavingCheckInterval is how often a registered upstream is asked whether it serves, if it
+	// can't be told whether this incarnation has said that it leaves.
 	leavingCheckInterval = 5 * time.Second
 	// leavingPollInterval is the polling interval of the checks that are due.
 	leavingPollInterval = time.Second
@@ -113,8 +113,8 @@
 	}
 }
 
-// checkLeaving asks upstreams that have said that they leave and stay registered whether they
-// serve after all, until ctx is canceled.
+// checkLeaving asks upstreams of which it can't be told whether they have said that they leave
+// whether they serve, until ctx is canceled.
 func (g *Gateway) checkLeaving(ctx context.Context) {
 	for ctx.Err() == nil {
 		node.Pause(ctx, leavingPollInterval)
--- a/warmup/ended.go
+++ b/warmup/ended.go
@@ -9,7 +9,8 @@
 const (
 	// StartedAgain means that a later incarnation of the upstream is registered.
 	StartedAgain EndCause = "started_again"
-	// Forgotten means that the upstream is not registered any more, and was not heard for long.
+	// Forgotten means that the upstream is not registered any more, and its pause is long over or
+	// there was no room.
 	Forgotten EndCause = "forgotten"
 )
 
--- a/warmup/limit.go
+++ b/warmup/limit.go
@@ -149,8 +149,8 @@
 			delete(t.limited, id)
 		}
 	}
-	t.expireLeaving(now)
-	t.expirePauses(now)
+	t.endStartedLeaving()
+	t.endPauses(now)
 }
 
 // activeLimit returns the limit of an upstream; nil if it has none.
--- a/warmup/pause.go
+++ b/warmup/pause.go
@@ -30,27 +30,36 @@
 	// Until is its end, and ResumeAt when this router sends again. From then on it sends one
 	// request, and others once that has got a response that asks for no further pause.
 	Until, ResumeAt time.Time
+	// origin tells which incarnations may have asked for it.
+	origin origin
 	// trialAt is when that request was sent; zero if it was not, or got no response.
 	trialAt time.Time
 }
 
-// ObservePause records that a response of an upstream asked for a pause from now on. It reports
-// whether that begins or prolongs one: a shorter one does not end what the upstream asked for
-// before. What an earlier incarnation than the registered one asked for is ignored.
-func (t *Tracker) ObservePause(now time.Time, u Upstream, length time.Duration) bool {
-	if length <= 0 || t.isBehind(u) {
+func (p *Pause) endsAt() time.Time { return p.Until }
+
+// ObservePause records that the response to a request, which was sent to an upstream at a time,
+// asked for a pause from now on. It reports whether that begins or prolongs one: a shorter one does
+// not end what the upstream asked for before. What an earlier incarnation than the registered one
+// asked for is ignored.
+func (t *Tracker) ObservePause(now, sent time.Time, u Upstream, length time.Duration) bool {
+	o := origin{startedUnixMs: u.StartedUnixMs, sentAt: sent}
+	if length <= 0 || t.hasStartedSince(u.ID, o) {
 		return false
 	}
 	length = min(length, MaxPause)
 	until := now.Add(length)
-	p := t.pauses[u.ID]
-	if p != nil && p.Upstream.StartedUnixMs == u.StartedUnixMs && !until.After(p.Until) {
-		return false
-	}
-	if p == nil && len(t.pauses) >= maxLeaving {
-		return false
+	if p := t.pauses[u.ID]; p != nil {
+		p.origin.extend(o)
+		o = p.origin
+		if !until.After(p.Until) {
+			return false
+		}
+	} else if id := excess(t.pauses, t.registered); id != "" {
+		t.endPause(id, Forgotten)
 	}
-	t.pauses[u.ID] = &Pause{Upstream: u, HeardAt: now, Until: until, ResumeAt: until.Add(t.resumeSpread(u.ID, length))}
+	u.StartedUnixMs = o.startedUnixMs
+	t.pauses[u.ID] = &Pause{Upstream: u, HeardAt: now, Until: until, ResumeAt: until.Add(t.resumeSpread(u.ID, length)), origin: o}
 	return true
 }
 
@@ -68,44 +77,33 @@
 // Pause returns the pause that an upstream asked for, until a request has found that it is
 // over.
 func (t *Tracker) Pause(id fleet.UpstreamID) (Pause, bool) {
-	p := t.activePause(id)
+	p := t.pauses[id]
 	if p == nil {
 		return Pause{}, false
 	}
 	return *p, true
 }
 
-func (t *Tracker) activePause(id fleet.UpstreamID) *Pause {
-	if len(t.pauses) == 0 {
-		return nil
-	}
-	p := t.pauses[id]
-	if p == nil || t.isBehind(p.Upstream) || t.isAhead(p.Upstream) {
-		return nil
-	}
-	return p
-}
-
 // HasPause reports whether an upstream has asked for a pause that is not known to be over.
-func (t *Tracker) HasPause(id fleet.UpstreamID) bool { return t.activePause(id) != nil }
+func (t *Tracker) HasPause(id fleet.UpstreamID) bool { return t.pauses[id] != nil }
 
 // Paused reports whether an upstream wants no requests now.
 func (t *Tracker) Paused(now time.Time, id fleet.UpstreamID) bool {
-	p := t.activePause(id)
+	p := t.pauses[id]
 	return p != nil && now.Before(p.ResumeAt)
 }
 
 // MayResume reports whether the pause that an upstream asked for, if any, lets this router
 // admit a request to it now.
 func (t *Tracker) MayResume(now time.Time, id fleet.UpstreamID) bool {
-	p := t.activePause(id)
+	p := t.pauses[id]
 	return p == nil || !now.Before(p.ResumeAt) && p.trialAt.IsZero()
 }
 
 // NextResume returns the earliest time at which the pause of an upstream may let this router
 // admit a request.
 func (t *Tracker) NextResume(now time.Time, id fleet.UpstreamID) time.Time {
-	p := t.activePause(id)
+	p := t.pauses[id]
 	switch {
 	case p == nil:
 		return now
@@ -119,10 +117,10 @@
 
 // ObserveResponse records that an upstream responded, without asking for a pause, to a request
 // that was sent at a time. This ends its pause if the request was sent after it.
-func (t *Tracker) ObserveResponse(u Upstream, sent time.Time) {
-	p := t.activePause(u.ID)
-	if p != nil && p.Upstream.StartedUnixMs == u.StartedUnixMs && !p.trialAt.IsZero() && !sent.Before(p.trialAt) {
-		delete(t.pauses, u.ID)
+func (t *Tracker) ObserveResponse(id fleet.UpstreamID, sent time.Time) {
+	p := t.pauses[id]
+	if p != nil && !p.trialAt.IsZero() && !sent.Before(p.trialAt) {
+		delete(t.pauses, id)
 	}
 }
 
@@ -134,17 +132,26 @@
 }
 
 func (t *Tracker) recordTrial(now time.Time, id fleet.UpstreamID) {
-	if p := t.activePause(id); p != nil && !now.Before(p.ResumeAt) {
+	if p := t.pauses[id]; p != nil && !now.Before(p.ResumeAt) {
 		p.trialAt = now
 	}
 }
 
-// expirePauses forgets the pauses of upstreams that have started again or are gone.
-func (t *Tracker) expirePauses(now time.Time) {
+// endPauses ends the pauses of upstreams that have started again or have been gone for a while.
+func (t *Tracker) endPauses(now time.Time) {
 	for id, p := range t.pauses {
-		if cause, ended := t.hasEnded(now, p.Upstream, p.Until); ended {
-			t.recordEnd(SaidPause, p.Upstream, p.HeardAt, cause)
-			delete(t.pauses, id)
+		_, registered := t.registered[id]
+		switch {
+		case t.hasStartedSince(id, p.origin):
+			t.endPause(id, StartedAgain)
+		case !registered && now.Sub(p.Until) > limitRetention:
+			t.endPause(id, Forgotten)
 		}
 	}
 }
+
+func (t *Tracker) endPause(id fleet.UpstreamID, cause EndCause) {
+	p := t.pauses[id]
+	t.recordEnd(SaidPause, p.Upstream, p.HeardAt, cause)
+	delete(t.pauses, id)
+}
