platform: an entry that states no start names no upstream

An entry of another writer without `born` was used, and its upstream counted as started at an unknown time.

--- a/e2e/gateway/gateway_test.go
+++ b/e2e/gateway/gateway_test.go
@@ -52,7 +52,7 @@
 	DeferCleanup(upstream.Close)
 	s.put("servers", "i-1", map[string]any{
 		"service": "desk", "address": strings.TrimPrefix(upstream.URL, "http://"), "zone": "z1", "version": "v1",
-		"slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+		"slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	s.configure(1, "k1")
 	Expect(s.StartAll(ctx)).To(Succeed())
--- a/e2e/standin/odd_registrations.go
+++ b/e2e/standin/odd_registrations.go
@@ -45,7 +45,7 @@
 	add("a value out of range", "slots", "99999999999999999999", "1e400", "0.5", `"8"`)
 	add("a value out of range", "sequence", "9223372036854775808")
 	add("a value out of range", "state", `"resting"`)
-	for _, field := range []string{"service", "address", "zone", "state"} {
+	for _, field := range []string{"service", "address", "zone", "state", "born"} {
 		add("a missing field", field, "")
 	}
 	for _, spec := range []string{`"text"`, `[1]`, `null`, `true`, `1e400`} {
