--- a/warmup/future_limit_test.go
+++ b/warmup/future_limit_test.go
@@ -58,3 +58,25 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(limit.Rate).To(BeNumerically("==", 2))
 }
+
+// TestLimitOutlivesAGapOfTheRegistration guards against the loss of a limit that has been named for
+// long, because the upstream's entry can't be read for a moment.
+func TestLimitOutlivesAGapOfTheRegistration(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	u := warmup.Upstream{ID: "u", StartedUnixMs: 5}
+	tracker := warmup.NewTracker(warmup.Limits{})
+	tracker.RegisterUpstreams(now, []warmup.Upstream{u})
+	rate := 3.0
+	tracker.ObserveLimit(now, now, u, &rate)
+	now = now.Add(time.Hour)
+	for _, list := range [][]warmup.Upstream{{u}, nil, {u}, nil} {
+		now = now.Add(time.Second)
+		tracker.RegisterUpstreams(now, list)
+		_, _, ok := tracker.Limit("u")
+		g.Expect(ok).To(BeTrue())
+	}
+	tracker.RegisterUpstreams(now.Add(time.Hour), nil)
+	_, _, ok := tracker.Limit("u")
+	g.Expect(ok).To(BeFalse(), "it is gone for good")
+}
--- a/warmup/limit.go
+++ b/warmup/limit.go
@@ -45,6 +45,8 @@
 	lastSend time.Time
 	// changedAt is when this router learned of the last change.
 	changedAt time.Time
+	// goneAt is when the upstream was first found not to be registered; zero while it is.
+	goneAt time.Time
 }
 
 // ObserveLimit records what a response of an upstream names to a request that was sent at a
@@ -143,14 +145,27 @@
 			t.planLimit(l)
 		}
 	}
+	t.expireLimits(now)
+	t.endStartedLeaving()
+	t.endPauses(now)
+}
+
+// expireLimits forgets the limits that no longer bind and have not changed for a while, and those
+// of upstreams that have been gone for as long.
+func (t *Tracker) expireLimits(now time.Time) {
 	for id, l := range t.limited {
 		_, registered := t.registered[id]
-		if (l.Ended || !registered || t.isAhead(l.Upstream)) && now.Sub(l.changedAt) > limitRetention {
+		switch {
+		case registered:
+			l.goneAt = time.Time{}
+		case l.goneAt.IsZero():
+			l.goneAt = now
+		}
+		unbinding := (l.Ended || t.isAhead(l.Upstream)) && now.Sub(l.changedAt) > limitRetention
+		if unbinding || !registered && now.Sub(l.goneAt) > limitRetention {
 			delete(t.limited, id)
 		}
 	}
-	t.endStartedLeaving()
-	t.endPauses(now)
 }
 
 // activeLimit returns the limit of an upstream; nil if it has none.
