soak: a server leaves beside all other faults while its entry changes

Also: an entry that is written again states the start of the running instance.

e2e/gateway: a spec lets 20 servers that have left start again under their ids; all five gateways use each of them again.

--- a/e2e/gateway/leaving_test.go
+++ b/e2e/gateway/leaving_test.go
@@ -61,6 +61,27 @@
 	Expect(s.PutVerbatim(context.Background(), standin.ServersKind, id, string(changed), "")).To(Succeed())
 }
 
+// newLeavingSite starts five gateways and servers that have told each of them that they leave, longer
+// than leaveWithin ago.
+func newLeavingSite() (*serverSite, []*talker) {
+	GinkgoHelper()
+	s, _ := newServerSite(harness.GatewayFleetOptions{Gateways: 5, FailureDomains: 3, Proxied: true},
+		standin.ServiceConfig{Name: deskService, MaxConnections: 90}, 1)
+	list := s.startTalkers()
+	s.startLoad(loadInterval)
+	for _, t := range list {
+		Eventually(func() int { served, _, _ := t.state(); return served }, specTimeout).Should(Equal(len(s.Gateways)), t.id)
+	}
+	for _, t := range list {
+		t.set(true, false)
+	}
+	for _, t := range list {
+		Eventually(func() int { _, told, _ := t.state(); return told }, specTimeout).Should(Equal(len(s.Gateways)), t.id)
+	}
+	time.Sleep(leaveWithin)
+	return s, list
+}
+
 // expectNoViolation checks what the servers have received.
 func expectNoViolation(list []*talker) {
 	GinkgoHelper()
@@ -74,20 +95,7 @@
 	for _, name := range slices.Sorted(maps.Keys(entryChanges)) {
 		// Guards against a notice of an upstream that its entry takes back by saying less (DRAIN).
 		It("get no new requests of five gateways while their entry "+name+" and is sound again", func() {
-			s, _ := newServerSite(harness.GatewayFleetOptions{Gateways: 5, FailureDomains: 3, Proxied: true},
-				standin.ServiceConfig{Name: deskService, MaxConnections: 90}, 1)
-			list := s.startTalkers()
-			s.startLoad(loadInterval)
-			for _, t := range list {
-				Eventually(func() int { served, _, _ := t.state(); return served }, specTimeout).Should(Equal(len(s.Gateways)), t.id)
-			}
-			for _, t := range list {
-				t.set(true, false)
-			}
-			for _, t := range list {
-				Eventually(func() int { _, told, _ := t.state(); return told }, specTimeout).Should(Equal(len(s.Gateways)), t.id)
-			}
-			time.Sleep(leaveWithin)
+			s, list := newLeavingSite()
 			for range entryDisturbances {
 				for _, t := range list {
 					entryChanges[name](s, t, t.registration)
@@ -103,4 +111,17 @@
 			s.expectUsed(s.startServer("s-2", "z1", 0))
 		})
 	}
+
+	// Guards against a server that is lost for good because the one before it under its id left.
+	It("are used again by five gateways once they have started again under their ids", func() {
+		s, list := newLeavingSite()
+		for _, t := range list {
+			t.restart()
+			t.registration.StartedUnixMs = time.Now().UnixMilli()
+			s.putEntry(t.id, t.registration, func(map[string]any) {})
+		}
+		for _, t := range list {
+			Eventually(func() int { served, _, _ := t.state(); return served }, specTimeout).Should(Equal(len(s.Gateways)), t.id)
+		}
+	})
 })
--- a/e2e/gateway/self_report_test.go
+++ b/e2e/gateway/self_report_test.go
@@ -128,6 +128,14 @@
 	t.leaving, t.pausing = leaving, pausing
 }
 
+// restart makes it another incarnation, which has told nobody anything.
+func (t *talker) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving, t.pausing = false, false
+	t.served, t.told, t.pauses = map[string]int{}, map[string]time.Time{}, map[string][]*toldPause{}
+}
+
 // state returns the number of gateways that it has served, and of those that it has told that it
 // leaves or asked for a pause.
 func (t *talker) state() (served, told int, violation string) {
--- a/e2e/soak/environment.go
+++ b/e2e/soak/environment.go
@@ -51,6 +51,8 @@
 	exits      exits
 	// leaver registers and leaves again and again.
 	leaver *plainServer
+	// configurations counts the versions of the configuration.
+	configurations atomic.Int64
 	// stops are the planned stops that have ended.
 	stopsMu sync.Mutex
 	stops   []plannedStop
@@ -133,12 +135,19 @@
 	if err := env.addLeaver(fmt.Sprintf("%s:%d", host, upstreamPort+len(env.servers)+1)); err != nil {
 		return err
 	}
-	if err := env.Put(ctx, standin.ConfigKind, standin.ConfigName, env.configuration()); err != nil {
+	if err := env.configure(ctx); err != nil {
 		return err
 	}
 	return env.StartAll(ctx)
 }
 
+// configure writes a new version of the configuration.
+func (env *Environment) configure(ctx context.Context) error {
+	c := env.configuration()
+	c.Version = int(env.configurations.Add(1))
+	return env.Put(ctx, standin.ConfigKind, standin.ConfigName, c)
+}
+
 // addServers creates the upstreams.
 func (env *Environment) addServers() {
 	for i := range env.options.PlainServers {
@@ -166,16 +175,20 @@
 
 // register registers the current instance of a server.
 func (env *Environment) register(ctx context.Context, s *server, cold time.Duration) error {
-	return env.Put(ctx, standin.ServersKind, s.id(), standin.Registration{
+	return env.Put(ctx, standin.ServersKind, s.id(), s.registration(cold))
+}
+
+// registration returns the sound entry of the current instance.
+func (s *server) registration(cold time.Duration) standin.Registration {
+	return standin.Registration{
 		Service: s.service, Address: s.address, FailureDomain: s.failureDomain, Version: "v1", Slots: s.slotLimit, State: standin.ServerReady,
-		ColdRemainingMs: cold.Milliseconds(), Sequence: 1, StartedUnixMs: time.Now().UnixMilli(),
-	})
+		ColdRemainingMs: cold.Milliseconds(), Sequence: 1, StartedUnixMs: s.startedUnixMs.Load(),
+	}
 }
 
 // configuration returns the operator configuration of routes, services and teams.
 func (env *Environment) configuration() standin.Configuration {
 	c := standin.Configuration{
-		Version: 1,
 		Routes: []standin.Route{
 			route("lookup", lookupPath, standin.SafeRoute, deskService),
 			route("order", orderPath, standin.UnsafeRoute, deskService),
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -207,7 +207,11 @@
 	}
 	var injected []string
 	results := make(chan error, 1000)
-	var running int
+	// A server leaves beside all other faults.
+	registered := time.Duration(random.Int64N(int64(maxRegisteredBeforeLeaving)))
+	injected = append(injected, fmt.Sprintf("0 s: disturbed leaving after %v", registered.Round(time.Millisecond)))
+	running := 1
+	go func() { results <- env.leave(context.WithoutCancel(ctx), registered, disturbed) }()
 	for {
 		interval := time.Duration(random.ExpFloat64() * float64(meanFaultInterval))
 		kind := faultKinds[random.IntN(len(faultKinds))]
--- a/e2e/soak/leaving.go
+++ b/e2e/soak/leaving.go
@@ -12,8 +12,7 @@
 // drainWithin is the time in which a server whose entry was removed gets no more requests.
 const drainWithin = 3 * time.Second
 
-// addLeaver adds the server that registers and leaves again and again. Other faults leave it
-// alone.
+// addLeaver adds the server that registers and leaves again and again.
 func (env *Environment) addLeaver(address string) error {
 	p := &plainServer{serviceTime: 10 * time.Millisecond, slots: make(chan struct{}, plainSlots)}
 	p.server = server{
@@ -34,10 +33,13 @@
 	silently
 	// announced lets the server say in its responses that it leaves, and removes its entry later.
 	announced
+	// disturbed is like announced, but meanwhile its entry and the configuration change, and it starts
+	// again under its identifier.
+	disturbed
 )
 
 // leavings are all ways to leave.
-var leavings = []leaving{plainly, silently, announced}
+var leavings = []leaving{plainly, silently, announced, disturbed}
 
 // leave registers the leaving server as a new instance and removes its entry after a while. The
 // server goes on serving. It must get no requests from drainWithin after the removal on, and none
@@ -48,16 +50,10 @@
 		return nil
 	}
 	defer s.restarting.Unlock()
-	s.Close()
 	s.restarts.Add(1)
-	s.selfReport.say(false, false)
-	if err := s.serve(); err != nil {
+	if err := env.startLeaver(ctx, registered); err != nil {
 		return err
 	}
-	if err := duringOutages(ctx, func() error { return env.register(ctx, s, 0) }); err != nil {
-		return err
-	}
-	sleep(ctx, registered)
 	switch how {
 	case plainly:
 	case silently:
@@ -65,6 +61,16 @@
 	case announced:
 		s.selfReport.say(true, false)
 		sleep(ctx, drainWithin+stableWindow)
+	case disturbed:
+		if err := env.disturbLeaver(ctx, uint64(registered)); err != nil {
+			return err
+		}
+		if err := env.startLeaver(ctx, registered); err != nil {
+			return err
+		}
+		if err := env.disturbLeaver(ctx, uint64(registered)+1); err != nil {
+			return err
+		}
 	}
 	if err := duringOutages(ctx, func() error { return env.Delete(ctx, standin.ServersKind, s.id()) }); err != nil {
 		return err
--- a/e2e/soak/self_report.go
+++ b/e2e/soak/self_report.go
@@ -41,6 +41,8 @@
 	// toldLeaving is when each gateway first got a whole response that says so.
 	toldLeaving map[listener]time.Time
 	toldPauses  map[listener][]*toldPause
+	// starts counts the starts under the server's identifier.
+	starts int
 }
 
 // announce adds to a response what the server says of itself in all of them. The returned function
@@ -52,9 +54,13 @@
 		return func() {}
 	}
 	w.Header().Set(headerLeaving, "1")
+	start := s.starts
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.starts != start {
+			return
+		}
 		if s.toldLeaving == nil {
 			s.toldLeaving = make(map[listener]time.Time)
 		}
@@ -133,6 +139,15 @@
 	return false
 }
 
+// forget makes what the server has told the gateways that of an earlier start.
+func (s *selfReport) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts++
+	s.leaving, s.pausing = false, false
+	s.toldLeaving, s.toldPauses = nil, nil
+}
+
 // pushBackFor lets a plain server ask for pauses for some time.
 func (env *Environment) pushBackFor(ctx context.Context, p *plainServer, duration time.Duration) {
 	p.selfReport.say(false, true)
--- a/e2e/soak/upstream.go
+++ b/e2e/soak/upstream.go
@@ -61,6 +61,8 @@
 	endlessHeaders atomic.Bool
 	http           *http.Server
 	address        string
+	// startedUnixMs is when the current instance started.
+	startedUnixMs atomic.Int64
 }
 
 // id returns the identifier of the current instance.
@@ -78,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	s.startedUnixMs.Store(time.Now().UnixMilli())
 	s.http = &http.Server{Handler: s.identify(s.id()), ConnContext: withConn}
 	go func(server *http.Server) { _ = server.Serve(upstreamListener{Listener: ln, server: s}) }(s.http)
 	return nil
