--- a/admission/self_report.go
+++ b/admission/self_report.go
@@ -13,6 +13,8 @@
 type LeavingView struct {
 	// AgeMs is the time since it last said so.
 	AgeMs int64 `json:"age_ms"`
+	// StartedUnixMs is the start of the incarnation that said so, zero if unknown.
+	StartedUnixMs int64 `json:"started_ms"`
 }
 
 // PauseView is the pause that an upstream has asked for.
@@ -92,7 +94,7 @@
 	if !leaving {
 		return nil
 	}
-	return &LeavingView{AgeMs: now.Sub(l.HeardAt).Milliseconds()}
+	return &LeavingView{AgeMs: now.Sub(l.HeardAt).Milliseconds(), StartedUnixMs: l.Upstream.StartedUnixMs}
 }
 
 func (s *Scheduler) pauseView(now time.Time, id fleet.UpstreamID) *PauseView {
