--- a/warmup/leaving.go
+++ b/warmup/leaving.go
@@ -6,8 +6,8 @@
 	"fulmarspindle.example/fulmarspindle/fleet"
 )
 
-// maxReports bounds the upstreams in a Tracker that are not registered and have said that they
-// leave, and those that have asked for a pause.
+// maxReports bounds the upstreams that are not registered and of which a Tracker remembers that they
+// leave, or that they asked for a pause.
 const maxReports = 4096
 
 // Leaving is an upstream that has said in a response that it leaves. It gets no new requests,
@@ -39,9 +39,6 @@
 		l.Upstream.StartedUnixMs = l.origin.startedUnixMs
 		return false
 	}
-	if id := excess(t.leaving, t.registered); id != "" {
-		t.endLeaving(id, Forgotten)
-	}
 	t.leaving[u.ID] = &Leaving{Upstream: u, HeardAt: now, origin: o}
 	return true
 }
@@ -94,13 +91,16 @@
 	return due
 }
 
-// endStartedLeaving ends what upstreams said that have started again.
-func (t *Tracker) endStartedLeaving() {
+// expireLeaving ends the notices of upstreams that have started again, and those beyond maxReports.
+func (t *Tracker) expireLeaving() {
 	for id, l := range t.leaving {
 		if t.hasStartedSince(id, l.origin) {
 			t.endLeaving(id, StartedAgain)
 		}
 	}
+	for _, id := range excess(t.leaving, t.registered) {
+		t.endLeaving(id, Forgotten)
+	}
 }
 
 func (t *Tracker) endLeaving(id fleet.UpstreamID, cause EndCause) {
--- a/warmup/leaving_test.go
+++ b/warmup/leaving_test.go
@@ -131,31 +131,31 @@
 }
 
 // Guards against notices of registered upstreams that are not kept, because there are many of
-// upstreams that are gone.
+// upstreams that are gone, and against notices of these that are kept without bound.
 func TestNoticesOfRegisteredUpstreamsAreKeptAtTheBound(t *testing.T) {
-	const count = 10_000
+	const count, bound = 5000, 4096
 	g := NewWithT(t)
 	tracker := warmup.NewTracker(warmup.Limits{})
-	mark := func(id fleet.UpstreamID) {
-		u := warmup.Upstream{ID: id, StartedUnixMs: start.UnixMilli()}
-		tracker.MarkLeaving(start, start, u)
-		tracker.ObservePause(start, start, u, time.Minute)
+	mark := func(at time.Time, id string) warmup.Upstream {
+		u := warmup.Upstream{ID: fleet.UpstreamID(id), StartedUnixMs: start.UnixMilli()}
+		tracker.MarkLeaving(at, at, u)
+		tracker.ObservePause(at, at, u, time.Minute)
+		return u
 	}
 	var registered []warmup.Upstream
-	for i := range count / 2 {
-		u := warmup.Upstream{ID: fleet.UpstreamID(fmt.Sprint("stays-", i)), StartedUnixMs: start.UnixMilli()}
-		registered = append(registered, u)
-	}
-	tracker.RegisterUpstreams(start, registered)
 	for i := range count {
-		mark(fleet.UpstreamID(fmt.Sprint("gone-", i)))
+		mark(start.Add(time.Duration(i)*time.Millisecond), fmt.Sprint("gone-", i))
+		registered = append(registered, mark(start, fmt.Sprint("stays-", i)))
 	}
+	tracker.RegisterUpstreams(start, registered)
 	for _, u := range registered {
-		mark(u.ID)
+		g.Expect(tracker.IsLeaving(u.ID) && tracker.Paused(start, u.ID)).To(BeTrue(), string(u.ID))
 	}
-	for _, u := range registered {
-		g.Expect(tracker.IsLeaving(u.ID)).To(BeTrue(), string(u.ID))
-		g.Expect(tracker.Paused(start, u.ID)).To(BeTrue(), string(u.ID))
+	for i := range count {
+		id := fleet.UpstreamID(fmt.Sprint("gone-", i))
+		kept := i >= count-bound
+		g.Expect(tracker.IsLeaving(id)).To(Equal(kept), string(id))
+		g.Expect(tracker.HasPause(id)).To(Equal(kept), string(id))
 	}
 }
 
--- a/warmup/limit.go
+++ b/warmup/limit.go
@@ -146,8 +146,8 @@
 		}
 	}
 	t.expireLimits(now)
-	t.endStartedLeaving()
-	t.endPauses(now)
+	t.expireLeaving()
+	t.expirePauses(now)
 }
 
 // expireLimits forgets the limits that no longer bind and have not changed for a while, and those
--- a/warmup/origin.go
+++ b/warmup/origin.go
@@ -1,6 +1,7 @@
 package warmup
 
 import (
+	"slices"
 	"time"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
@@ -40,18 +41,19 @@
 	return registered && o.endedBy(started)
 }
 
-// excess returns the upstream to forget when a report of another one is added: of those that are
-// not registered the one whose report ends first, once there are maxReports. It is empty if there
-// is none. What registered upstreams said is kept in any case.
-func excess[R interface{ endsAt() time.Time }](reports map[fleet.UpstreamID]R, registered map[fleet.UpstreamID]int64) fleet.UpstreamID {
-	if len(reports) < maxReports {
-		return ""
+// excess returns the upstreams to forget, as more than maxReports reports are of upstreams that are
+// not registered: of these the ones whose reports end first. What registered upstreams said is kept
+// in any case.
+func excess[R interface{ endsAt() time.Time }](reports map[fleet.UpstreamID]R, registered map[fleet.UpstreamID]int64) []fleet.UpstreamID {
+	if len(reports) <= maxReports {
+		return nil
 	}
-	var first fleet.UpstreamID
-	for id, r := range reports {
-		if _, ok := registered[id]; !ok && (first == "" || r.endsAt().Before(reports[first].endsAt())) {
-			first = id
+	var gone []fleet.UpstreamID
+	for id := range reports {
+		if _, ok := registered[id]; !ok {
+			gone = append(gone, id)
 		}
 	}
-	return first
+	slices.SortFunc(gone, func(a, b fleet.UpstreamID) int { return reports[a].endsAt().Compare(reports[b].endsAt()) })
+	return gone[:max(len(gone)-maxReports, 0)]
 }
--- a/warmup/pause.go
+++ b/warmup/pause.go
@@ -51,12 +51,10 @@
 	until := now.Add(length)
 	if p := t.pauses[u.ID]; p != nil {
 		p.origin.extend(o)
-		o = p.origin
 		if !until.After(p.Until) {
 			return false
 		}
-	} else if id := excess(t.pauses, t.registered); id != "" {
-		t.endPause(id, Forgotten)
+		o = p.origin
 	}
 	u.StartedUnixMs = o.startedUnixMs
 	t.pauses[u.ID] = &Pause{Upstream: u, HeardAt: now, Until: until, ResumeAt: until.Add(t.resumeSpread(u.ID, length)), origin: o}
@@ -137,8 +135,9 @@
 	}
 }
 
-// endPauses ends the pauses of upstreams that have started again or have been gone for a while.
-func (t *Tracker) endPauses(now time.Time) {
+// expirePauses ends the pauses of upstreams that have started again or have been gone for a while,
+// and those beyond maxReports.
+func (t *Tracker) expirePauses(now time.Time) {
 	for id, p := range t.pauses {
 		_, registered := t.registered[id]
 		switch {
@@ -148,6 +147,9 @@
 			t.endPause(id, Forgotten)
 		}
 	}
+	for _, id := range excess(t.pauses, t.registered) {
+		t.endPause(id, Forgotten)
+	}
 }
 
 func (t *Tracker) endPause(id fleet.UpstreamID, cause EndCause) {
