httpconn: the reading of responses from connections stands in a package of its own

Cause: what a gateway checks when it reads a response (limits of the head, status, interim responses) was part of upstream.Pool, so that the other readers of answers could not share it.

Change: conn's bytes, awaitHead and readFinalResponse move from upstream to httpconn.Conn, with their test and fuzz target.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzGatewaySettings -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./config
 	$(GO) test -run '^$$' -fuzz FuzzChecker -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./eventstream
 	$(GO) test -run '^$$' -fuzz FuzzSplitter -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./eventstream
-	$(GO) test -run '^$$' -fuzz FuzzAwaitHead -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./upstream
+	$(GO) test -run '^$$' -fuzz FuzzAwaitHead -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./httpconn
 	$(GO) test -run '^$$' -fuzz FuzzIngress -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzStoreBodies -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzEvacuations -fuzztime $(FUZZ_INPUTS) -fuzzminimizetime 1x ./platform
--- /dev/null
+++ b/httpconn/conn.go
@@ -0,0 +1,49 @@
+package httpconn
+
+import (
+	"bufio"
+	"net"
+)
+
+// readBufferBytes holds the head of most responses.
+const readBufferBytes = 4 << 10
+
+// Conn is a connection to an HTTP/1.1 server. It carries one request at a time. ReadResponse
+// reads its responses.
+type Conn struct {
+	net.Conn
+	// reader is used by ReadResponse and by the bodies that it returns.
+	reader *bufio.Reader
+	// prefetched holds the bytes that were received and that Read has not returned.
+	prefetched []byte
+}
+
+// New returns a connection whose responses are read from c.
+func New(c net.Conn) *Conn {
+	out := &Conn{Conn: c}
+	out.reader = bufio.NewReaderSize(out, readBufferBytes)
+	return out
+}
+
+// HasUnreadBytes reports whether bytes were received that follow the last response that
+// ReadResponse has returned.
+func (c *Conn) HasUnreadBytes() bool { return c.reader.Buffered() > 0 || len(c.prefetched) > 0 }
+
+// Read implements io.Reader. It returns the prefetched bytes first, then those of the
+// connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(c.prefetched) > 0 {
+		return c.takePrefetched(p), nil
+	}
+	return c.Conn.Read(p)
+}
+
+// takePrefetched moves prefetched bytes to p and returns their number.
+func (c *Conn) takePrefetched(p []byte) int {
+	n := copy(p, c.prefetched)
+	c.prefetched = c.prefetched[n:]
+	if len(c.prefetched) == 0 {
+		c.prefetched = nil
+	}
+	return n
+}
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -1,7 +1,8 @@
-package upstream
+package httpconn
 
 import (
 	"bytes"
+	"net/http"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -20,44 +21,70 @@
 	headReadBytes = 4 << 10
 )
 
-// errMalformedHead reports bytes that are not the head of a response, or a head over
-// the limits.
-var errMalformedHead = eris.New("upstream: malformed or oversized response head")
-
 // statusLinePrefix is the prefix of every status line.
 var statusLinePrefix = []byte("HTTP/1.")
 
-// awaitHead reads until the head of the next response is complete. It reads at most
-// limit bytes and one read beyond them, and returns errMalformedHead as soon as the
-// bytes can't be a head within the limits. This bounds the memory that an upstream
-// can take by sending an endless head.
-func (c *conn) awaitHead(limit int) error {
+// ReadResponse reads the head of the next response that is not an interim (1xx) one, to a
+// request with the given method. Its errors are ErrMalformedHead and those of the connection.
+func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	remaining := maxHeadBytes
+	for range maxInterimResponses + 1 {
+		length, err := c.awaitNextHead(remaining)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, eris.Wrap(ErrMalformedHead, err.Error())
+		}
+		switch {
+		case resp.StatusCode < http.StatusContinue:
+			return nil, eris.Wrapf(ErrMalformedHead, "status %d", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		}
+		remaining -= length
+	}
+	return nil, eris.Wrapf(ErrMalformedHead, "more than %d interim responses", maxInterimResponses)
+}
+
+// awaitNextHead is awaitHead for the bytes that follow those read from c.reader.
+func (c *Conn) awaitNextHead(limit int) (int, error) {
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
-		return err
+		return 0, err
 	}
 	c.prefetched = slices.Concat(buffered, c.prefetched)
 	c.reader.Reset(c)
+	return c.awaitHead(limit)
+}
+
+// awaitHead reads until the prefetched bytes begin with a complete head, and returns its
+// length. It reads at most limit bytes and one read beyond them, and returns
+// ErrMalformedHead as soon as the bytes can't be a head within the limits. This bounds the
+// memory that a server can take by sending an endless head.
+func (c *Conn) awaitHead(limit int) (int, error) {
 	var scanner headScanner
 	for {
 		if !bytes.HasPrefix(c.prefetched, statusLinePrefix[:min(len(c.prefetched), len(statusLinePrefix))]) {
-			return eris.Wrap(errMalformedHead, "no HTTP/1 status line")
+			return 0, eris.Wrap(ErrMalformedHead, "no HTTP/1 status line")
 		}
 		complete := scanner.advance(c.prefetched)
 		if complete && scanner.offset <= limit && scanner.lines <= maxHeadLines {
-			return nil
+			return scanner.offset, nil
 		}
 		if complete || len(c.prefetched) >= limit || scanner.lines > maxHeadLines {
-			return eris.Wrapf(errMalformedHead, "head exceeds %d bytes or %d lines", limit, maxHeadLines)
+			return 0, eris.Wrapf(ErrMalformedHead, "head exceeds %d bytes or %d lines", limit, maxHeadLines)
 		}
 		if err := c.prefetch(); err != nil {
-			return err
+			return 0, err
 		}
 	}
 }
 
 // prefetch appends the result of one read to the prefetched bytes.
-func (c *conn) prefetch() error {
+func (c *Conn) prefetch() error {
 	c.prefetched = slices.Grow(c.prefetched, headReadBytes)
 	length := len(c.prefetched)
 	n, err := c.Conn.Read(c.prefetched[length : length+headReadBytes])
@@ -68,20 +95,6 @@
 	return err
 }
 
-// Read implements io.Reader. It returns the prefetched bytes first, then those of
-// the connection.
-func (c *conn) Read(p []byte) (int, error) {
-	if len(c.prefetched) == 0 {
-		return c.Conn.Read(p)
-	}
-	n := copy(p, c.prefetched)
-	c.prefetched = c.prefetched[n:]
-	if len(c.prefetched) == 0 {
-		c.prefetched = nil
-	}
-	return n, nil
-}
-
 // headScanner searches a growing buffer for the end of a head. It examines each byte
 // once, except for those of an incomplete line.
 type headScanner struct {
--- a/httpconn/head_test.go
+++ b/httpconn/head_test.go
@@ -1,4 +1,4 @@
-package upstream
+package httpconn
 
 import (
 	"bytes"
@@ -35,8 +35,8 @@
 			return
 		}
 		source := &chunkedConn{remaining: bytes.Clone(sent), size: size}
-		c := newConn(source)
-		err := c.awaitHead(limit)
+		c := New(source)
+		_, err := c.awaitHead(limit)
 		if n := len(sent) - len(source.remaining); n > limit+headReadBytes {
 			t.Fatalf("read %d bytes", n)
 		}
--- a/upstream/attribution.go
+++ b/upstream/attribution.go
@@ -4,8 +4,6 @@
 	"io"
 	"net/http"
 
-	"github.com/rotisserie/eris"
-
 	"fulmarspindle.example/fulmarspindle/exchange"
 )
 
@@ -36,7 +34,7 @@
 // read reads responses until one belongs to the request.
 func (r *responseReader) read() (*http.Response, error) {
 	for {
-		resp, err := readFinalResponse(r.conn, r.request.Method)
+		resp, err := r.conn.ReadResponse(r.request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -88,31 +86,6 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// readFinalResponse reads the head of the next response that is not an interim (1xx)
-// one.
-func readFinalResponse(c *conn, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	remaining := maxHeadBytes
-	for range maxInterimResponses + 1 {
-		if err := c.awaitHead(remaining); err != nil {
-			return nil, err
-		}
-		before := len(c.prefetched)
-		resp, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, eris.Wrap(errMalformedHead, err.Error())
-		}
-		switch {
-		case resp.StatusCode < http.StatusContinue:
-			return nil, eris.Wrapf(errMalformedHead, "status %d", resp.StatusCode)
-		case resp.StatusCode >= http.StatusOK:
-			return resp, nil
-		}
-		remaining -= before - len(c.prefetched) - c.reader.Buffered()
-	}
-	return nil, eris.Wrapf(errMalformedHead, "more than %d interim responses", maxInterimResponses)
-}
-
 // discardBody reads the body of a foreign response and reports whether it ended
 // within maxForeignBodyBytes. The body is not closed, because Close would read it
 // without a limit.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -13,11 +12,11 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"fulmarspindle.example/fulmarspindle/httpconn"
 )
 
 const (
-	// readBufferSize holds the head of most responses.
-	readBufferSize = 4 << 10
 	// keepAliveInterval is the interval of the TCP keepalive probes that detect an
 	// unreachable peer.
 	keepAliveInterval = time.Second
@@ -31,10 +30,7 @@
 
 // conn is an HTTP/1.1 connection to an upstream. It carries one request at a time.
 type conn struct {
-	net.Conn
-	reader *bufio.Reader
-	// prefetched holds the bytes that were received and that reader has not read.
-	prefetched []byte
+	*httpconn.Conn
 	// reuseDeadline is the time from which the connection must not be reused.
 	reuseDeadline time.Time
 	// bytesWritten counts the bytes written of the current request.
@@ -76,11 +72,7 @@
 	return newConn(c), nil
 }
 
-func newConn(c net.Conn) *conn {
-	out := &conn{Conn: c}
-	out.reader = bufio.NewReaderSize(out, readBufferSize)
-	return out
-}
+func newConn(c net.Conn) *conn { return &conn{Conn: httpconn.New(c)} }
 
 // timeoutNoticedLate reports whether a dial overran its timeout by more than a
 // quarter. The process was then paused or short of CPU time, and the connection may
@@ -95,16 +87,13 @@
 	return errors.Join(err, sockoptErr)
 }
 
-// hasUnreadBytes reports whether bytes follow the last response.
-func (c *conn) hasUnreadBytes() bool { return c.reader.Buffered() > 0 || len(c.prefetched) > 0 }
-
 // isIdle reports whether the upstream has neither closed the connection nor sent
 // unsolicited bytes on it.
-func (c *conn) isIdle() bool { return !c.hasUnreadBytes() && c.peekSocket() == socketEmpty }
+func (c *conn) isIdle() bool { return !c.HasUnreadBytes() && c.peekSocket() == socketEmpty }
 
 // hasPendingBytes reports whether bytes have arrived that are not part of a response that
 // was read.
-func (c *conn) hasPendingBytes() bool { return c.hasUnreadBytes() || c.peekSocket() == socketReadable }
+func (c *conn) hasPendingBytes() bool { return c.HasUnreadBytes() || c.peekSocket() == socketReadable }
 
 // socketState says what the next read of a socket would return.
 type socketState int
@@ -121,7 +110,7 @@
 // peekSocket returns the state of the socket. A connection without a socket counts as
 // empty.
 func (c *conn) peekSocket() socketState {
-	source, ok := c.Conn.(syscall.Conn)
+	source, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return socketEmpty
 	}
--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"net"
 	"net/http"
 	"testing"
@@ -30,7 +29,7 @@
 	defer remote.Close()
 	p := NewPool("", PoolOptions{IdleTimeout: time.Minute})
 	x := &Exchange{
-		Response: &http.Response{}, pool: p, conn: &conn{Conn: local, reader: bufio.NewReader(local)},
+		Response: &http.Response{}, pool: p, conn: newConn(local),
 		writeDone: make(chan error, 1), smallBody: true, bodyRead: true, stopCloseOnCancel: func() bool { return true },
 	}
 	closed := make(chan struct{})
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -205,7 +205,7 @@
 	if x.conn.closeCause != "" && !x.Response.Close {
 		countClosed(x.conn.closeCause)
 	}
-	if x.conn.closeCause != "" || x.conn.hasUnreadBytes() {
+	if x.conn.closeCause != "" || x.conn.HasUnreadBytes() {
 		x.pool.discard(x.conn)
 		return
 	}
