upstream: a sidecar takes no status below 100 for an answer

What callers saw: an upstream in trouble answered with status 000 (or 099, -00, +20), and the caller got it as an answer with that status.

Cause: a gateway reads responses by httpconn, which refuses such a status as a malformed head. A sidecar read them by the transport of net/http, which takes any three characters that are a number, with a sign too.

Evidence: platform "what is no answer" sends ten such responses to each call by which a process reads answers, and nine sound neighbours. Before: 7 of 10 are taken for answers by the requests of a sidecar (000 with and without a reason, 099, -00, +20, after and in an interim head); none by the other six. TestBrokenAnswersAreNoCrash fails before too: what is no answer counts as a sign of a crash, and the request is suspected of it, if the health check gets the same.

Change: the sidecar's calls and health checks use Pool.Do, on a connection of their own for each request as before. An upstream that sends bytes that are no answer, to the call or to its health check, has not crashed; it fails all the same. Pool can open TLS connections, as settings may name an https URL.

Why this works: there is one place now where heads of upstreams are read.

--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -214,7 +214,7 @@
 	if err != nil && ctx.Err() == nil {
 		// The slot stays occupied until it is known whether the upstream crashed,
 		// so that no request starts on an upstream that is down.
-		crashID = x.sidecar.health.crashID(x.sidecar.ctx, x.started)
+		crashID = x.sidecar.health.crashID(x.sidecar.ctx, x.started, err)
 	}
 	cost := x.meter.Final(elapsed)
 	x.sidecar.scheduler.finish(x.id, cost, elapsed)
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -105,23 +106,35 @@
 	h.step(ctx, fleet.RequestDone{OK: ok})
 }
 
-// crashID determines whether the upstream crashed while a failed call was
-// running, and returns the crash's identifier, which is the same for all such
-// calls. It is empty if the upstream responds to a probe or if it crashed before the
-// call started.
-func (h *health) crashID(ctx context.Context, started time.Time) string {
+// crashID determines whether the upstream crashed while a call that failed with cause was
+// running, and returns the crash's identifier, which is the same for all such calls. It is
+// empty if the upstream runs or if it crashed before the call started.
+func (h *health) crashID(ctx context.Context, started time.Time, cause error) string {
 	h.recordRequest(ctx, false)
+	if runs(cause) {
+		return ""
+	}
 	sent := h.recordFailedCall()
-	if h.client.CheckHealth(ctx) == nil {
+	err := h.client.CheckHealth(ctx)
+	if err == nil {
 		h.recordProbeSuccess(sent)
 		return ""
 	}
 	h.recordRequest(ctx, false)
+	if runs(err) {
+		return ""
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.outage.confirmCrash(h.id, started)
 }
 
+// runs reports whether a call failed because the upstream sent bytes that are no answer, which
+// one that has crashed does not.
+func runs(err error) bool {
+	return upstream.IsMalformed(err) || errors.Is(err, upstream.ErrUnsound)
+}
+
 // recordFailedCall records a call that failed midway and returns the current time.
 func (h *health) recordFailedCall() time.Time {
 	h.mu.Lock()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,19 +4,22 @@
 package upstream
 
 import (
-	"bytes"
+	"cmp"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
+	"maps"
+	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"fulmarspindle.example/fulmarspindle/eventstream"
+	"fulmarspindle.example/fulmarspindle/exchange"
 )
 
 const (
@@ -37,21 +40,11 @@
 type Client struct {
 	baseURL    string
 	healthPath string
-	http       *http.Client
 }
 
 // NewClient returns a client of the upstream at baseURL.
 func NewClient(baseURL, healthPath string) *Client {
-	return &Client{baseURL: baseURL, healthPath: healthPath, http: newHTTPClient()}
-}
-
-// newHTTPClient returns a client that opens a connection for each request. Responses have no
-// id, so that on a reused connection an extra one would be taken for the response to the next
-// request; the transport may also resend a request there.
-func newHTTPClient() *http.Client {
-	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &Client{baseURL: baseURL, healthPath: healthPath}
 }
 
 // Call is one request to the upstream.
@@ -82,11 +75,12 @@
 	idle.timer = time.AfterFunc(call.IdleTimeout, func() { cancel(ErrIdle) })
 	defer idle.stop()
 
-	resp, err := c.send(ctx, call)
+	x, err := c.send(ctx, call)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
+	defer x.Close()
+	resp := x.Response
 	idle.stop()
 	if err := checkResumed(call, resp); err != nil {
 		return err
@@ -96,12 +90,12 @@
 	}
 	if isEventStream(resp.Header) {
 		events := &eventRelay{sink: sink, splitter: eventstream.Splitter{Limit: maxEventBytes}, checker: eventstream.NewChecker(eventstream.Contract{})}
-		if err := relay(ctx, resp.Body, events.data, idle); err != nil {
+		if err := relay(ctx, x, events.data, idle); err != nil {
 			return err
 		}
 		return events.end()
 	}
-	return relay(ctx, resp.Body, sink.Data, idle)
+	return relay(ctx, x, sink.Data, idle)
 }
 
 // idleTimer enforces the idle timeout. It is stopped while the sink processes data,
@@ -116,29 +110,55 @@
 func (t *idleTimer) stop() { t.timer.Stop() }
 
 // send sends the call and waits for the response's head.
-func (c *Client) send(ctx context.Context, call *Call) (*http.Response, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{
-		// The transport writes the request as soon as it has a connection.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, call.Method, c.baseURL+call.Path, bytes.NewReader(call.Body))
-	if err != nil {
-		return nil, eris.Wrap(ErrNotSent, err.Error())
-	}
-	req.Header = call.Header.Clone()
+func (c *Client) send(ctx context.Context, call *Call) (*Exchange, error) {
+	header := http.Header{}
+	maps.Copy(header, call.Header)
 	if call.ResumeOffset > 0 {
-		req.Header.Set(HeaderResumeOffset, strconv.FormatUint(call.ResumeOffset, 10))
+		header.Set(HeaderResumeOffset, strconv.FormatUint(call.ResumeOffset, 10))
 	}
-	resp, err := c.http.Do(req)
-	if err == nil {
-		return resp, nil
+	x, err := c.do(ctx, call.Method, call.Path, header, call.Body)
+	switch {
+	case err == nil:
+		return x, nil
+	case errors.Is(err, ErrWithdrawn):
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	case errors.Is(err, ErrNotSent):
+		return nil, err
+	default:
+		return nil, callError(ctx, err)
 	}
-	if !sent.Load() {
+}
+
+// framingHeaders are those that the request is written with anew.
+var framingHeaders = []string{"Host", "Content-Length", "Transfer-Encoding", "Trailer"}
+
+// do sends a request on a connection of its own. Responses have no id, so that on a reused
+// connection an extra one would be taken for the response to the next request. Its errors are
+// those of Pool.Do.
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (*Exchange, error) {
+	target, err := url.Parse(c.baseURL + path)
+	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	return nil, transportError(ctx, err)
+	for _, name := range framingHeaders {
+		header.Del(name)
+	}
+	header.Set("Connection", "close")
+	pool := NewPool(addressOf(target))
+	// The exchange closes its connection instead of returning it to a closed pool.
+	defer pool.Close()
+	return pool.Do(ctx, &Request{
+		Method: method, URI: target.RequestURI(), Host: target.Host, Header: header, Body: body,
+		Attribute: func(int, http.Header) exchange.Attribution { return exchange.Own },
+	})
+}
+
+// addressOf returns the address of a URL's server and how its connections are opened.
+func addressOf(target *url.URL) (string, PoolOptions) {
+	if target.Scheme == "https" {
+		return net.JoinHostPort(target.Hostname(), cmp.Or(target.Port(), "443")), PoolOptions{TLS: &tls.Config{ServerName: target.Hostname()}}
+	}
+	return net.JoinHostPort(target.Hostname(), cmp.Or(target.Port(), "80")), PoolOptions{}
 }
 
 func checkResumed(call *Call, resp *http.Response) error {
@@ -167,17 +187,17 @@
 			return nil
 		}
 		if err != nil {
-			return transportError(ctx, err)
+			return callError(ctx, err)
 		}
 	}
 }
 
-// transportError converts an error of the transport to ErrIdle or ErrInterrupted.
-func transportError(ctx context.Context, err error) error {
+// callError returns ErrIdle for an ErrInterrupted that is due to the idle timeout.
+func callError(ctx context.Context, err error) error {
 	if eris.Is(context.Cause(ctx), ErrIdle) {
 		return eris.Wrap(ErrIdle, err.Error())
 	}
-	return eris.Wrap(ErrInterrupted, err.Error())
+	return err
 }
 
 // CheckHealth requests the upstream's health path. It returns nil for a complete response with
@@ -185,22 +205,21 @@
 func (c *Client) CheckHealth(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.baseURL+c.healthPath, nil)
-	if err != nil {
-		return eris.Wrap(ErrNotSent, err.Error())
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
+	x, err := c.do(ctx, http.MethodGet, c.healthPath, http.Header{}, nil)
+	switch {
+	case errors.Is(err, ErrInterrupted):
+		return err
+	case err != nil:
 		return eris.Wrap(ErrInterrupted, err.Error())
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		return eris.Wrapf(ErrInterrupted, "health check returned status %d", resp.StatusCode)
+	defer x.Close()
+	if status := x.Response.StatusCode; status/100 != 2 {
+		return eris.Wrapf(ErrInterrupted, "health check returned status %d", status)
 	}
-	length, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes+1))
+	length, err := io.Copy(io.Discard, io.LimitReader(x, maxHealthBytes+1))
 	switch {
 	case err != nil:
-		return eris.Wrap(ErrInterrupted, err.Error())
+		return err
 	case length > maxHealthBytes:
 		return eris.Wrapf(ErrInterrupted, "health check returned more than %d bytes", maxHealthBytes)
 	}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -224,3 +225,21 @@
 	m.Data(make([]byte, 3*maxTailBytes))
 	NewWithT(t).Expect(len(m.tail)).To(Equal(maxTailBytes))
 }
+
+// Guards against calls to the wrong port where a URL names none, and to a server over TLS without
+// its name.
+func TestAddressOfAnUpstream(t *testing.T) {
+	g := NewWithT(t)
+	for raw, want := range map[string]string{
+		"http://h.example": "h.example:80", "https://h.example/a": "h.example:443", "http://[::1]:8080": "[::1]:8080", "https://h.example:1": "h.example:1",
+	} {
+		target, err := url.Parse(raw)
+		g.Expect(err).NotTo(HaveOccurred())
+		address, options := addressOf(target)
+		g.Expect(address).To(Equal(want))
+		g.Expect(options.TLS != nil).To(Equal(target.Scheme == "https"))
+		if options.TLS != nil {
+			g.Expect(options.TLS.ServerName).To(Equal("h.example"))
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -52,19 +53,19 @@
 // dial opens a connection with TCP keepalive and a TCP user timeout, which detect an
 // unreachable peer. A dial timeout that fired late is ErrWithdrawn; other failures
 // are ErrNotSent.
-func dial(ctx context.Context, address string, timeout, userTimeout time.Duration) (*conn, error) {
+func dial(ctx context.Context, address string, options PoolOptions) (*conn, error) {
 	dialer := net.Dialer{
-		Timeout: timeout,
+		Timeout: options.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, options.UserTimeout) },
 	}
 	started := time.Now()
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := dialTo(ctx, &dialer, address, options.TLS)
 	switch {
 	case err == nil:
-	case timeoutNoticedLate(time.Since(started), timeout):
+	case timeoutNoticedLate(time.Since(started), options.DialTimeout):
 		return nil, eris.Wrap(ErrWithdrawn, err.Error())
 	default:
 		return nil, eris.Wrap(ErrNotSent, err.Error())
@@ -72,12 +73,22 @@
 	return newConn(c), nil
 }
 
+// dialTo opens a TCP connection, or a TLS connection if config is set.
+func dialTo(ctx context.Context, dialer *net.Dialer, address string, config *tls.Config) (net.Conn, error) {
+	if config == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: config}).DialContext(ctx, "tcp", address)
+}
+
 func newConn(c net.Conn) *conn { return &conn{Conn: httpconn.New(c)} }
 
-// timeoutNoticedLate reports whether a dial overran its timeout by more than a
+// timeoutNoticedLate reports whether a dial overran its timeout, if it has one, by more than a
 // quarter. The process was then paused or short of CPU time, and the connection may
 // have been accepted in time: the failure says nothing about the upstream.
-func timeoutNoticedLate(took, timeout time.Duration) bool { return took > timeout+timeout/4 }
+func timeoutNoticedLate(took, timeout time.Duration) bool {
+	return timeout > 0 && took > timeout+timeout/4
+}
 
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var sockoptErr error
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	IdleTimeout time.Duration
 	// MaxConnections limits the open connections; zero means no limit.
 	MaxConnections int
+	// TLS, if set, is the configuration of TLS connections.
+	TLS *tls.Config
 }
 
 // Pool holds the connections of this process to one upstream. It never retries:
@@ -67,7 +70,7 @@
 	if !p.reserve() {
 		return nil, false, eris.Wrap(ErrNotSent, "connection limit reached")
 	}
-	c, err = dial(ctx, p.address, p.options.DialTimeout, p.options.UserTimeout)
+	c, err = dial(ctx, p.address, p.options)
 	if err != nil {
 		p.release()
 		return nil, false, err
