httpconn: no answer's head takes more than its limits, whoever reads it

Health checks of engines, cache lists, the store's client, the operator's client, the state command and the export of traces read them by net/http, which limits a head's bytes, at most, and not its fields: these take many times the memory of their bytes.

Change: httpconn.Transport makes the connections of a net/http client Conns, which hand out a head only when it is complete and within the limits; each response on a kept connection is checked, and each interim head. A head that one read does not hold gets its memory at once. The exporter of traces gets our client: variables of OpenTelemetry for its certificates are not read any more.

Why this works: there is no other way by which a process reads a head of an HTTP response.

--- a/cmd/fulmarspindle/settings.go
+++ b/cmd/fulmarspindle/settings.go
@@ -12,6 +12,7 @@
 
 	"fulmarspindle.example/fulmarspindle/config"
 	"fulmarspindle.example/fulmarspindle/gateway"
+	"fulmarspindle.example/fulmarspindle/httpconn"
 )
 
 const (
@@ -63,7 +64,7 @@
 	if err != nil {
 		return eris.Wrap(errStateUnavailable, err.Error())
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpconn.NewClient(stateTimeout).Do(req)
 	if err != nil {
 		return eris.Wrap(errStateUnavailable, err.Error())
 	}
--- a/httpconn/errors.go
+++ b/httpconn/errors.go
@@ -1,5 +1,6 @@
 // Package httpconn reads HTTP/1.1 responses from connections: heads within limits, and the end
-// of a connection as the end of a body only where nothing speaks against it.
+// of a connection as the end of a body only where nothing speaks against it. Transport makes
+// the connections of a net/http client such connections.
 package httpconn
 
 import "github.com/rotisserie/eris"
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -77,16 +77,22 @@
 		if complete || len(c.prefetched) >= limit || scanner.lines > maxHeadLines {
 			return 0, eris.Wrapf(ErrMalformedHead, "head exceeds %d bytes or %d lines", limit, maxHeadLines)
 		}
-		if err := c.prefetch(); err != nil {
+		if err := c.prefetch(limit); err != nil {
 			return 0, err
 		}
 	}
 }
 
-// prefetch appends the result of one read to the prefetched bytes.
-func (c *Conn) prefetch() error {
-	c.prefetched = slices.Grow(c.prefetched, headReadBytes)
+// prefetch appends the result of one read to the prefetched bytes, of which there are fewer than
+// limit. What one read does not hold is given all its memory at once: a buffer that grows in steps
+// leaves several times its size behind.
+func (c *Conn) prefetch(limit int) error {
 	length := len(c.prefetched)
+	if length < headReadBytes {
+		c.prefetched = slices.Grow(c.prefetched, headReadBytes)
+	} else {
+		c.prefetched = slices.Grow(c.prefetched, limit+headReadBytes-length)
+	}
 	n, err := c.Conn.Read(c.prefetched[length : length+headReadBytes])
 	c.prefetched = c.prefetched[:length+n]
 	if n > 0 {
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"fulmarspindle.example/fulmarspindle/config"
+	"fulmarspindle.example/fulmarspindle/httpconn"
 )
 
 // clientTimeout is the timeout of one call to the admin API.
@@ -31,7 +32,7 @@
 	return &Client{
 		url:   strings.TrimSuffix(url, "/"),
 		token: token,
-		http:  &http.Client{Timeout: clientTimeout},
+		http:  httpconn.NewClient(clientTimeout),
 	}
 }
 
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
@@ -13,10 +14,15 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+
+	"fulmarspindle.example/fulmarspindle/httpconn"
 )
 
 const tracerName = "fulmarspindle"
 
+// exportTimeout is the timeout of one call to the collector.
+const exportTimeout = 10 * time.Second
+
 // TraceOptions selects the span exporters. Without one, no span is recorded.
 type TraceOptions struct {
 	// Endpoint is the URL of an OTLP/HTTP collector.
@@ -33,7 +39,7 @@
 		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", process))),
 	}
 	if opts.Endpoint != "" {
-		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(opts.Endpoint))
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(opts.Endpoint), otlptracehttp.WithHTTPClient(httpconn.NewClient(exportTimeout)))
 		if err != nil {
 			return nil, eris.Wrap(ErrSetup, err.Error())
 		}
