httpconn: an answer that is cut while its request is being written is no whole one

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a large request is written by a goroutine of its own while the response is read. The kernel reports a reset of a connection once, to the system call that comes next. Where that is the writer's, the reader sees a regular end, which ends an answer without a length. The writer's error was looked at only to decide whether the connection is reused. A close with bytes of the upload unread is a reset too; where it comes after the end of what the server sends, the reader never sees it.

Change: Conn knows when a request is being written and how that ended. At the end of the connection it waits for the writer, and returns its error in place of io.EOF.

Why this works: whatever the writer's system call has swallowed is recorded before the reader can take the end for regular, whichever of the two comes first. It holds for all readers, since it is part of Conn. Answers with a length or in chunks never come to that end.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -17,6 +19,7 @@
 	reader *bufio.Reader
 	// prefetched holds the bytes that were received and that Read has not returned.
 	prefetched []byte
+	request    requestState
 
 	// expectsHead is set while the next bytes are to be the head of a response to a Transport,
 	// of which head is the state.
@@ -36,7 +39,8 @@
 func (c *Conn) HasUnreadBytes() bool { return c.reader.Buffered() > 0 || len(c.prefetched) > 0 }
 
 // Read implements io.Reader. It returns the prefetched bytes first, then those of the
-// connection.
+// connection. io.EOF means that the server has ended what it sends, and not that the connection
+// broke off.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.expectsHead.Load() {
 		return c.readHead(p)
@@ -50,6 +54,9 @@
 		c.prefetched = append(c.prefetched, p[:n]...)
 		return c.readHead(p)
 	}
+	if n == 0 && errors.Is(err, io.EOF) {
+		err = c.checkEnd()
+	}
 	return n, err
 }
 
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,11 +51,21 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.expectResponse()
-		}
-	}}
+	var used atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				used.Store(c)
+				c.BeginRequest()
+				c.expectResponse()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := used.Load(); c != nil {
+				c.EndRequest(info.Err)
+			}
+		},
+	}
 	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 }
 
--- a/httpconn/transport_test.go
+++ b/httpconn/transport_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -103,3 +105,50 @@
 	g.Expect(get(client, server.URL)).To(Equal("whole"))
 	client.CloseIdleConnections()
 }
+
+// Guards against an answer without a length whose connection was reset while the upload was
+// being written, and that is taken for a whole one as only the writer has seen the reset.
+func TestAnswerThatIsCutDuringTheUploadIsBrokenOff(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn, io.Reader){
+		"reset": answertest.ResetUpload, "closed with unread bytes": answertest.CloseUpload, "ended and reset": answertest.EndThenReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := &answertest.EarlyAnswer{Answer: "HTTP/1.1 200 OK\r\n\r\npart", Proceed: make(chan struct{}, 1), End: end}
+			wrote, bodyRead := make(chan struct{}), make(chan struct{})
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
+				close(wrote)
+				<-bodyRead // The transport closes the connection after this.
+			}})
+			upload := bytes.NewReader(make([]byte, answertest.UploadBytes))
+			request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+server.Start(t), upload)
+			g.Expect(err).NotTo(HaveOccurred())
+			resp, err := httpconn.NewClient(callTimeout).Do(request)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			server.Proceed <- struct{}{}
+			<-wrote
+			_, err = io.ReadAll(resp.Body)
+			close(bodyRead)
+			g.Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
+// Guards against whole answers without a length that are taken for cut ones.
+func TestAnswerThatEndsBeforeTheUploadIsReadIsWhole(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn, io.Reader){"ended, then read": answertest.EndThenRead, "read, then ended": answertest.ReadUpload} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := &answertest.EarlyAnswer{Answer: "HTTP/1.1 200 OK\r\n\r\nwhole", Proceed: make(chan struct{}, 1), End: end}
+			server.Proceed <- struct{}{}
+			upload := bytes.NewReader(make([]byte, answertest.UploadBytes))
+			resp, err := httpconn.NewClient(callTimeout).Post("http://"+server.Start(t), "text/plain", upload)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(body)).To(Equal("whole"))
+		})
+	}
+}
--- a/internal/answertest/answertest.go
+++ b/internal/answertest/answertest.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -31,7 +32,7 @@
 // returns the server's address.
 func Serve(t TB, serve func(net.Conn, *bufio.Reader)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -30,14 +30,15 @@
 	p := NewPool("", PoolOptions{IdleTimeout: time.Minute})
 	x := &Exchange{
 		Response: &http.Response{}, pool: p, conn: newConn(local),
-		writeDone: make(chan error, 1), smallBody: true, bodyRead: true, stopCloseOnCancel: func() bool { return true },
+		smallBody: true, bodyRead: true, stopCloseOnCancel: func() bool { return true },
 	}
+	x.conn.BeginRequest()
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
 		x.Close()
 	}()
-	x.writeDone <- nil
+	x.conn.EndRequest(nil)
 	g.Eventually(closed).Should(BeClosed())
 	g.Expect(p.takeIdle()).NotTo(BeNil())
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -40,8 +40,6 @@
 
 	pool *Pool
 	conn *conn
-	// writeDone receives the result of writing the request.
-	writeDone chan error
 	// smallBody is set if the request fits in the socket's send buffer, so that
 	// writing it does not wait for the upstream.
 	smallBody bool
@@ -60,7 +58,7 @@
 		return nil, err
 	}
 	c.bytesWritten = 0
-	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), smallBody: len(r.Body) <= writeBufferSize}
+	x := &Exchange{pool: p, conn: c, smallBody: len(r.Body) <= writeBufferSize}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { c.Close() })
 	x.send(r)
 	reader := responseReader{conn: c, request: r}
@@ -69,7 +67,7 @@
 		return x, nil
 	}
 	c.Close()
-	writeErr := <-x.writeDone
+	writeErr := c.AwaitRequest()
 	x.Close()
 	if errors.Is(writeErr, ErrWithdrawn) {
 		return nil, ErrWithdrawn
@@ -106,8 +104,9 @@
 // its response may arrive before the upstream has read it. send returns once the writing
 // has begun, so that nothing that arrives earlier is read as the response.
 func (x *Exchange) send(r *Request) {
+	x.conn.BeginRequest()
 	if x.smallBody {
-		x.writeDone <- r.write(x.conn)
+		x.conn.EndRequest(r.write(x.conn))
 		return
 	}
 	begun := make(chan struct{})
@@ -120,7 +119,7 @@
 		if err == nil {
 			err = r.write(x.conn)
 		}
-		x.writeDone <- err
+		x.conn.EndRequest(err)
 	}()
 	<-begun
 }
@@ -223,12 +222,7 @@
 // reports its result.
 func (x *Exchange) requestWritten() bool {
 	if x.smallBody {
-		return <-x.writeDone == nil
-	}
-	select {
-	case err := <-x.writeDone:
-		return err == nil
-	default:
-		return false
+		return x.conn.AwaitRequest() == nil
 	}
+	return x.conn.RequestWritten()
 }
