httpconn: a head whose field has no sound name is no answer's

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer with that line passed on or, where the field was one of framing (Transfer-Encoding : chunked), with the chunk sizes in its body.

Cause: net/http takes a name with blanks for another field's and passes it on as it stands, and no reader of ours looked at names.

Change: the scan that finds the end of a head, which each reader uses, refuses it at the first line that is no field: no colon, or a name with a byte that RFC 9110 does not allow. A line that goes on with the value of the one before (it begins with a blank) is refused only if it would be a field but for that.

Why this works: the rule stands where the heads of all answers are read, before anything interprets a field. It counts as malformed: the upstream is corrupt, no request is suspected.

--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -70,7 +71,10 @@
 		if !bytes.HasPrefix(c.prefetched, statusLinePrefix[:min(len(c.prefetched), len(statusLinePrefix))]) {
 			return 0, eris.Wrap(ErrMalformedHead, "no HTTP/1 status line")
 		}
-		complete := scanner.advance(c.prefetched)
+		complete, err := scanner.advance(c.prefetched)
+		if err != nil {
+			return 0, err
+		}
 		if complete && scanner.offset <= limit && scanner.lines <= maxHeadLines {
 			return scanner.offset, nil
 		}
@@ -101,8 +105,8 @@
 	return err
 }
 
-// headScanner searches a growing buffer for the end of a head. It examines each byte
-// once, except for those of an incomplete line.
+// headScanner searches a growing buffer for the end of a head, and checks its lines. It examines
+// each byte once, except for those of an incomplete line.
 type headScanner struct {
 	// offset is the start of the next line, or the end of the head.
 	offset int
@@ -110,18 +114,39 @@
 }
 
 // advance continues the scan of b and reports whether it has reached the empty line
-// that ends the head.
-func (s *headScanner) advance(b []byte) bool {
+// that ends the head. Its error is ErrMalformedHead.
+func (s *headScanner) advance(b []byte) (complete bool, err error) {
 	for {
 		length := bytes.IndexByte(b[s.offset:], '\n')
 		if length < 0 {
-			return false
+			return false, nil
 		}
-		line := b[s.offset : s.offset+length]
+		line := bytes.TrimSuffix(b[s.offset:s.offset+length], []byte("\r"))
 		s.offset += length + 1
-		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return true
+		if len(line) == 0 {
+			return true, nil
+		}
+		if s.lines > 0 && !isField(line) {
+			return false, eris.Wrapf(ErrMalformedHead, "line %d is no field", s.lines)
 		}
 		s.lines++
 	}
 }
+
+// blanks are the bytes that may stand around the value of a field, and begin a line that goes on
+// with the value of the line before.
+const blanks = " \t"
+
+// isField reports whether a line of a head, after the first one, is a field with a sound name or
+// goes on with the value of one. Readers don't agree on the meaning of others: some drop the blank
+// in a name, and so take a field for one of framing that net/http passes on. The same holds for a
+// line that would be a field but for the blanks that it begins with.
+func isField(line []byte) bool {
+	value := bytes.TrimLeft(line, blanks)
+	name, _, found := bytes.Cut(value, []byte(":"))
+	if len(value) < len(line) {
+		name = bytes.TrimRight(name, blanks)
+		return !found || len(name) > 0 && !httpguts.ValidHeaderFieldName(string(name))
+	}
+	return found && httpguts.ValidHeaderFieldName(string(name))
+}
