httpconn, upstream: bodies without end take bounded memory of all connections together

Cause: what is held of a body or an event was limited for each call, to 4 or 8 MiB, and not for all calls of a process; a buffer that grows in steps leaves several times its size behind. The operator's client had no limit.

Change: httpconn.BodyReader holds bodies in parts that it uses again, and limits what it holds together; the first part of each is free, so short answers come through beside long ones. A stream of a sidecar holds 16 KiB of an incomplete event; one stream at a time has room for a long one of up to 8 MiB, and the others wait for it while their servers do. It is given back before anything waits for a caller.

Sound neighbours: 16 streams at once with events of a megabyte, of nearly the limit and just over the short one; bodies of any length in any reads.

--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -131,6 +131,17 @@
 	return event
 }
 
+// MoveTo moves the pending bytes to buf, which the splitter writes to from now on. buf has room for
+// them. The last returned event becomes invalid.
+func (s *Splitter) MoveTo(buf []byte) {
+	pending := s.Pending()
+	s.buf = buf[:len(pending)]
+	copy(s.buf, pending)
+	s.scanned -= s.consumed
+	s.searched -= s.consumed
+	s.consumed = 0
+}
+
 // TrimByteOrderMark returns the bytes of an event without the mark that may begin a stream,
 // for a stream that continues another one.
 func TrimByteOrderMark(raw []byte) []byte { return bytes.TrimPrefix(raw, byteOrderMark) }
--- a/internal/answertest/answertest.go
+++ b/internal/answertest/answertest.go
@@ -95,22 +95,27 @@
 	c.Close()
 }
 
-// heapBytes returns the size of the objects on the heap in bytes.
-func heapBytes() uint64 {
-	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-	metrics.Read(sample)
-	return sample[0].Value.Uint64()
+// heapMeter measures the heap without allocating on it.
+type heapMeter []metrics.Sample
+
+func newHeapMeter() heapMeter { return heapMeter{{Name: "/memory/classes/heap/objects:bytes"}} }
+
+// bytes returns the size of the objects on the heap.
+func (m heapMeter) bytes() uint64 {
+	metrics.Read(m)
+	return m[0].Value.Uint64()
 }
 
 // PeakHeapGrowth returns the peak growth of the heap in bytes while f runs.
 func PeakHeapGrowth(f func()) uint64 {
+	meter := newHeapMeter()
 	runtime.GC()
-	before, peak := heapBytes(), uint64(0)
+	before, peak := meter.bytes(), uint64(0)
 	var done atomic.Bool
 	var sampler sync.WaitGroup
 	sampler.Go(func() {
 		for !done.Load() {
-			peak = max(peak, heapBytes())
+			peak = max(peak, meter.bytes())
 			runtime.Gosched()
 		}
 	})
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +19,11 @@
 // clientTimeout is the timeout of one call to the admin API.
 const clientTimeout = 30 * time.Second
 
+// maxAnswerBytes limits an answer. The inventory of 30,000 teams with two keys each has 6 MB.
+const maxAnswerBytes = 10 << 20
+
+var answers = httpconn.NewBodyReader(maxAnswerBytes)
+
 // Client is a client of a router's admin API.
 type Client struct {
 	url   string
@@ -114,7 +118,7 @@
 		return nil, nil, transportError(method, err)
 	}
 	defer resp.Body.Close()
-	respBody, err := io.ReadAll(resp.Body)
+	respBody, err := answers.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, nil, transportError(method, err)
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -18,7 +18,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"fulmarspindle.example/fulmarspindle/eventstream"
 	"fulmarspindle.example/fulmarspindle/exchange"
 )
 
@@ -89,13 +88,14 @@
 		return err
 	}
 	if isEventStream(resp.Header) {
-		events := &eventRelay{sink: sink, splitter: eventstream.Splitter{Limit: maxEventBytes}, checker: eventstream.NewChecker(eventstream.Contract{})}
-		if err := relay(ctx, x, events.data, idle); err != nil {
+		events := newEventRelay(ctx, sink)
+		defer events.close()
+		if err := relay(ctx, x, make([]byte, streamReadBytes), events.data, idle); err != nil {
 			return err
 		}
 		return events.end()
 	}
-	return relay(ctx, x, sink.Data, idle)
+	return relay(ctx, x, make([]byte, readBufferBytes), sink.Data, idle)
 }
 
 // idleTimer enforces the idle timeout. It is stopped while the sink processes data,
@@ -172,8 +172,7 @@
 	return eris.Wrap(ErrInterrupted, "the upstream did not resume the stream")
 }
 
-func relay(ctx context.Context, body io.Reader, data func([]byte) error, idle *idleTimer) error {
-	buf := make([]byte, readBufferBytes)
+func relay(ctx context.Context, body io.Reader, buf []byte, data func([]byte) error, idle *idleTimer) error {
 	for {
 		idle.start()
 		n, err := body.Read(buf)
