gateway: held answers without end take no more memory than what is held of them

What callers saw: nothing; the settings bound it (limits.max_answer_bytes for each answer, limits.max_buffered_bytes together). The bound of this project is 16 MB for 64 connections.

Cause: an answer is read by io.ReadAll until it is whole or over the limit. The buffer grows in steps and leaves several times its size behind, and the beginning of a long answer is kept as long as the rest is passed on.

Change: answers are held by httpconn.BodyReader, and the beginning of a long one is given back once it is written to the caller.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"fulmarspindle.example/fulmarspindle/fleet"
+	"fulmarspindle.example/fulmarspindle/httpconn"
 	"fulmarspindle.example/fulmarspindle/registry"
 	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/shutdown"
@@ -44,7 +45,9 @@
 	servingDuringShutdown atomic.Bool
 	inFlight              atomic.Int64
 	bufferedBytes         atomic.Int64
-	slowCallers           *slowCallers
+	// bodies reads the responses that are buffered.
+	bodies      *httpconn.BodyReader
+	slowCallers *slowCallers
 
 	// mu guards the registry, services, pools and fleet.
 	mu       sync.Mutex
@@ -99,6 +102,7 @@
 		registry:      registry.New(options.Registry),
 		services:      make(map[fleet.ServiceID]*service),
 		pools:         make(map[poolKey]*upstream.Pool),
+		bodies:        httpconn.NewBodyReader(options.MaxBufferedBytes),
 		retryDetector: newRetryDetector(),
 		reportNow:     make(chan struct{}, 1),
 		background:    ctx,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"fulmarspindle.example/fulmarspindle/exchange"
+	"fulmarspindle.example/fulmarspindle/httpconn"
 	"fulmarspindle.example/fulmarspindle/outlier"
 	"fulmarspindle.example/fulmarspindle/route"
 	"fulmarspindle.example/fulmarspindle/upstream"
@@ -79,11 +80,20 @@
 
 func (k resultKind) callerDisconnected() bool { return k == callerGone || k == callerLeftEarly }
 
-// bufferedResponse is a complete response that has not been relayed.
+// bufferedResponse is a response that has not been relayed. It is complete, or has the beginning of
+// its body only.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status    int
+	header    http.Header
+	body      []byte
+	beginning *httpconn.Body
+}
+
+// release gives the memory of the beginning back.
+func (h *bufferedResponse) release() {
+	if h.beginning != nil {
+		h.beginning.Release()
+	}
 }
 
 func (h *bufferedResponse) send(rw *responseWriter) {
@@ -139,32 +149,35 @@
 func (g *Gateway) relayFailure(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	resp, err := g.bufferResponse(j, x)
 	if err != nil {
+		resp.release()
 		return g.classifyBroken(ctx, j, id, x, err)
 	}
 	g.recordOutcome(j, id, outlier.Failure)
 	return result{kind: failedByUpstream, status: resp.status, response: resp, firstEvent: time.Since(j.arrived)}
 }
 
-// bufferResponse reads a complete response. It returns errTooLarge together with the
-// beginning of the response if that exceeds MaxAnswerBytes or if the shared buffers are
-// full.
+// bufferResponse reads a complete response. With an error it returns the beginning, which must be
+// released. It returns errTooLarge if the response exceeds MaxAnswerBytes or if the shared buffers
+// are full.
 func (g *Gateway) bufferResponse(j *job, x *upstream.Exchange) (*bufferedResponse, error) {
-	counted := &countingReader{body: io.LimitReader(x, int64(g.options.MaxAnswerBytes)+1), gateway: g, job: j}
-	body, err := io.ReadAll(counted)
-	if err != nil && !errors.Is(err, errBuffersFull) {
-		return nil, err
-	}
-	resp := &bufferedResponse{status: x.Response.StatusCode, header: g.options.Dialect.ResponseHeader(x.Response.Header), body: body}
-	if err != nil || len(body) > g.options.MaxAnswerBytes {
-		return resp, errTooLarge
+	counted := &countingReader{body: x, gateway: g, job: j}
+	body, err := g.bodies.Read(counted, g.options.MaxAnswerBytes)
+	resp := &bufferedResponse{status: x.Response.StatusCode, header: g.options.Dialect.ResponseHeader(x.Response.Header), beginning: body}
+	switch {
+	case err == nil:
+		resp.body = body.Bytes()
+		resp.release()
+	case errors.Is(err, httpconn.ErrBodyTooLong), errors.Is(err, httpconn.ErrBodiesTooLong), errors.Is(err, errBuffersFull):
+		err = errTooLarge
 	}
-	return resp, nil
+	return resp, err
 }
 
 // relayWhole relays a response once it is complete, or incrementally if it is too large
 // to be buffered.
 func (g *Gateway) relayWhole(ctx context.Context, j *job, id string, x *upstream.Exchange) result {
 	resp, err := g.bufferResponse(j, x)
+	defer resp.release()
 	first := time.Since(j.arrived)
 	if err != nil && !errors.Is(err, errTooLarge) {
 		return g.classifyBroken(ctx, j, id, x, err)
@@ -187,19 +200,19 @@
 // caller's connection is closed.
 func (g *Gateway) relayIncrementally(ctx context.Context, j *job, id string, x *upstream.Exchange, resp *bufferedResponse) result {
 	j.response.writeHead(resp.status, resp.header)
-	part, buf := resp.body, make([]byte, relayBufferBytes)
+	buf, n := make([]byte, relayBufferBytes), 0
+	write := func() error { return j.response.writeBeginning(resp) }
 	var longestWrite time.Duration
 	for {
 		began := time.Now()
-		err := j.response.writeAndFlush(part)
+		err := write()
 		longestWrite = max(longestWrite, time.Since(began))
 		if err != nil {
 			j.service.cancelAttempt(id)
 			return result{kind: callerGone, err: err}
 		}
-		var n int
 		n, err = x.Read(buf)
-		part = buf[:n]
+		write = func() error { return j.response.writeAndFlush(buf[:n]) }
 		switch {
 		case errors.Is(err, io.EOF) && n == 0:
 			g.recordOutcome(j, id, outlier.Success)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -131,6 +131,19 @@
 	Message string `json:"message"`
 }
 
+// writeBeginning writes the beginning of the body, releases it and flushes it to the caller.
+func (rw *responseWriter) writeBeginning(resp *bufferedResponse) error {
+	defer resp.release()
+	if resp.beginning != nil {
+		for part := range resp.beginning.Parts() {
+			if _, err := rw.w.Write(part); err != nil {
+				return err
+			}
+		}
+	}
+	return rw.control.Flush()
+}
+
 // writeAndFlush writes part of the body and flushes it to the caller.
 func (rw *responseWriter) writeAndFlush(p []byte) error {
 	if _, err := rw.w.Write(p); err != nil {
