--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"fulmarspindle.example/fulmarspindle/internal/answertest"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -25,65 +24,25 @@
 	maxHeapGrowth = 16 << 20
 )
 
-// sendEndlessly returns a server that sends start, then repeated until the connection
-// is closed.
-func sendEndlessly(start, repeated string) func(net.Conn, *bufio.Reader) {
-	return func(c net.Conn, r *bufio.Reader) {
-		if _, _, err := readRequest(r); err != nil {
-			return
-		}
-		block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
-		_, err := io.WriteString(c, start)
-		for err == nil {
-			_, err = c.Write(block)
-		}
-	}
-}
-
-// heapBytes returns the size of the objects on the heap in bytes.
-func heapBytes() uint64 {
-	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-	metrics.Read(sample)
-	return sample[0].Value.Uint64()
-}
-
-// peakHeapGrowth returns the peak growth of the heap in bytes while f runs.
-func peakHeapGrowth(f func()) uint64 {
-	runtime.GC()
-	before, peak := heapBytes(), uint64(0)
-	var done atomic.Bool
-	var sampler sync.WaitGroup
-	sampler.Go(func() {
-		for !done.Load() {
-			peak = max(peak, heapBytes())
-			runtime.Gosched()
-		}
-	})
-	f()
-	done.Store(true)
-	sampler.Wait()
-	return peak - min(before, peak)
-}
-
 // TestEndlessHeadsEndTheCall guards against upstreams that send endless bytes in place
 // of a response head. The call must fail, within bounded memory and without a timeout.
 func TestEndlessHeadsEndTheCall(t *testing.T) {
 	servers := map[string]func(net.Conn, *bufio.Reader){
-		"line":             sendEndlessly("HTTP/1.1 200 OK\r\nId: 1\r\nA: ", "a"),
-		"status line":      sendEndlessly("HTTP/1.1 200 ", "O"),
-		"fields":           sendEndlessly("HTTP/1.1 200 OK\r\n", "a:\r\n"),
-		"interim heads":    sendEndlessly("", "HTTP/1.1 102 Processing\r\n\r\n"),
-		"noise":            sendEndlessly("", "\x17\x03"),
-		"empty lines":      sendEndlessly("", "\r\n"),
-		"unrelated body":   sendEndlessly("HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "a"),
-		"unrelated chunks": sendEndlessly("HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+		"line":             answertest.RespondEndlessly("HTTP/1.1 200 OK\r\nId: 1\r\nA: ", "a"),
+		"status line":      answertest.RespondEndlessly("HTTP/1.1 200 ", "O"),
+		"fields":           answertest.RespondEndlessly("HTTP/1.1 200 OK\r\n", "a:\r\n"),
+		"interim heads":    answertest.RespondEndlessly("", "HTTP/1.1 102 Processing\r\n\r\n"),
+		"noise":            answertest.RespondEndlessly("", "\x17\x03"),
+		"empty lines":      answertest.RespondEndlessly("", "\r\n"),
+		"unrelated body":   answertest.RespondEndlessly("HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "a"),
+		"unrelated chunks": answertest.RespondEndlessly("HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
 	}
 	for name, serve := range servers {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			address := startRawServer(t, serve)
 			var failed atomic.Int64
-			growth := peakHeapGrowth(func() {
+			growth := answertest.PeakHeapGrowth(func() {
 				var calls sync.WaitGroup
 				for range concurrentCalls {
 					calls.Go(func() {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarspindle.example/fulmarspindle/exchange"
+	"fulmarspindle.example/fulmarspindle/internal/answertest"
 	"fulmarspindle.example/fulmarspindle/upstream"
 )
 
@@ -22,24 +23,7 @@
 // address.
 func startRawServer(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	return answertest.Serve(t, serve)
 }
 
 func newPool(t *testing.T, address string) *upstream.Pool {
