--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -111,7 +111,7 @@
 // empty if the upstream runs or if it crashed before the call started.
 func (h *health) crashID(ctx context.Context, started time.Time, cause error) string {
 	h.recordRequest(ctx, false)
-	if runs(cause) {
+	if provesRunning(cause) {
 		return ""
 	}
 	sent := h.recordFailedCall()
@@ -121,7 +121,7 @@
 		return ""
 	}
 	h.recordRequest(ctx, false)
-	if runs(err) {
+	if provesRunning(err) {
 		return ""
 	}
 	h.mu.Lock()
@@ -129,9 +129,9 @@
 	return h.outage.confirmCrash(h.id, started)
 }
 
-// runs reports whether a call failed because the upstream sent bytes that are no answer, which
+// provesRunning reports whether a call failed because the upstream sent bytes that are no answer, which
 // one that has crashed does not.
-func runs(err error) bool {
+func provesRunning(err error) bool {
 	return upstream.IsMalformed(err) || errors.Is(err, upstream.ErrUnsound)
 }
 
