gateway: a request whose answer is cut during its upload is suspected only if the upstream is down

What callers saw: nothing yet; seen by a test. Three upstreams that run, and cut their answers to an upload before they have read it, have the request refused for a minute with 503 (quarantined) as one that crashes upstreams.

Cause: consecutive broken answers eject an upstream, and an ejection counts as a crash of what it was working on. Since cut answers are no longer taken for whole ones, each counts as broken. The upstream had not read the request, so the request says nothing about it.

Change: such an answer has the outcome Cut. It counts towards ejection as before, and the request is remembered as before, but only an upstream that accepts no connections makes it a suspect; that is asked after each.

Why this works: what tells a crash from a broken answer is whether the upstream still runs. Requests that were written as a whole are treated as before.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -365,10 +365,10 @@
 }
 
 // observe passes an outcome to the upstream's outlier detector. An ejected upstream is
-// assumed to return with an empty cache, unless it was ejected for corrupt responses.
+// assumed to return with an empty cache, unless it was ejected for corrupt or cut responses.
 func (s *Scheduler) observe(now, started time.Time, u *upstream, outcome outlier.Outcome) bool {
 	ejected := u.detector.Observe(now, started, outcome)
-	if ejected && outcome != outlier.Corrupt {
+	if ejected && outcome != outlier.Corrupt && outcome != outlier.Cut {
 		u.cache = placement.NewCache(s.capacity.MemoryTokens)
 		s.markEjectedCold(now, u)
 	}
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -64,6 +64,8 @@
 		return g.classifyCorrupt(j, id, x, err)
 	case ctx.Err() != nil:
 		j.service.cancelAttempt(id)
+	case !x.RequestWritten():
+		g.recordOutcome(j, id, outlier.Cut)
 	default:
 		g.recordOutcome(j, id, outlier.Broken)
 	}
@@ -100,10 +102,13 @@
 	switch {
 	case ejected && outcome == outlier.Corrupt:
 		g.logEjection(j.upstream, j.in.ID, "corrupt", nil)
+	case ejected && outcome == outlier.Cut:
+		g.logEjection(j.upstream, j.in.ID, "cut", nil)
 	case ejected:
 		g.recordEjection(j.upstream, j.in.ID, "outcome", nil)
-	case outcome == outlier.Broken:
-		go g.checkUpstream(j.service, j.upstream, j.in.ID)
+	}
+	if outcome == outlier.Cut || outcome == outlier.Broken && !ejected {
+		go g.checkUpstream(j.service, j.upstream, j.in.ID, ejected)
 	}
 }
 
@@ -120,8 +125,8 @@
 
 // checkUpstream checks whether an upstream still accepts connections after a broken
 // response. A single broken response does not distinguish a crash from a lost
-// connection.
-func (g *Gateway) checkUpstream(s *service, u registry.Upstream, request string) {
+// connection. ejected is set if that response ejected the upstream already.
+func (g *Gateway) checkUpstream(s *service, u registry.Upstream, request string, ejected bool) {
 	key := keyOf(u)
 	if _, running := g.checks.LoadOrStore(key, true); running {
 		return
@@ -130,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(g.background, g.options.Pool.DialTimeout)
 	defer cancel()
 	err := g.pool(u).Check(ctx)
-	if errors.Is(err, upstream.ErrNotSent) && s.markUnreachable(u.ID) {
+	if errors.Is(err, upstream.ErrNotSent) && (s.markUnreachable(u.ID) || ejected) {
 		g.recordEjection(u, request, "check", err)
 	}
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -84,7 +84,7 @@
 		if !s.Empty() {
 			s.Remove(j.digest())
 		}
-	case outlier.Broken:
+	case outlier.Broken, outlier.Cut:
 		s.recordBroken(j)
 	case outlier.Failure, outlier.Unreachable, outlier.Corrupt:
 	}
--- a/internal/answertest/answertest.go
+++ b/internal/answertest/answertest.go
@@ -28,15 +28,28 @@
 
 var _ TB = testing.TB(nil)
 
-// Serve starts a server that calls serve for each connection and closes it afterwards. It
-// returns the server's address.
-func Serve(t TB, serve func(net.Conn, *bufio.Reader)) string {
+// Listen returns a listener on a loopback address.
+func Listen(t TB) net.Listener {
 	t.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// Serve starts a server that calls serve for each connection and closes it afterwards. It
+// returns the server's address.
+func Serve(t TB, serve func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	ln := Listen(t)
+	ServeOn(ln, serve)
+	return ln.Addr().String()
+}
+
+// ServeOn is Serve on a listener, until that is closed.
+func ServeOn(ln net.Listener, serve func(net.Conn, *bufio.Reader)) {
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -49,7 +62,6 @@
 			}()
 		}
 	}()
-	return ln.Addr().String()
 }
 
 // Respond returns a server that reads one request with its body, writes response and ends the
@@ -106,7 +118,8 @@
 	return m[0].Value.Uint64()
 }
 
-// PeakHeapGrowth returns the peak growth of the heap in bytes while f runs.
+// PeakHeapGrowth returns the peak growth of the heap in bytes while f runs, with what has not been
+// collected yet.
 func PeakHeapGrowth(f func()) uint64 {
 	meter := newHeapMeter()
 	runtime.GC()
--- a/internal/answertest/upload.go
+++ b/internal/answertest/upload.go
@@ -25,7 +25,14 @@
 // Start starts the server and returns its address.
 func (a *EarlyAnswer) Start(t TB) string {
 	t.Helper()
-	return Serve(t, func(c net.Conn, r *bufio.Reader) {
+	ln := Listen(t)
+	a.StartOn(ln)
+	return ln.Addr().String()
+}
+
+// StartOn starts the server on a listener.
+func (a *EarlyAnswer) StartOn(ln net.Listener) {
+	ServeOn(ln, func(c net.Conn, r *bufio.Reader) {
 		request, err := http.ReadRequest(r)
 		if err != nil {
 			return
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -22,6 +22,9 @@
 	// Corrupt is a response with bytes that are not the upstream's. Unlike Broken it is no
 	// sign of a crash: the upstream runs and keeps what it has cached.
 	Corrupt
+	// Cut is a response that broke off before its request was written as a whole. Unlike Broken it
+	// is no sign of a crash: the upstream had not read the request.
+	Cut
 )
 
 // Options configure a Detector.
@@ -30,7 +33,7 @@
 	// consecutive ejection, up to MaxEjection.
 	BaseEjection time.Duration
 	MaxEjection  time.Duration
-	// ConsecutiveBroken is the number of broken connections or corrupt responses, with no
+	// ConsecutiveBroken is the number of broken connections, cut or corrupt responses, with no
 	// complete response in between, that ejects an upstream. Connections that break at
 	// the same time count as one: the fault may be in the network path rather
 	// than in the upstream.
@@ -73,7 +76,7 @@
 			d.consecutiveEjections = 0
 		}
 		return false
-	case Broken, Corrupt:
+	case Broken, Corrupt, Cut:
 		if now.Sub(d.lastBrokenAt) < brokenCoalesceWindow {
 			return false
 		}
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -77,14 +77,16 @@
 }
 
 // TestConsecutiveCorruptResponsesEject guards against an upstream that stays in use although
-// its responses hold bytes that are not its own.
+// its responses hold bytes that are not its own, or break off before it has read the request.
 func TestConsecutiveCorruptResponsesEject(t *testing.T) {
-	g := NewWithT(t)
-	now := time.Unix(1000, 0)
-	d := outlier.NewDetector(outlier.Options{BaseEjection: time.Second, MaxEjection: time.Minute, ConsecutiveBroken: 2, Smoothing: 0.1})
-	g.Expect(d.Observe(now, now, outlier.Corrupt)).To(BeFalse())
-	now = now.Add(time.Second)
-	g.Expect(d.Observe(now, now, outlier.Corrupt)).To(BeTrue())
-	g.Expect(d.Ejected(now)).To(BeTrue())
-	g.Expect(d.FailureRate()).To(BeNumerically(">", 0.1))
+	for _, outcome := range []outlier.Outcome{outlier.Corrupt, outlier.Cut} {
+		g := NewWithT(t)
+		now := time.Unix(1000, 0)
+		d := outlier.NewDetector(outlier.Options{BaseEjection: time.Second, MaxEjection: time.Minute, ConsecutiveBroken: 2, Smoothing: 0.1})
+		g.Expect(d.Observe(now, now, outcome)).To(BeFalse())
+		now = now.Add(time.Second)
+		g.Expect(d.Observe(now, now, outcome)).To(BeTrue())
+		g.Expect(d.Ejected(now)).To(BeTrue())
+		g.Expect(d.FailureRate()).To(BeNumerically(">", 0.1))
+	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -184,6 +184,9 @@
 	return isCloseDelimited(x.Response)
 }
 
+// RequestWritten reports whether the request has been written as a whole.
+func (x *Exchange) RequestWritten() bool { return x.conn.RequestWritten() }
+
 // EarlierRequests returns the number of requests that the connection carried before this
 // one.
 func (x *Exchange) EarlierRequests() int { return x.conn.requests }
