httpconn: a change that is answered with no status is not told as not applied

What callers saw: nothing yet; found by reading the change again. A write to the store or an operator's change that was answered with status 000 (or 099, -00, +20) was told as one that was not applied (ErrProtocol, ErrInvalid). It may have been.

Cause: the status was checked in ReadResponse, which the clients of net/http do not use. They got such an answer as a whole one, and took its status for a refusal. The check stood beside the scan of the head that all readers share, in place of in it.

Evidence: platform "does not tell that ... were not applied": both calls against 10 statuses and 17 names.

Change: the scan refuses a status line without a status of three digits, the first not zero, as it refuses a line that is no field. ReadResponse has no check of its own any more; what tells interim heads uses the same parsing.

Why this works: all readers get an error of the connection then, which leaves the outcome of a change unknown.

--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -39,10 +39,7 @@
 		if err != nil {
 			return nil, eris.Wrap(ErrMalformedHead, err.Error())
 		}
-		switch {
-		case resp.StatusCode < http.StatusContinue:
-			return nil, eris.Wrapf(ErrMalformedHead, "status %d", resp.StatusCode)
-		case resp.StatusCode >= http.StatusOK:
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 		remaining -= length
@@ -126,6 +123,9 @@
 		if len(line) == 0 {
 			return true, nil
 		}
+		if s.lines == 0 && !hasStatus(line) {
+			return false, eris.Wrap(ErrMalformedHead, "no status")
+		}
 		if s.lines > 0 && !isField(line) {
 			return false, eris.Wrapf(ErrMalformedHead, "line %d is no field", s.lines)
 		}
@@ -133,6 +133,24 @@
 	}
 }
 
+// statusCode returns the status of the status line that begins a head.
+func statusCode(head []byte) []byte {
+	line, _, _ := bytes.Cut(head, []byte("\n"))
+	_, rest, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	return code
+}
+
+// hasStatus reports whether a status line has a status of three digits, the first of them not zero.
+// net/http takes any number of three characters for one.
+func hasStatus(line []byte) bool {
+	code := statusCode(line)
+	if len(code) != 3 || code[0] == '0' {
+		return false
+	}
+	return !bytes.ContainsFunc(code, func(r rune) bool { return r < '0' || r > '9' })
+}
+
 // blanks are the bytes that may stand around the value of a field, and begin a line that goes on
 // with the value of the line before.
 const blanks = " \t"
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -112,7 +112,4 @@
 }
 
 // isInterim reports whether a head is that of an interim response.
-func isInterim(head []byte) bool {
-	_, status, _ := bytes.Cut(head, []byte(" "))
-	return bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
-}
+func isInterim(head []byte) bool { return bytes.HasPrefix(statusCode(head), []byte("1")) }
