--- a/review/kit-3/drill.go
+++ b/review/kit-3/drill.go
@@ -21,6 +21,8 @@
 	// comes back.
 	drillAway = time.Second
 	drillAge  = 4 * time.Second
+	// sendGap is the time between two sends at each machine.
+	sendGap = 100 * time.Millisecond
 )
 
 func drillConfig() map[string]any {
@@ -85,7 +87,7 @@
 }
 
 // sendSteadily sends requests through all gateways at a steady pace for a time, some at once.
-func (f *testFleet) sendSteadily(length, gap time.Duration, atOnce int) {
+func (f *testFleet) sendSteadily(length time.Duration, atOnce int) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(length)
 	clients := make([]*client, len(f.gateways))
@@ -98,7 +100,7 @@
 				wg.Go(func() { c.send("GET", drillPath+"order", drillKey, 800*time.Millisecond, nil, nil) })
 			}
 		}
-		time.Sleep(gap)
+		time.Sleep(sendGap)
 	}
 	wg.Wait()
 }
@@ -122,16 +124,16 @@
 		return false, err
 	}
 	defer f.close()
-	f.sendSteadily(2*time.Second, 100*time.Millisecond, 1)
+	f.sendSteadily(2*time.Second, 1)
 	f.changeVersions(6, 500*time.Millisecond)
 	f.playDrill(o.trouble)
-	f.sendSteadily(f.bounds.stable+2*time.Second, 100*time.Millisecond, 1)
+	f.sendSteadily(f.bounds.stable+2*time.Second, 1)
 	const zone = "mbj-north"
 	acknowledged, ok := f.operator.setEvacuated(zone, true)
 	if !ok {
 		return false, errStoreAway
 	}
-	f.sendSteadily(f.bounds.evacuate+6*time.Second, 100*time.Millisecond, 1)
+	f.sendSteadily(f.bounds.evacuate+6*time.Second, 1)
 	late, all := 0, 0
 	for _, a := range f.arrivals.all() {
 		if a.at.After(acknowledged.Add(f.bounds.evacuate)) {
@@ -157,7 +159,7 @@
 		return false, err
 	}
 	defer f.close()
-	f.sendSteadily(2*time.Second, 100*time.Millisecond, 4)
+	f.sendSteadily(2*time.Second, 4)
 	f.changeVersions(6, 400*time.Millisecond)
 	var added []*serverStandIn
 	for _, zone := range drillOrder {
@@ -167,9 +169,9 @@
 		}
 		added = append(added, s)
 	}
-	f.sendSteadily(time.Second, 100*time.Millisecond, 4)
+	f.sendSteadily(time.Second, 4)
 	f.playDrill(o.trouble)
-	f.sendSteadily(f.bounds.stable+2*time.Second, 100*time.Millisecond, 4)
+	f.sendSteadily(f.bounds.stable+2*time.Second, 4)
 	acknowledged := map[string]time.Time{}
 	for _, s := range added {
 		at, ok := s.drain()
@@ -180,7 +182,7 @@
 		acknowledged[id] = at
 	}
 	time.Sleep(f.bounds.drain + 500*time.Millisecond)
-	f.sendSteadily(2*time.Second, 100*time.Millisecond, 4)
+	f.sendSteadily(2*time.Second, 4)
 	late, all := 0, 0
 	for _, a := range f.arrivals.all() {
 		if at, leaves := acknowledged[a.server]; leaves {
--- a/review/kit-3/gateways.go
+++ b/review/kit-3/gateways.go
@@ -52,8 +52,6 @@
 	return g.command.Start()
 }
 
-func (g *gatewayProcess) signal(s syscall.Signal) { _ = g.command.Process.Signal(s) }
-
 func (g *gatewayProcess) kill() {
 	if g.command != nil && g.command.Process != nil {
 		_ = g.command.Process.Kill()
--- a/review/kit-3/store.go
+++ b/review/kit-3/store.go
@@ -54,13 +54,11 @@
 	objects  map[string]map[string]object
 	changed  chan struct{}
 	away     bool
-	// returned is closed and replaced each time the store comes back.
-	returned chan struct{}
 	server   *http.Server
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{era: 1, revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), returned: make(chan struct{})}
+	s := &store{era: 1, revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{})}
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -131,12 +129,6 @@
 	return s.revision, true
 }
 
-func (s *store) currentRevision() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.revision
-}
-
 // drill lets the store be away for a time and come back from a copy of the given age. It returns
 // the revisions before and after.
 func (s *store) drill(away, age time.Duration) (before, after uint64) {
@@ -159,17 +151,9 @@
 	}
 	s.era++
 	s.away = false
-	close(s.returned)
-	s.returned = make(chan struct{})
 	return before, s.revision
 }
 
-func (s *store) awaitReturn() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.returned
-}
-
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsPath), "/")
@@ -358,7 +342,7 @@
 }
 
 // newVersion writes the next version of the configuration, with the routes' timeouts changed.
-func (o *operator) newVersion(timeoutMs int) bool {
+func (o *operator) newVersion(timeoutMs int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.version += 3
@@ -370,7 +354,6 @@
 	}
 	revision, ok := o.store.put("config", "main", o.config)
 	o.rec.logf("operator: configuration version %d written, acknowledged=%t revision=%d", o.version, ok, revision)
-	return ok
 }
 
 func (o *operator) setEvacuated(zone string, evacuated bool) (time.Time, bool) {
