--- a/review/kit-3/fleet.go
+++ b/review/kit-3/fleet.go
@@ -133,7 +133,7 @@
 	}
 	first := len(f.gateways)
 	for i, zone := range order {
-		g := &gatewayProcess{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: fmt.Sprintf("%s.%d", f.prefix, 10+first+i), zone: zone}
+		g := &gatewayProcess{name: fmt.Sprintf("front-%s-%d", zone, first+i+1), ip: fmt.Sprintf("%s.%d", f.prefix, 10+first+i), zone: zone}
 		g.settings, g.log = filepath.Join(f.dir, g.name+".toml"), filepath.Join(f.dir, g.name+".log")
 		bounds := map[string]any{
 			"configApplyMs": f.bounds.configApply.Milliseconds(), "drainMs": f.bounds.drain.Milliseconds(), "graceS": f.bounds.grace,
