review 3: cases that earlier ones show dropped, the others numbered anew

Dropped: idle clients (case 3 shows it), a shared part that is blamed (case 7), a request that crashes servers again after a minute (case 4).

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -9,7 +9,7 @@
     exit 2
   fi
 done
-timeout --kill-after=2 118 "$root/.bin/review-3" --case evacuation-after-drill --root "$root" --record "$folder/record.txt"
+timeout --kill-after=2 118 "$root/.bin/review-3" --case draining-after-drill --root "$root" --record "$folder/record.txt"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/kit-3/fleet.go
+++ b/review/kit-3/fleet.go
@@ -28,7 +28,6 @@
 	root, dir string
 	prefix    string
 	heartbeat time.Duration
-	downTime  time.Duration
 	bounds    bounds
 	rec       *recorder
 	store     *store
@@ -40,10 +39,6 @@
 	closed    atomic.Bool
 	ids       atomic.Int64
 	runID     int64
-
-	crashMu sync.Mutex
-	// crashes are the times of the servers' crashes, in order.
-	crashes []time.Time
 }
 
 // answer is what a client saw of one attempt.
@@ -84,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &testFleet{root: root, dir: dir, heartbeat: 1200 * time.Millisecond, downTime: 3 * time.Second, bounds: b, rec: rec, runID: rand.Int63()}
+	f := &testFleet{root: root, dir: dir, heartbeat: 1200 * time.Millisecond, bounds: b, rec: rec, runID: rand.Int63()}
 	for range 50 {
 		f.prefix = fmt.Sprintf("127.%d.%d", 10+rand.Intn(200), 1+rand.Intn(250))
 		if f.store, err = newStore(f.address(1, storePort)); err == nil {
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -16,9 +16,6 @@
 var cases = map[string]func(*testFleetOptions) (bool, error){
 	"evacuation-after-drill": evacuationAfterDrill,
 	"draining-after-drill":   drainingAfterDrill,
-	"crashing-request":       crashingRequest,
-	"idle-connections":       idleConnections,
-	"crashing-part":          crashingPart,
 }
 
 // testFleetOptions is what all cases need.
--- a/review/kit-3/servers.go
+++ b/review/kit-3/servers.go
@@ -20,8 +20,6 @@
 	zone   string
 	id     string
 	ran    bool
-	// crashing is set if it crashed the server.
-	crashing bool
 }
 
 // arrivals collects what reached all servers.
@@ -50,13 +48,6 @@
 	zone    string
 	slots   int
 	work    time.Duration
-	// poison is a part of the paths of requests that crash it when it begins to run them, and
-	// prefill is how long it works on such a request before. poisonPart is the prompt part that
-	// crashes it when it begins an answer.
-	poison, poisonPart string
-	prefill            time.Duration
-	// engine is set for a model server, whose answers are streams.
-	engine bool
 
 	mu sync.Mutex
 	// id and born identify the incarnation. up is unset while it is down.
@@ -134,30 +125,6 @@
 	return time.Now(), ok
 }
 
-// crash ends the incarnation at once, and its entry after three heartbeat intervals. A new one
-// starts after the given time.
-func (s *serverStandIn) crash(down time.Duration) {
-	s.mu.Lock()
-	if !s.up {
-		s.mu.Unlock()
-		return
-	}
-	s.up = false
-	id, server := s.id, s.http
-	s.mu.Unlock()
-	_ = server.Close()
-	s.fleet.crashMu.Lock()
-	s.fleet.crashes = append(s.fleet.crashes, time.Now())
-	s.fleet.crashMu.Unlock()
-	s.fleet.rec.logf("server %s crashes", id)
-	time.AfterFunc(3*s.fleet.heartbeat, func() { s.fleet.store.remove("servers", id) })
-	time.AfterFunc(down, func() {
-		if !s.fleet.closed.Load() {
-			_ = s.start()
-		}
-	})
-}
-
 func (s *serverStandIn) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -181,9 +148,6 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
-	case r.URL.Path == "/fulmarspindle/kv-list":
-		fmt.Fprintf(w, `{"epoch":1,"next":1,"held":[],"born":%d}`, s.startedAt())
-		return
 	case r.Header.Get("Expect-Instance") != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -203,45 +167,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	one.crashing = s.crashesOn(r)
 	s.fleet.arrivals.add(one)
 	s.fleet.rec.logf("server %s in %s gets %s %s, draining=%t", id, s.zone, attempt, r.URL.Path, draining)
-	if one.crashing {
-		time.Sleep(s.prefill)
-		s.crash(s.fleet.downTime)
-		panic(http.ErrAbortHandler)
-	}
 	time.Sleep(s.work)
 	w.Header().Set("Server-Seal", "seal-"+attempt)
-	if s.engine {
-		s.stream(w, id)
-		return
-	}
 	fmt.Fprintf(w, "answer of %s to %s", id, attempt)
 }
-
-func (s *serverStandIn) crashesOn(r *http.Request) bool {
-	return s.poison != "" && strings.Contains(r.URL.Path, s.poison) ||
-		s.poisonPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), s.poisonPart+":")
-}
-
-func (s *serverStandIn) startedAt() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.born
-}
-
-const (
-	streamEvents = 5
-	streamGap    = 10 * time.Millisecond
-)
-
-// stream writes the events of an answer.
-func (s *serverStandIn) stream(w http.ResponseWriter, id string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range streamEvents {
-		fmt.Fprintf(w, "id: %d\ndata: token of %s\n\n", i+1, id)
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(streamGap)
-	}
-}
